--- /dev/null
+++ b/src/adapters/batch_runtime/batch_runtime_base.cpp
@@ -0,0 +1,108 @@
+#include "adapters/batch_runtime/batch_runtime_base.h"
+
+#include <utility>
+
+namespace mangohall::batch {
+
+BatchRuntime::BatchRuntime(Node& node, const Clock& clock, const RuntimePorts& ports, std::size_t threadCount)
+    : m_node(node)
+    , m_clock(clock)
+    , m_ports(ports)
+    , m_threads(*this, clock, node.partCount(), threadCount)
+{
+}
+
+BatchRuntime::~BatchRuntime()
+{
+    stop();
+}
+
+void BatchRuntime::start()
+{
+    for (PartIndex part = 0; part < m_threads.partCount(); ++part)
+        wakePart(part);
+    m_threads.start();
+}
+
+void BatchRuntime::stop()
+{
+    m_threads.stop();
+}
+
+void BatchRuntime::post(CallerEvent event)
+{
+    const PartIndex desk = m_node.deskFor(event.request.path);
+    m_threads.post(desk, std::move(event));
+}
+
+void BatchRuntime::drain()
+{
+    m_threads.post(directoryPart, DrainEvent());
+}
+
+bool BatchRuntime::waitUntilDrained(absl::Duration timeout)
+{
+    absl::MutexLock lock(&m_drainMutex);
+    return m_drainMutex.AwaitWithTimeout(absl::Condition(&m_isDrained), timeout);
+}
+
+void BatchRuntime::wakePart(PartIndex part)
+{
+    m_threads.post(part, WakeEvent());
+}
+
+void BatchRuntime::handlePart(PartIndex part, const Event& event)
+{
+    const Effects effects = m_node.handle(part, event, m_clock.now());
+    for (const Effect& effect : effects)
+        std::visit([this, part](const auto& alternative) { execute(part, alternative); }, effect);
+}
+
+void BatchRuntime::execute(PartIndex part, const WakeAtEffect& effect)
+{
+    m_threads.wakeAt(part, effect.at);
+}
+
+void BatchRuntime::execute(PartIndex part, const StoreEffect& effect)
+{
+    const CallId call = effect.call;
+    m_ports.store.start(effect.request, effect.timeout, [this, part, call](StoreReply reply) {
+        m_threads.post(part, StoreEvent { call, std::move(reply) });
+    });
+}
+
+void BatchRuntime::execute(PartIndex part, const WorkerEffect& effect)
+{
+    const CallId call = effect.call;
+    m_ports.worker.call(effect.request, [this, part, call](WorkerReply reply) {
+        m_threads.post(part, WorkerEvent { call, std::move(reply) });
+    });
+}
+
+void BatchRuntime::execute(PartIndex /*part*/, const AnswerEffect& effect)
+{
+    m_ports.caller.answer(effect.caller, effect.answer);
+}
+
+void BatchRuntime::execute(PartIndex /*part*/, const NotifyEffect& effect)
+{
+    m_threads.post(effect.part, effect.event);
+}
+
+void BatchRuntime::execute(PartIndex /*part*/, const ReadyEffect& effect)
+{
+    m_ports.caller.setReady(effect.isReady);
+}
+
+void BatchRuntime::execute(PartIndex /*part*/, const DrainedEffect& /*effect*/)
+{
+    absl::MutexLock lock(&m_drainMutex);
+    m_isDrained = true;
+}
+
+void BatchRuntime::execute(PartIndex /*part*/, const DecisionEffect& effect)
+{
+    m_ports.observer.observe(effect);
+}
+
+} // namespace mangohall::batch
--- /dev/null
+++ b/src/adapters/json/batch_record_json_func.cpp
@@ -0,0 +1,348 @@
+#include "adapters/json/batch_record_json_func.h"
+
+#include <utility>
+
+#include "adapters/json/field_reader_base.h"
+#include "batch/job/job_check_func.h"
+#include "core/error_func.h"
+
+namespace mangohall::batch {
+
+namespace {
+
+using nlohmann::json;
+
+struct PhaseRow {
+    JobPhase phase;
+    absl::string_view name;
+};
+
+constexpr PhaseRow phaseTable[] = {
+    { JobPhase::Pending, "pending" },
+    { JobPhase::Active, "active" },
+    { JobPhase::Completed, "completed" },
+    { JobPhase::Failed, "failed" },
+    { JobPhase::Aborted, "aborted" },
+};
+
+std::int64_t toMillis(absl::Time time)
+{
+    return absl::ToUnixMillis(time);
+}
+
+void setUnlessEmpty(json& target, const char* field, const std::string& text)
+{
+    if (!text.empty())
+        target[field] = text;
+}
+
+void setUnlessZero(json& target, const char* field, std::int64_t value)
+{
+    if (value != 0)
+        target[field] = value;
+}
+
+void setIfTrue(json& target, const char* field, bool value)
+{
+    if (value)
+        target[field] = true;
+}
+
+json toJson(const StepSpec& step)
+{
+    json target = { { "tasks", step.taskCount }, { "cpuMillis", step.demand.cpuMillis },
+        { "memoryBytes", step.demand.memoryBytes } };
+    setUnlessZero(target, "accelerators", step.demand.accelerators);
+    setUnlessZero(target, "estimateMs", absl::ToInt64Milliseconds(step.estimate));
+    if (!step.after.empty())
+        target["after"] = step.after;
+    setIfTrue(target, "gang", step.isGang);
+    setIfTrue(target, "rackLocal", step.isRackLocal);
+    setIfTrue(target, "checkpointing", step.isCheckpointing);
+    setIfTrue(target, "speculative", step.isSpeculative);
+    setIfTrue(target, "lasting", step.isLasting);
+    setIfTrue(target, "filling", step.isFilling);
+    setUnlessEmpty(target, "label", step.requiredLabel.str());
+    setUnlessEmpty(target, "dataRack", step.dataRack.str());
+    setUnlessZero(target, "maxPerWorker", step.maxPerWorker);
+    setUnlessEmpty(target, "image", step.image);
+    setUnlessZero(target, "tailTargetMs", absl::ToInt64Milliseconds(step.tailTarget));
+    setUnlessZero(target, "allowedMissing", step.allowedMissing);
+    return target;
+}
+
+StepSpec stepFromJson(FieldReader& reader)
+{
+    StepSpec step;
+    step.taskCount = reader.count("tasks");
+    step.demand.cpuMillis = reader.integer("cpuMillis");
+    step.demand.memoryBytes = reader.integer("memoryBytes");
+    step.demand.accelerators = reader.count("accelerators");
+    step.estimate = reader.milliseconds("estimateMs");
+    step.after = reader.counts("after");
+    step.isGang = reader.flag("gang");
+    step.isRackLocal = reader.flag("rackLocal");
+    step.isCheckpointing = reader.flag("checkpointing");
+    step.isSpeculative = reader.flag("speculative");
+    step.isLasting = reader.flag("lasting");
+    step.isFilling = reader.flag("filling");
+    step.requiredLabel = WorkerLabel(reader.text("label"));
+    step.dataRack = RackName(reader.text("dataRack"));
+    step.maxPerWorker = reader.count("maxPerWorker");
+    step.image = reader.text("image");
+    step.tailTarget = reader.milliseconds("tailTargetMs");
+    step.allowedMissing = reader.count("allowedMissing");
+    return step;
+}
+
+json toJson(const Job& job)
+{
+    json target = {
+        { "id", job.id.str() },
+        { "queue", job.queue.str() },
+        { "service", job.service.str() },
+        { "organisation", job.organisation.str() },
+        { "priority", job.terms.priority },
+        { "maxAttempts", job.terms.maxAttempts },
+        { "stretchFactor", job.terms.stretchFactor },
+        { "targetLatencyMs", absl::ToInt64Milliseconds(job.terms.targetLatency) },
+        { "acceptedMs", toMillis(job.acceptedAt) },
+        { "payload", job.spec.payload },
+        { "steps", json::array() },
+    };
+    setUnlessZero(target, "repeatCount", job.spec.repeatCount);
+    if (job.spec.firstDue != absl::InfinitePast())
+        target["firstDueMs"] = toMillis(job.spec.firstDue);
+    setUnlessZero(target, "periodMs", absl::ToInt64Milliseconds(job.spec.period));
+    for (const StepSpec& step : job.spec.steps)
+        target["steps"].push_back(toJson(step));
+    return target;
+}
+
+absl::StatusOr<RecordValue> jobFromJson(const json& source)
+{
+    FieldReader reader(source);
+    Job job;
+    job.id = JobId(reader.text("id"));
+    job.queue = QueueName(reader.text("queue"));
+    job.service = ServiceName(reader.text("service"));
+    job.organisation = OrganisationName(reader.text("organisation"));
+    job.terms.priority = reader.count("priority");
+    job.terms.maxAttempts = reader.count("maxAttempts", 1);
+    job.terms.stretchFactor = reader.number("stretchFactor", 1);
+    job.terms.targetLatency = reader.milliseconds("targetLatencyMs");
+    job.acceptedAt = absl::FromUnixMillis(reader.integer("acceptedMs"));
+    job.spec.payload = reader.text("payload");
+    job.spec.repeatCount = reader.count("repeatCount");
+    if (reader.has("firstDueMs"))
+        job.spec.firstDue = absl::FromUnixMillis(reader.integer("firstDueMs"));
+    job.spec.period = reader.milliseconds("periodMs");
+    for (const json& element : reader.array("steps")) {
+        FieldReader stepReader(element);
+        job.spec.steps.push_back(stepFromJson(stepReader));
+        if (!stepReader.status().ok())
+            return stepReader.status();
+    }
+    absl::Status status = reader.status();
+    if (status.ok())
+        status = checkSpec(job.spec);
+    if (!status.ok())
+        return status;
+    return RecordValue(std::move(job));
+}
+
+// A task that was never placed is a 0; any other is a list, shortest for the most frequent case.
+json toJson(const TaskProgress& task)
+{
+    if (task == TaskProgress())
+        return 0;
+    return json::array({ static_cast<int>(task.phase), task.attempt, task.failures, task.checkpoint, task.worker.str(),
+        task.workerBornMs });
+}
+
+absl::Status taskFromJson(const json& source, TaskProgress& task)
+{
+    if (source.is_number())
+        return absl::OkStatus();
+    constexpr std::size_t fieldCount = 6;
+    const bool isWhole = source.is_array() && source.size() == fieldCount && source[0].is_number_integer()
+        && source[1].is_number_integer() && source[2].is_number_integer() && source[3].is_string()
+        && source[4].is_string() && source[5].is_number_integer();
+    if (!isWhole)
+        return makeError(ErrorKind::MalformedBody, "a task's progress is not a list of its six fields");
+    const int phase = source[0].get<int>();
+    if (phase < 0 || phase > static_cast<int>(TaskProgress::Phase::Done))
+        return makeError(ErrorKind::MalformedBody, "a task has an unknown phase");
+    task.phase = static_cast<TaskProgress::Phase>(phase);
+    task.attempt = source[1].get<std::int32_t>();
+    task.failures = source[2].get<std::int32_t>();
+    task.checkpoint = source[3].get<std::string>();
+    task.worker = WorkerName(source[4].get<std::string>());
+    task.workerBornMs = source[5].get<std::int64_t>();
+    return absl::OkStatus();
+}
+
+json toJson(const ProgressRecord& record)
+{
+    json target = { { "phase", std::string(phaseName(record.phase)) }, { "occurrences", json::array() } };
+    if (record.endedAt != absl::InfiniteFuture())
+        target["endedMs"] = toMillis(record.endedAt);
+    for (const OccurrenceProgress& occurrence : record.occurrences) {
+        json steps = json::array();
+        for (const StepProgress& step : occurrence.steps) {
+            json tasks = json::array();
+            for (const TaskProgress& task : step.tasks)
+                tasks.push_back(toJson(task));
+            steps.push_back(std::move(tasks));
+        }
+        target["occurrences"].push_back(std::move(steps));
+    }
+    return target;
+}
+
+absl::StatusOr<RecordValue> progressFromJson(const json& source)
+{
+    FieldReader reader(source);
+    ProgressRecord record;
+    const std::string phase = reader.text("phase");
+    bool isKnown = false;
+    for (const PhaseRow& row : phaseTable) {
+        if (row.name == phase) {
+            record.phase = row.phase;
+            isKnown = true;
+        }
+    }
+    if (!isKnown)
+        reader.fail("phase", "is none of the known ones");
+    if (reader.has("endedMs"))
+        record.endedAt = absl::FromUnixMillis(reader.integer("endedMs"));
+    for (const json& steps : reader.array("occurrences")) {
+        OccurrenceProgress occurrence;
+        occurrence.number = static_cast<std::int32_t>(record.occurrences.size());
+        for (const json& tasks : steps) {
+            StepProgress step;
+            for (const json& element : tasks) {
+                step.tasks.emplace_back();
+                const absl::Status status = taskFromJson(element, step.tasks.back());
+                if (!status.ok())
+                    return status;
+            }
+            occurrence.steps.push_back(std::move(step));
+        }
+        record.occurrences.push_back(std::move(occurrence));
+    }
+    if (!reader.status().ok())
+        return reader.status();
+    return RecordValue(std::move(record));
+}
+
+json toJson(const QueueCounts& counts)
+{
+    json waiting = json::object();
+    for (const auto& [queue, count] : counts.waiting)
+        waiting[queue.str()] = count;
+    return { { "waiting", std::move(waiting) } };
+}
+
+absl::StatusOr<RecordValue> countsFromJson(const json& source)
+{
+    FieldReader reader(source);
+    QueueCounts counts;
+    const json& waiting = reader.object("waiting");
+    FieldReader countReader(waiting);
+    for (const auto& [queue, count] : waiting.items())
+        counts.waiting[QueueName(queue)] = countReader.integer(queue);
+    if (!reader.status().ok())
+        return reader.status();
+    if (!countReader.status().ok())
+        return countReader.status();
+    return RecordValue(std::move(counts));
+}
+
+// Turns a value into JSON, by its type.
+class RecordEncoder {
+public:
+    json operator()(const Job& job) const { return toJson(job); }
+    json operator()(const Cancellation& cancellation) const
+    {
+        return { { "requestedMs", toMillis(cancellation.requestedAt) } };
+    }
+    json operator()(const ProgressRecord& record) const { return toJson(record); }
+    json operator()(const QueueCounts& counts) const { return toJson(counts); }
+    json operator()(const HolderRecord& holder) const
+    {
+        return { { "node", holder.node.str() }, { "epoch", holder.epoch } };
+    }
+    json operator()(const EpochRecord& epoch) const
+    {
+        return { { "node", epoch.node.str() }, { "epoch", epoch.epoch } };
+    }
+    // Written by others, or not at all.
+    json operator()(const Manifest& /*manifest*/) const { return nullptr; }
+    json operator()(const WorkerEntry& /*entry*/) const { return nullptr; }
+    json operator()(const UnreadableRecord& /*record*/) const { return nullptr; }
+    json operator()(const std::monostate& /*absent*/) const { return nullptr; }
+};
+
+absl::StatusOr<RecordValue> ownerFromJson(Collection collection, const json& source)
+{
+    FieldReader reader(source);
+    const NodeName node(reader.text("node"));
+    const Epoch epoch = reader.integer("epoch");
+    if (!reader.status().ok())
+        return reader.status();
+    if (collection == Collection::Holder)
+        return RecordValue(HolderRecord { node, epoch });
+    return RecordValue(EpochRecord { epoch, node });
+}
+
+absl::StatusOr<RecordValue> cancellationFromJson(const json& source)
+{
+    FieldReader reader(source);
+    const Cancellation cancellation { absl::FromUnixMillis(reader.integer("requestedMs")) };
+    if (!reader.status().ok())
+        return reader.status();
+    return RecordValue(cancellation);
+}
+
+} // namespace
+
+absl::string_view phaseName(JobPhase phase)
+{
+    for (const PhaseRow& row : phaseTable) {
+        if (row.phase == phase)
+            return row.name;
+    }
+    return "";
+}
+
+std::string encodeRecord(const RecordValue& value)
+{
+    return toJsonText(std::visit(RecordEncoder(), value), false);
+}
+
+absl::StatusOr<RecordValue> decodeRecord(Collection collection, absl::string_view bytes)
+{
+    const absl::StatusOr<json> parsed = parseJsonText(bytes);
+    if (!parsed.ok())
+        return parsed.status();
+    switch (collection) {
+    case Collection::Jobs:
+        return jobFromJson(*parsed);
+    case Collection::Cancellations:
+        return cancellationFromJson(*parsed);
+    case Collection::Progress:
+        return progressFromJson(*parsed);
+    case Collection::QueueCounts:
+        return countsFromJson(*parsed);
+    case Collection::Holder:
+    case Collection::Epoch:
+        return ownerFromJson(collection, *parsed);
+    case Collection::Manifest:
+    case Collection::Workers:
+        break;
+    }
+    return makeError(ErrorKind::Internal, "nodes do not write this collection");
+}
+
+} // namespace mangohall::batch
--- /dev/null
+++ b/src/adapters/json/field_reader_base.cpp
@@ -0,0 +1,183 @@
+#include "adapters/json/field_reader_base.h"
+
+#include <cmath>
+#include <limits>
+
+#include "absl/strings/str_cat.h"
+#include "core/error_func.h"
+
+namespace mangohall {
+
+namespace {
+
+const nlohmann::json& emptyArray()
+{
+    static const nlohmann::json empty = nlohmann::json::array();
+    return empty;
+}
+
+const nlohmann::json& emptyObject()
+{
+    static const nlohmann::json empty = nlohmann::json::object();
+    return empty;
+}
+
+} // namespace
+
+FieldReader::FieldReader(const nlohmann::json& object)
+    : m_object(object)
+{
+    if (!object.is_object())
+        m_status = makeError(ErrorKind::MalformedBody, "is not an object");
+}
+
+const nlohmann::json* FieldReader::find(absl::string_view field) const
+{
+    if (!m_object.is_object())
+        return nullptr;
+    const auto found = m_object.find(std::string(field));
+    return found == m_object.end() || found->is_null() ? nullptr : &*found;
+}
+
+bool FieldReader::has(absl::string_view field) const
+{
+    return find(field) != nullptr;
+}
+
+void FieldReader::fail(absl::string_view field, absl::string_view rule)
+{
+    if (m_status.ok())
+        m_status = makeError(ErrorKind::MalformedBody, absl::StrCat(field, ": ", rule));
+}
+
+void FieldReader::require(absl::string_view field)
+{
+    if (!has(field))
+        fail(field, "is missing");
+}
+
+std::string FieldReader::text(absl::string_view field)
+{
+    const nlohmann::json* found = find(field);
+    if (found == nullptr)
+        return "";
+    if (!found->is_string()) {
+        fail(field, "is not a text");
+        return "";
+    }
+    return found->get<std::string>();
+}
+
+double FieldReader::number(absl::string_view field, double absent)
+{
+    const nlohmann::json* found = find(field);
+    if (found == nullptr)
+        return absent;
+    if (!found->is_number()) {
+        fail(field, "is not a number");
+        return absent;
+    }
+    return found->get<double>();
+}
+
+std::int64_t FieldReader::integer(absl::string_view field, std::int64_t absent)
+{
+    const nlohmann::json* found = find(field);
+    if (found != nullptr && found->is_number_integer())
+        return found->get<std::int64_t>();
+    constexpr double mostExact = 9007199254740992.0;
+    const double value = number(field, static_cast<double>(absent));
+    if (std::abs(value) > mostExact) {
+        fail(field, "is out of range");
+        return absent;
+    }
+    return static_cast<std::int64_t>(value);
+}
+
+std::int32_t FieldReader::count(absl::string_view field, std::int32_t absent)
+{
+    const std::int64_t value = integer(field, absent);
+    if (value < 0 || value > std::numeric_limits<std::int32_t>::max()) {
+        fail(field, "is out of range");
+        return absent;
+    }
+    return static_cast<std::int32_t>(value);
+}
+
+bool FieldReader::flag(absl::string_view field)
+{
+    const nlohmann::json* found = find(field);
+    if (found != nullptr && found->is_boolean())
+        return found->get<bool>();
+    return number(field) != 0;
+}
+
+absl::Duration FieldReader::milliseconds(absl::string_view field, absl::Duration absent)
+{
+    return has(field) ? absl::Milliseconds(number(field)) : absent;
+}
+
+const nlohmann::json& FieldReader::array(absl::string_view field)
+{
+    const nlohmann::json* found = find(field);
+    if (found == nullptr)
+        return emptyArray();
+    if (!found->is_array()) {
+        fail(field, "is not a list");
+        return emptyArray();
+    }
+    return *found;
+}
+
+const nlohmann::json& FieldReader::object(absl::string_view field)
+{
+    const nlohmann::json* found = find(field);
+    if (found == nullptr)
+        return emptyObject();
+    if (!found->is_object()) {
+        fail(field, "is not an object");
+        return emptyObject();
+    }
+    return *found;
+}
+
+std::vector<std::string> FieldReader::texts(absl::string_view field)
+{
+    std::vector<std::string> texts;
+    for (const nlohmann::json& element : array(field)) {
+        if (element.is_string())
+            texts.push_back(element.get<std::string>());
+        else
+            fail(field, "holds something else than texts");
+    }
+    return texts;
+}
+
+std::vector<std::int32_t> FieldReader::counts(absl::string_view field)
+{
+    std::vector<std::int32_t> counts;
+    for (const nlohmann::json& element : array(field)) {
+        if (element.is_number_integer())
+            counts.push_back(element.get<std::int32_t>());
+        else
+            fail(field, "holds something else than whole numbers");
+    }
+    return counts;
+}
+
+absl::StatusOr<nlohmann::json> parseJsonText(absl::string_view text)
+{
+    nlohmann::json parsed = nlohmann::json::parse(text.begin(), text.end(), nullptr, false);
+    if (parsed.is_discarded())
+        return makeError(ErrorKind::MalformedBody, "is not JSON");
+    return parsed;
+}
+
+std::string toJsonText(const nlohmann::json& json, bool isPretty)
+{
+    constexpr int noIndent = -1;
+    constexpr int indent = 2;
+    return json.dump(isPretty ? indent : noIndent, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+} // namespace mangohall
--- /dev/null
+++ b/src/adapters/observe/decision_log_base.cpp
@@ -0,0 +1,165 @@
+#include "adapters/observe/decision_log_base.h"
+
+#include <algorithm>
+#include <memory>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "log4cxx/asyncappender.h"
+#include "log4cxx/consoleappender.h"
+#include "log4cxx/logger.h"
+#include "log4cxx/patternlayout.h"
+#include "nlohmann/json.hpp"
+
+namespace mangohall::batch {
+
+namespace {
+
+constexpr double linesPerSecond = 400;
+constexpr double burstLines = 800;
+constexpr int bufferedLines = 512;
+constexpr unsigned latencyBins = 40;
+constexpr double leastSeconds = 0.0005;
+constexpr double mostSeconds = 120;
+
+constexpr absl::string_view kindNames[] = { "submitted", "queried", "cancelled", "refused", "jobLearned", "jobEnded",
+    "runPlaced", "runEnded", "runEvicted", "runStopped", "workerFound", "workerLost", "ownershipTaken", "ownershipLost",
+    "manifestTaken", "storeLost", "storeRegained", "recordUnreadable" };
+
+void setText(nlohmann::json& line, const char* field, const std::string& text)
+{
+    if (!text.empty())
+        line[field] = text;
+}
+
+nlohmann::json toLine(const DecisionEffect& decision)
+{
+    nlohmann::json line = { { "event", std::string(kindNames[static_cast<std::size_t>(decision.kind)]) } };
+    setText(line, "job", decision.job);
+    setText(line, "run", decision.run);
+    setText(line, "worker", decision.worker);
+    setText(line, "queue", decision.queue);
+    setText(line, "organisation", decision.organisation);
+    setText(line, "outcome", decision.outcome);
+    setText(line, "reason", decision.reason);
+    if (decision.epoch != 0)
+        line["epoch"] = decision.epoch;
+    if (decision.version != 0)
+        line["version"] = decision.version;
+    if (decision.age != absl::InfiniteDuration())
+        line["ageMs"] = absl::ToInt64Milliseconds(decision.age);
+    return line;
+}
+
+void writeLine(const nlohmann::json& line)
+{
+    constexpr int noIndent = -1;
+    const std::string text = line.dump(noIndent, ' ', false, nlohmann::json::error_handler_t::replace);
+    log4cxx::Logger::getRootLogger()->forcedLog(
+        log4cxx::Level::getInfo(), text, log4cxx::spi::LocationInfo::getLocationUnavailable());
+}
+
+} // namespace
+
+void setUpLineLogging()
+{
+    const auto layout = std::make_shared<log4cxx::PatternLayout>("%m%n");
+    const auto console = std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemOut());
+    const auto queue = std::make_shared<log4cxx::AsyncAppender>();
+    queue->setBufferSize(bufferedLines);
+    queue->setBlocking(false);
+    queue->addAppender(console);
+    const log4cxx::LoggerPtr root = log4cxx::Logger::getRootLogger();
+    root->removeAllAppenders();
+    root->addAppender(queue);
+    root->setLevel(log4cxx::Level::getInfo());
+}
+
+DecisionLog::DecisionLog(NodeName self, const Clock& clock)
+    : m_self(std::move(self))
+    , m_clock(clock)
+    , m_allowance(burstLines)
+    , m_refilledAt(clock.now())
+{
+    static_assert(std::size(kindNames) == kindCount);
+    for (Shard& shard : m_shards) {
+        absl::MutexLock lock(&shard.mutex);
+        shard.series.seconds = LatencyHistogram(std::make_tuple(LatencyAxis(latencyBins, leastSeconds, mostSeconds)));
+    }
+}
+
+void DecisionLog::observe(const DecisionEffect& decision)
+{
+    count(decision);
+    const absl::Time now = m_clock.now();
+    if (!takeLineAllowance(now))
+        return;
+    nlohmann::json line = toLine(decision);
+    line["node"] = m_self.str();
+    line["timeMs"] = absl::ToUnixMillis(now);
+    writeLine(line);
+}
+
+void DecisionLog::note(absl::string_view event, absl::string_view detail)
+{
+    writeLine({ { "event", std::string(event) }, { "reason", std::string(detail) }, { "node", m_self.str() },
+        { "timeMs", absl::ToUnixMillis(m_clock.now()) } });
+}
+
+bool DecisionLog::takeLineAllowance(absl::Time now)
+{
+    absl::MutexLock lock(&m_rateMutex);
+    const double earned = absl::ToDoubleSeconds(now - m_refilledAt) * linesPerSecond;
+    m_allowance = std::min(burstLines, m_allowance + earned);
+    m_refilledAt = now;
+    if (m_allowance < 1) {
+        ++m_dropped;
+        return false;
+    }
+    m_allowance -= 1;
+    return true;
+}
+
+void DecisionLog::count(const DecisionEffect& decision)
+{
+    Shard& shard = m_shards[static_cast<std::size_t>(decision.kind)];
+    absl::MutexLock lock(&shard.mutex);
+    ++shard.series.outcomes[decision.outcome];
+    if (decision.age == absl::InfiniteDuration())
+        return;
+    const double seconds = absl::ToDoubleSeconds(decision.age);
+    shard.series.seconds(seconds);
+    shard.series.totalSeconds += seconds;
+    ++shard.series.timed;
+}
+
+std::string DecisionLog::metricsText() const
+{
+    std::string text = "# TYPE mangohall_decisions counter\n# TYPE mangohall_decision_seconds histogram\n";
+    for (std::size_t kind = 0; kind < kindCount; ++kind) {
+        const Shard& shard = m_shards[kind];
+        absl::MutexLock lock(&shard.mutex);
+        const Series& series = shard.series;
+        for (const auto& [outcome, times] : series.outcomes)
+            absl::StrAppend(
+                &text, "mangohall_decisions{kind=\"", kindNames[kind], "\",outcome=\"", outcome, "\"} ", times, "\n");
+        if (series.timed == 0)
+            continue;
+        std::uint64_t below = series.seconds.at(-1);
+        for (int bin = 0; bin < static_cast<int>(latencyBins); ++bin) {
+            const std::uint64_t here = series.seconds.at(bin);
+            below += here;
+            if (here != 0)
+                absl::StrAppend(&text, "mangohall_decision_seconds_bucket{kind=\"", kindNames[kind], "\",le=\"",
+                    series.seconds.axis(0).bin(bin).upper(), "\"} ", below, "\n");
+        }
+        absl::StrAppend(&text, "mangohall_decision_seconds_bucket{kind=\"", kindNames[kind], "\",le=\"+Inf\"} ",
+            series.timed, "\n", "mangohall_decision_seconds_sum{kind=\"", kindNames[kind], "\"} ", series.totalSeconds,
+            "\n", "mangohall_decision_seconds_count{kind=\"", kindNames[kind], "\"} ", series.timed, "\n");
+    }
+    absl::MutexLock lock(&m_rateMutex);
+    absl::StrAppend(&text, "mangohall_log_lines_dropped ", m_dropped, "\n");
+    return text;
+}
+
+} // namespace mangohall::batch
--- a/src/adapters/runtime/node_runtime_base.cpp
+++ b/src/adapters/runtime/node_runtime_base.cpp
@@ -8,22 +8,12 @@
 
 constexpr PartIndex directoryPart = 0;
 
-std::vector<std::unique_ptr<PartQueue>> makeQueues(std::size_t count)
-{
-    std::vector<std::unique_ptr<PartQueue>> queues;
-    for (std::size_t i = 0; i < count; ++i)
-        queues.push_back(std::make_unique<PartQueue>());
-    return queues;
-}
-
 } // namespace
 
 NodeRuntime::NodeRuntime(Node& node, const Clock& clock, const RuntimePorts& ports, const RuntimeSettings& settings)
     : m_node(node)
     , m_clock(clock)
-    , m_workerThreads(settings.workerThreads)
-    , m_queues(makeQueues(node.partCount()))
-    , m_timers(clock, node.partCount())
+    , m_threads(*this, clock, node.partCount(), settings.workerThreads)
     , m_executor(settings.self, ports, *this)
 {
 }
@@ -35,20 +25,14 @@
 
 void NodeRuntime::start()
 {
-    for (PartIndex part = 0; part < m_queues.size(); ++part)
-        postTo(part, WakeEvent());
-    m_threads.emplace_back(&NodeRuntime::runTimer, this);
-    for (std::size_t i = 0; i < m_workerThreads; ++i)
-        m_threads.emplace_back(&NodeRuntime::runWorker, this);
+    for (PartIndex part = 0; part < m_threads.partCount(); ++part)
+        wakePart(part);
+    m_threads.start();
 }
 
 void NodeRuntime::stop()
 {
-    m_ready.close();
-    m_timers.close();
-    for (std::thread& thread : m_threads)
-        thread.join();
-    m_threads.clear();
+    m_threads.stop();
 }
 
 void NodeRuntime::post(Event event)
@@ -70,7 +54,7 @@
 
 void NodeRuntime::recheckTimers()
 {
-    m_timers.recheck();
+    m_threads.recheckTimers();
 }
 
 RuntimeCounters NodeRuntime::counters() const
@@ -78,15 +62,13 @@
     RuntimeCounters counters;
     counters.events = m_events.load(std::memory_order_relaxed);
     counters.effects = m_effects.load(std::memory_order_relaxed);
-    for (const std::unique_ptr<PartQueue>& queue : m_queues)
-        counters.queuedEvents += queue->size();
+    counters.queuedEvents = m_threads.queuedEvents();
     return counters;
 }
 
 void NodeRuntime::postTo(PartIndex part, Event event)
 {
-    if (m_queues.at(part)->push(std::move(event)))
-        m_ready.push(part);
+    m_threads.post(part, std::move(event));
 }
 
 void NodeRuntime::postFromOutside(Event event)
@@ -96,7 +78,7 @@
 
 void NodeRuntime::wakeAt(PartIndex part, absl::Time at)
 {
-    m_timers.set(part, at);
+    m_threads.wakeAt(part, at);
 }
 
 void NodeRuntime::drained()
@@ -105,25 +87,13 @@
     m_isDrained = true;
 }
 
-void NodeRuntime::runWorker()
-{
-    while (const absl::optional<PartIndex> part = m_ready.take()) {
-        handleOne(*part);
-        // Back to the end of the line, so that a busy part does not keep others waiting.
-        if (m_queues[*part]->release())
-            m_ready.push(*part);
-    }
-}
-
-void NodeRuntime::runTimer()
+void NodeRuntime::wakePart(PartIndex part)
 {
-    while (const absl::optional<PartIndex> part = m_timers.waitForDue())
-        postTo(*part, WakeEvent());
+    postTo(part, WakeEvent());
 }
 
-void NodeRuntime::handleOne(PartIndex part)
+void NodeRuntime::handlePart(PartIndex part, const Event& event)
 {
-    const Event event = m_queues[part]->pop();
     m_events.fetch_add(1, std::memory_order_relaxed);
     Effects effects = m_node.handle(part, event, m_clock.now());
     m_effects.fetch_add(effects.size(), std::memory_order_relaxed);
--- a/src/adapters/runtime/node_runtime_base.h
+++ b/src/adapters/runtime/node_runtime_base.h
@@ -4,17 +4,12 @@
 #include <atomic>
 #include <cstddef>
 #include <cstdint>
-#include <memory>
-#include <thread>
-#include <vector>
 
 #include "absl/base/thread_annotations.h"
 #include "absl/synchronization/mutex.h"
 #include "adapters/runtime/effect_executor_base.h"
-#include "adapters/runtime/part_queue_base.h"
 #include "adapters/runtime/part_sink_port.h"
-#include "adapters/runtime/ready_queue_base.h"
-#include "adapters/runtime/timer_queue_base.h"
+#include "adapters/runtime/part_threads_base.h"
 #include "node/node_base.h"
 #include "ports/clock_port.h"
 #include "ports/event_sink_port.h"
@@ -38,7 +33,7 @@
 // A queue for each part of a node and a fixed pool of worker threads. A part is handled by one thread at a time in
 // arrival order, and its effects are started before its next event is handled. No lock is held while the node handles
 // an event or an effect is started. What calls back into the runtime has to be stopped before it is destroyed.
-class NodeRuntime : public EventSink, private PartSink {
+class NodeRuntime : public EventSink, private PartSink, private PartHandler<Event> {
 public:
     NodeRuntime(Node& node, const Clock& clock, const RuntimePorts& ports, const RuntimeSettings& settings);
     ~NodeRuntime() override;
@@ -68,19 +63,13 @@
     void wakeAt(PartIndex part, absl::Time at) override;
     void drained() override;
 
-    void runWorker();
-    void runTimer();
-    void handleOne(PartIndex part);
+    void handlePart(PartIndex part, const Event& event) override;
+    void wakePart(PartIndex part) override;
 
     Node& m_node;
     const Clock& m_clock;
-    const std::size_t m_workerThreads;
-    // One for each part. The vector itself does not change.
-    std::vector<std::unique_ptr<PartQueue>> m_queues;
-    ReadyQueue m_ready;
-    TimerQueue m_timers;
+    PartThreads<Event> m_threads;
     EffectExecutor m_executor;
-    std::vector<std::thread> m_threads;
     std::atomic<std::uint64_t> m_events { 0 };
     std::atomic<std::uint64_t> m_effects { 0 };
     absl::Mutex m_drainMutex;
--- a/src/adapters/runtime/ready_queue_base.h
+++ b/src/adapters/runtime/ready_queue_base.h
@@ -6,7 +6,7 @@
 #include "absl/base/thread_annotations.h"
 #include "absl/synchronization/mutex.h"
 #include "absl/types/optional.h"
-#include "node/event_type.h"
+#include "core/part_type.h"
 
 namespace mangohall {
 
--- a/src/adapters/runtime/timer_queue_base.cpp
+++ b/src/adapters/runtime/timer_queue_base.cpp
@@ -1,46 +1,93 @@
 #include "adapters/runtime/timer_queue_base.h"
 
 #include <algorithm>
+#include <cstdint>
+
+#include <poll.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
 
 namespace mangohall {
 
+namespace {
+
+constexpr std::int64_t longestWaitMilliseconds = 60'000;
+
+} // namespace
+
 TimerQueue::TimerQueue(const Clock& clock, std::size_t partCount)
     : m_clock(clock)
+    , m_wakeUp(::eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK))
     , m_times(partCount, absl::InfiniteFuture())
 {
 }
 
+TimerQueue::~TimerQueue()
+{
+    ::close(m_wakeUp);
+}
+
 void TimerQueue::set(PartIndex part, absl::Time at)
 {
-    absl::MutexLock lock(&m_mutex);
-    m_times.at(part) = at;
-    m_changed.Signal();
+    bool isEarlier = false;
+    {
+        absl::MutexLock lock(&m_mutex);
+        m_times.at(part) = at;
+        isEarlier = at < m_sleepsUntil;
+    }
+    if (isEarlier)
+        signal();
 }
 
 absl::optional<PartIndex> TimerQueue::waitForDue()
 {
-    absl::MutexLock lock(&m_mutex);
-    while (!m_isClosed) {
-        const absl::Time now = m_clock.now();
-        const absl::optional<PartIndex> due = takeDue(now);
-        if (due)
-            return due;
-        m_changed.WaitWithTimeout(&m_mutex, earliest() - now);
+    while (true) {
+        absl::Duration timeout;
+        {
+            absl::MutexLock lock(&m_mutex);
+            if (m_isClosed)
+                return absl::nullopt;
+            const absl::Time now = m_clock.now();
+            m_sleepsUntil = absl::InfinitePast();
+            if (const absl::optional<PartIndex> due = takeDue(now))
+                return due;
+            m_sleepsUntil = earliest();
+            timeout = m_sleepsUntil - now;
+        }
+        waitForSignal(timeout);
     }
-    return absl::nullopt;
+}
+
+void TimerQueue::signal()
+{
+    // Fails only if a signal waits already.
+    const std::uint64_t one = 1;
+    [[maybe_unused]] const ssize_t written = ::write(m_wakeUp, &one, sizeof(one));
+}
+
+void TimerQueue::waitForSignal(absl::Duration timeout)
+{
+    // Rounded up, so that the thread does not wake just before the time.
+    const std::int64_t wait
+        = std::min<std::int64_t>(absl::ToInt64Milliseconds(timeout), longestWaitMilliseconds - 1) + 1;
+    pollfd entry { m_wakeUp, POLLIN, 0 };
+    ::poll(&entry, 1, static_cast<int>(wait));
+    std::uint64_t count = 0;
+    [[maybe_unused]] const ssize_t taken = ::read(m_wakeUp, &count, sizeof(count));
 }
 
 void TimerQueue::recheck()
 {
-    absl::MutexLock lock(&m_mutex);
-    m_changed.Signal();
+    signal();
 }
 
 void TimerQueue::close()
 {
-    absl::MutexLock lock(&m_mutex);
-    m_isClosed = true;
-    m_changed.SignalAll();
+    {
+        absl::MutexLock lock(&m_mutex);
+        m_isClosed = true;
+    }
+    signal();
 }
 
 absl::optional<PartIndex> TimerQueue::takeDue(absl::Time now)
--- a/src/adapters/runtime/timer_queue_base.h
+++ b/src/adapters/runtime/timer_queue_base.h
@@ -8,7 +8,7 @@
 #include "absl/synchronization/mutex.h"
 #include "absl/time/time.h"
 #include "absl/types/optional.h"
-#include "node/event_type.h"
+#include "core/part_type.h"
 #include "ports/clock_port.h"
 
 namespace mangohall {
@@ -17,6 +17,9 @@
 class TimerQueue {
 public:
     TimerQueue(const Clock& clock, std::size_t partCount);
+    ~TimerQueue();
+    TimerQueue(const TimerQueue&) = delete;
+    TimerQueue& operator=(const TimerQueue&) = delete;
 
     // Sets the time of a part; the infinite future means never.
     void set(PartIndex part, absl::Time at);
@@ -32,11 +35,16 @@
 
 private:
     absl::optional<PartIndex> takeDue(absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    void signal();
+    void waitForSignal(absl::Duration timeout);
     absl::Time earliest() const ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
 
     const Clock& m_clock;
     absl::Mutex m_mutex;
-    absl::CondVar m_changed;
+    // Waited on by poll, whose timeouts do not depend on the time of day as those of the mutex do.
+    const int m_wakeUp;
+    // Until when the waiting thread sleeps, so that only an earlier time has to wake it.
+    absl::Time m_sleepsUntil ABSL_GUARDED_BY(m_mutex) = absl::InfinitePast();
     std::vector<absl::Time> m_times ABSL_GUARDED_BY(m_mutex);
     bool m_isClosed ABSL_GUARDED_BY(m_mutex) = false;
 };
--- a/src/adapters/settings/settings_func.cpp
+++ b/src/adapters/settings/settings_func.cpp
@@ -245,12 +245,4 @@
     return parseSettings(*text, role, std::filesystem::path(path).parent_path().string());
 }
 
-std::string describeFaults(absl::Span<const SettingsFault> faults)
-{
-    std::string lines;
-    for (const SettingsFault& fault : faults)
-        absl::StrAppend(&lines, fault.path.empty() ? "settings" : fault.path, ": ", fault.message, "\n");
-    return lines;
-}
-
 } // namespace mangohall
--- a/src/adapters/settings/settings_func.h
+++ b/src/adapters/settings/settings_func.h
@@ -4,7 +4,6 @@
 #include <string>
 
 #include "absl/strings/string_view.h"
-#include "absl/types/span.h"
 #include "adapters/settings/settings_type.h"
 
 namespace mangohall {
@@ -16,7 +15,4 @@
 // The same from a file.
 SettingsResult readSettingsFile(const std::string& path, NodeRole role);
 
-// One line for each fault, "path: message".
-std::string describeFaults(absl::Span<const SettingsFault> faults);
-
 } // namespace mangohall
--- a/src/adapters/settings/settings_reader_base.h
+++ b/src/adapters/settings/settings_reader_base.h
@@ -10,7 +10,7 @@
 #include "absl/time/time.h"
 #include "absl/types/optional.h"
 #include "absl/types/span.h"
-#include "adapters/settings/settings_type.h"
+#include "adapters/settings/settings_fault_func.h"
 #include "nlohmann/json.hpp"
 
 namespace mangohall {
--- a/src/adapters/settings/settings_type.h
+++ b/src/adapters/settings/settings_type.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "absl/time/time.h"
+#include "adapters/settings/settings_fault_func.h"
 #include "core/name_type.h"
 #include "membership/membership_type.h"
 
@@ -67,14 +68,6 @@
     std::uint64_t seed = 1;
 };
 
-// One fault of a settings file. The path names the field, for example "limits.bodyBytes".
-struct SettingsFault {
-    std::string path;
-    std::string message;
-
-    friend bool operator==(const SettingsFault&, const SettingsFault&) = default;
-};
-
 // Settings are valid only if there is no fault.
 struct SettingsResult {
     Settings settings;
--- /dev/null
+++ b/src/batch/desk/desk_part_cmd.cpp
@@ -0,0 +1,338 @@
+#include "batch/desk/desk_part_base.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/ascii.h"
+#include "absl/strings/str_cat.h"
+#include "core/error_func.h"
+
+namespace mangohall::batch {
+
+namespace {
+
+constexpr std::size_t jobIdLength = 16;
+// Kept of a caller's time for the answer to reach it.
+constexpr absl::Duration answerReserve = absl::Milliseconds(300);
+constexpr absl::Duration readTimeout = absl::Milliseconds(700);
+constexpr absl::Duration readRetryPeriod = absl::Milliseconds(80);
+// Tries of a reading that the store refuses. Another node may be served.
+constexpr int maxReadTries = 4;
+// For refusals that another node, or this one in a moment, would not give.
+constexpr absl::Duration retryAfterRefusal = absl::Seconds(1);
+
+bool isJobId(absl::string_view text)
+{
+    return text.size() == jobIdLength && std::all_of(text.begin(), text.end(), absl::ascii_isxdigit);
+}
+
+// A reading or writing that gave no clear result.
+absl::Status storeAwayError()
+{
+    return makeError(ErrorKind::OutcomeUnknown, "the store has not answered in time");
+}
+
+DecisionEffect::Kind decisionKindOf(bool isRefused, CallerVerb verb)
+{
+    if (isRefused)
+        return DecisionEffect::Kind::Refused;
+    switch (verb) {
+    case CallerVerb::Submit:
+        return DecisionEffect::Kind::Submitted;
+    case CallerVerb::Cancel:
+        return DecisionEffect::Kind::Cancelled;
+    case CallerVerb::Query:
+        break;
+    }
+    return DecisionEffect::Kind::Queried;
+}
+
+// The jobs of the queue that wait; none before the owner has counted any.
+std::int64_t countOf(const RecordValue& value, const QueueName& queue)
+{
+    const auto* counts = std::get_if<QueueCounts>(&value);
+    if (counts == nullptr)
+        return 0;
+    const auto found = counts->waiting.find(queue);
+    return found == counts->waiting.end() ? 0 : found->second;
+}
+
+absl::string_view phaseName(JobPhase phase)
+{
+    switch (phase) {
+    case JobPhase::Pending:
+        return "pending";
+    case JobPhase::Active:
+        return "active";
+    case JobPhase::Completed:
+        return "completed";
+    case JobPhase::Failed:
+        return "failed";
+    case JobPhase::Aborted:
+        break;
+    }
+    return "aborted";
+}
+
+} // namespace
+
+DeskPart::DeskPart(const NodeSettings& settings)
+    : m_settings(settings)
+{
+}
+
+Effects DeskPart::handle(const Event& event, absl::Time now)
+{
+    absl::MutexLock lock(&m_mutex);
+    if (const auto* caller = std::get_if<CallerEvent>(&event)) {
+        takeCaller(*caller, now);
+    } else if (const auto* store = std::get_if<StoreEvent>(&event)) {
+        takeStoreReply(*store, now);
+    } else if (const auto* routes = std::get_if<RoutesEvent>(&event)) {
+        m_routes = routes->routes;
+        m_routesConfirmedAt = std::max(m_routesConfirmedAt, routes->confirmedAt);
+    }
+    retryReadings(now);
+    for (const CreateResult& result : m_writer.advance(m_outbox, now))
+        takeCreated(result, now);
+    m_outbox.add(WakeAtEffect { nextDue(now) });
+    return m_outbox.take();
+}
+
+absl::Time DeskPart::nextDue(absl::Time now) const
+{
+    absl::Time due = m_writer.nextDue();
+    for (const OpenCall& call : m_toRepeat)
+        due = std::min(due, call.retryAt);
+    return std::max(due, now);
+}
+
+void DeskPart::takeCaller(const CallerEvent& event, absl::Time now)
+{
+    const CallerRequest& request = event.request;
+    OpenCall call;
+    call.caller = event.caller;
+    call.takenAt = now;
+    call.deadline = std::max(request.deadline - answerReserve, now + readRetryPeriod);
+    call.stage = request.verb == CallerVerb::Submit ? OpenCall::Stage::Submitting
+        : request.verb == CallerVerb::Cancel        ? OpenCall::Stage::Cancelling
+                                                    : OpenCall::Stage::ReadingProgress;
+    if (const absl::Status status = checkRoutes(request, now); !status.ok()) {
+        refuse(call, status, now);
+        return;
+    }
+    const QueueSpec& queue = *m_routes->match(request.host, request.path);
+    call.queue = queue.name;
+    if (const absl::Status status = checkKey(request, queue, call.organisation); !status.ok()) {
+        refuse(call, status, now);
+        return;
+    }
+    call.job = JobId(absl::string_view(request.path).substr(queue.pathPrefix.size()));
+    if (call.job.empty() && request.verb == CallerVerb::Query) {
+        call.stage = OpenCall::Stage::ReadingCounts;
+        read(std::move(call));
+        return;
+    }
+    if (!isJobId(call.job.text())) {
+        refuse(call, makeError(ErrorKind::NotFound, "the path names no job"), now);
+        return;
+    }
+    if (request.verb == CallerVerb::Submit)
+        submit(std::move(call), request, queue, now);
+    else if (request.verb == CallerVerb::Cancel)
+        cancel(std::move(call), now);
+    else
+        read(std::move(call));
+}
+
+absl::Status DeskPart::checkRoutes(const CallerRequest& request, absl::Time now) const
+{
+    if (m_routes == nullptr)
+        return makeError(ErrorKind::ManifestStale, "no manifest has been read yet");
+    // Past this age a key or a queue may have been taken away without this node knowing.
+    const absl::Duration age = now - m_routesConfirmedAt;
+    if (age > m_settings.maxManifestAge)
+        return makeError(ErrorKind::ManifestStale,
+            absl::StrCat("the manifest was last confirmed ", absl::ToInt64Milliseconds(age), " ms ago"));
+    if (m_routes->match(request.host, request.path) == nullptr)
+        return makeError(ErrorKind::NotFound, "no queue has this host and path");
+    return absl::OkStatus();
+}
+
+absl::Status DeskPart::checkKey(
+    const CallerRequest& request, const QueueSpec& queue, OrganisationName& organisation) const
+{
+    const absl::optional<OrganisationName> found = m_routes->organisationOf(request.apiKey);
+    if (found)
+        organisation = *found;
+    if (found || queue.isPublic)
+        return absl::OkStatus();
+    return makeError(ErrorKind::Unauthenticated, "the key is no organisation's");
+}
+
+void DeskPart::submit(OpenCall call, const CallerRequest& request, const QueueSpec& queue, absl::Time now)
+{
+    if (!request.spec.ok()) {
+        refuse(call, request.spec.status(), now);
+        return;
+    }
+    Job job;
+    job.id = call.job;
+    job.queue = queue.name;
+    job.terms = queue.terms;
+    job.service = queue.service;
+    job.organisation = call.organisation;
+    job.spec = *request.spec;
+    job.acceptedAt = now;
+    CreateRecord record { call.caller, { Collection::Jobs, call.job.str() }, std::move(job), call.deadline };
+    m_writer.add(std::move(record));
+    m_writing.emplace(call.caller, std::move(call));
+}
+
+void DeskPart::cancel(OpenCall call, absl::Time now)
+{
+    CreateRecord record { call.caller, { Collection::Cancellations, call.job.str() }, Cancellation { now },
+        call.deadline };
+    m_writer.add(std::move(record));
+    m_writing.emplace(call.caller, std::move(call));
+}
+
+void DeskPart::read(OpenCall call)
+{
+    RecordKey key { Collection::Progress, call.job.str() };
+    if (call.stage == OpenCall::Stage::ReadingJob || call.stage == OpenCall::Stage::ReadingCancelled)
+        key.collection = Collection::Jobs;
+    else if (call.stage == OpenCall::Stage::ReadingCounts)
+        key = { Collection::QueueCounts, "" };
+    ++call.tries;
+    call.retryAt = absl::InfiniteFuture();
+    const CallId number = m_outbox.toStore(ReadRecord { std::move(key) }, readTimeout);
+    m_reading.emplace(number, std::move(call));
+}
+
+void DeskPart::takeStoreReply(const StoreEvent& event, absl::Time now)
+{
+    if (m_writer.isMine(event.call)) {
+        for (const CreateResult& result : m_writer.takeReply(event.call, event.reply, now))
+            takeCreated(result, now);
+        return;
+    }
+    const auto found = m_reading.find(event.call);
+    if (found == m_reading.end())
+        return;
+    OpenCall call = std::move(found->second);
+    m_reading.erase(found);
+    takeReading(std::move(call), event.reply, now);
+}
+
+void DeskPart::takeReading(OpenCall call, const StoreReply& reply, absl::Time now)
+{
+    const ErrorKind kind = errorKindOf(reply.status);
+    const bool isAbsent = kind == ErrorKind::NotFound;
+    if (!reply.status.ok() && !isAbsent) {
+        takeFailedReading(std::move(call), reply.status, now);
+        return;
+    }
+    const RecordValue absent;
+    const RecordValue& value = isAbsent || reply.records.empty() ? absent : reply.records.front().value;
+    if (call.stage == OpenCall::Stage::ReadingCounts) {
+        answer(call, QueueCountAnswer { countOf(value, call.queue) }, "counted", now);
+        return;
+    }
+    if (const auto* progress = std::get_if<ProgressRecord>(&value)) {
+        answer(call, JobStateAnswer { progress->phase }, phaseName(progress->phase), now);
+        return;
+    }
+    if (call.stage == OpenCall::Stage::ReadingProgress) {
+        // The owner has written nothing of it yet, or there is no such job.
+        call.stage = OpenCall::Stage::ReadingJob;
+        read(std::move(call));
+        return;
+    }
+    if (!std::holds_alternative<Job>(value)) {
+        refuse(call, makeError(ErrorKind::NoSuchJob, "no such job was accepted"), now);
+        return;
+    }
+    if (call.stage == OpenCall::Stage::ReadingCancelled)
+        answer(call, DoneAnswer(), "cancelled", now);
+    else
+        answer(call, JobStateAnswer { JobPhase::Pending }, "pending", now);
+}
+
+void DeskPart::takeFailedReading(OpenCall call, const absl::Status& status, absl::Time now)
+{
+    call.retryAt = now + readRetryPeriod;
+    if (call.tries >= maxReadTries || call.retryAt >= call.deadline) {
+        refuse(call, errorKindOf(status) == ErrorKind::StoreRefused ? status : storeAwayError(), now);
+        return;
+    }
+    m_toRepeat.push_back(std::move(call));
+}
+
+void DeskPart::retryReadings(absl::Time now)
+{
+    std::vector<OpenCall> waiting = std::exchange(m_toRepeat, {});
+    for (OpenCall& call : waiting) {
+        if (call.retryAt <= now)
+            read(std::move(call));
+        else
+            m_toRepeat.push_back(std::move(call));
+    }
+}
+
+void DeskPart::takeCreated(const CreateResult& result, absl::Time now)
+{
+    const auto found = m_writing.find(result.caller);
+    if (found == m_writing.end())
+        return;
+    OpenCall call = std::move(found->second);
+    m_writing.erase(found);
+    switch (result.outcome) {
+    case CreateResult::Outcome::NotWritten:
+        refuse(call, makeError(ErrorKind::StoreRefused, "the store takes nothing from this node now"), now);
+        return;
+    case CreateResult::Outcome::Unknown:
+        refuse(call, storeAwayError(), now);
+        return;
+    case CreateResult::Outcome::Created:
+    case CreateResult::Outcome::Existed:
+        break;
+    }
+    if (call.stage == OpenCall::Stage::Cancelling) {
+        call.stage = OpenCall::Stage::ReadingCancelled;
+        read(std::move(call));
+        return;
+    }
+    const bool isNew = result.outcome == CreateResult::Outcome::Created;
+    answer(call, DoneAnswer(), isNew ? "accepted" : "known", now);
+}
+
+void DeskPart::answer(const OpenCall& call, const CallerAnswer& answer, absl::string_view outcome, absl::Time now)
+{
+    const auto* refusal = std::get_if<RefusalAnswer>(&answer);
+    const CallerVerb verb = call.stage == OpenCall::Stage::Submitting ? CallerVerb::Submit
+        : call.stage == OpenCall::Stage::Cancelling || call.stage == OpenCall::Stage::ReadingCancelled
+        ? CallerVerb::Cancel
+        : CallerVerb::Query;
+    DecisionEffect decision;
+    decision.kind = decisionKindOf(refusal != nullptr, verb);
+    decision.job = call.job.str();
+    decision.queue = call.queue.str();
+    decision.organisation = call.organisation.str();
+    decision.outcome = std::string(outcome);
+    if (refusal != nullptr)
+        decision.reason = std::string(refusal->status.message());
+    decision.version = m_routes == nullptr ? 0 : m_routes->manifest().version;
+    decision.age = now - call.takenAt;
+    m_outbox.log(std::move(decision));
+    m_outbox.answer(call.caller, answer);
+}
+
+void DeskPart::refuse(const OpenCall& call, const absl::Status& status, absl::Time now)
+{
+    const ErrorRow& row = errorRow(errorKindOf(status));
+    const absl::Duration retryAfter = row.isRetryable ? retryAfterRefusal : absl::ZeroDuration();
+    answer(call, RefusalAnswer { status, retryAfter }, row.name, now);
+}
+
+} // namespace mangohall::batch
--- /dev/null
+++ b/src/batch/job/job_progress_base.cpp
@@ -0,0 +1,317 @@
+#include "batch/job/job_progress_base.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "batch/job/job_check_func.h"
+
+namespace mangohall::batch {
+
+namespace {
+
+// Clocks of the day differ between machines by less than this.
+constexpr absl::Duration dueMargin = absl::Milliseconds(60);
+
+bool isStepDone(const StepProgress& step)
+{
+    return std::all_of(step.tasks.begin(), step.tasks.end(),
+        [](const TaskProgress& task) { return task.phase == TaskProgress::Phase::Done; });
+}
+
+bool isAnyPlaced(const StepProgress& step)
+{
+    return std::any_of(step.tasks.begin(), step.tasks.end(),
+        [](const TaskProgress& task) { return task.phase == TaskProgress::Phase::Placed; });
+}
+
+} // namespace
+
+JobProgress::JobProgress(Job job)
+    : m_job(std::move(job))
+{
+}
+
+bool JobProgress::restore(ProgressRecord record)
+{
+    if (!isProgressOf(m_job.spec, record))
+        return false;
+    m_record = std::move(record);
+    return true;
+}
+
+bool JobProgress::isFinal() const
+{
+    return m_record.phase != JobPhase::Pending && m_record.phase != JobPhase::Active;
+}
+
+bool JobProgress::hasPlacedTasks() const
+{
+    for (const OccurrenceProgress& occurrence : m_record.occurrences) {
+        if (std::any_of(occurrence.steps.begin(), occurrence.steps.end(), isAnyPlaced))
+            return true;
+    }
+    return false;
+}
+
+std::int32_t JobProgress::occurrenceCount() const
+{
+    return std::max(1, m_job.spec.repeatCount);
+}
+
+absl::Time JobProgress::dueOf(std::int32_t occurrence) const
+{
+    if (m_job.spec.firstDue == absl::InfinitePast())
+        return absl::InfinitePast();
+    return m_job.spec.firstDue + m_job.spec.period * occurrence + dueMargin;
+}
+
+absl::Time JobProgress::nextDue() const
+{
+    const auto opened = static_cast<std::int32_t>(m_record.occurrences.size());
+    if (isFinal() || opened >= occurrenceCount())
+        return absl::InfiniteFuture();
+    return dueOf(opened);
+}
+
+bool JobProgress::openDue(absl::Time now)
+{
+    bool isOpened = false;
+    while (nextDue() <= now) {
+        openOccurrence(static_cast<std::int32_t>(m_record.occurrences.size()));
+        isOpened = true;
+    }
+    return isOpened;
+}
+
+void JobProgress::openOccurrence(std::int32_t number)
+{
+    OccurrenceProgress occurrence;
+    occurrence.number = number;
+    for (const StepSpec& spec : m_job.spec.steps) {
+        StepProgress step;
+        step.tasks.resize(static_cast<std::size_t>(spec.taskCount));
+        occurrence.steps.push_back(std::move(step));
+    }
+    m_record.occurrences.push_back(std::move(occurrence));
+}
+
+std::vector<ReadyStep> JobProgress::readySteps() const
+{
+    std::vector<ReadyStep> ready;
+    if (isFinal())
+        return ready;
+    for (const OccurrenceProgress& occurrence : m_record.occurrences) {
+        for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
+            if (!mayStart(occurrence, step))
+                continue;
+            std::vector<std::int32_t> indices = waitingTasks(occurrence, step);
+            if (!indices.empty())
+                ready.push_back({ occurrence.number, static_cast<std::int32_t>(step), std::move(indices) });
+        }
+    }
+    return ready;
+}
+
+bool JobProgress::mayStart(const OccurrenceProgress& occurrence, std::size_t step) const
+{
+    const StepSpec& spec = m_job.spec.steps[step];
+    // A gang starts anew only once no member of its last attempt may run any more.
+    if (spec.isGang && isAnyPlaced(occurrence.steps[step]))
+        return false;
+    return std::all_of(spec.after.begin(), spec.after.end(), [&occurrence](std::int32_t earlier) {
+        return isStepDone(occurrence.steps[static_cast<std::size_t>(earlier)]);
+    });
+}
+
+std::vector<std::int32_t> JobProgress::waitingTasks(const OccurrenceProgress& occurrence, std::size_t step) const
+{
+    std::vector<std::int32_t> indices;
+    const std::vector<TaskProgress>& tasks = occurrence.steps[step].tasks;
+    for (std::size_t index = 0; index < tasks.size(); ++index) {
+        if (tasks[index].phase == TaskProgress::Phase::Waiting)
+            indices.push_back(static_cast<std::int32_t>(index));
+    }
+    return indices;
+}
+
+const OccurrenceProgress* JobProgress::findOccurrence(std::int32_t number) const
+{
+    // Occurrences are opened in order, so that the number is the position.
+    const auto position = static_cast<std::size_t>(number);
+    return number >= 0 && position < m_record.occurrences.size() ? &m_record.occurrences[position] : nullptr;
+}
+
+OccurrenceProgress* JobProgress::findOccurrence(std::int32_t number)
+{
+    return const_cast<OccurrenceProgress*>(std::as_const(*this).findOccurrence(number));
+}
+
+StepProgress* JobProgress::findStep(const TaskRef& task)
+{
+    OccurrenceProgress* occurrence = findOccurrence(task.occurrence);
+    const auto step = static_cast<std::size_t>(task.step);
+    if (occurrence == nullptr || task.step < 0 || step >= occurrence->steps.size())
+        return nullptr;
+    return &occurrence->steps[step];
+}
+
+TaskProgress* JobProgress::findTask(const TaskRef& task)
+{
+    StepProgress* step = findStep(task);
+    const auto index = static_cast<std::size_t>(task.index);
+    if (step == nullptr || task.index < 0 || index >= step->tasks.size())
+        return nullptr;
+    return &step->tasks[index];
+}
+
+const TaskProgress* JobProgress::find(const TaskRef& task) const
+{
+    return const_cast<JobProgress*>(this)->findTask(task);
+}
+
+std::int32_t JobProgress::nextAttempt(
+    std::int32_t occurrence, std::int32_t step, absl::Span<const std::int32_t> indices) const
+{
+    std::int32_t last = 0;
+    for (const std::int32_t index : indices) {
+        const TaskProgress* task = find({ occurrence, step, index });
+        if (task != nullptr)
+            last = std::max(last, task->attempt);
+    }
+    return last + 1;
+}
+
+void JobProgress::place(const TaskRef& task, std::int32_t attempt, const WorkerName& worker, std::int64_t workerBornMs)
+{
+    TaskProgress* found = findTask(task);
+    if (found == nullptr)
+        return;
+    found->phase = TaskProgress::Phase::Placed;
+    found->attempt = attempt;
+    found->worker = worker;
+    found->workerBornMs = workerBornMs;
+    if (m_record.phase == JobPhase::Pending)
+        m_record.phase = JobPhase::Active;
+}
+
+bool JobProgress::noteEnd(
+    const TaskRef& task, std::int32_t attempt, RunEnd end, absl::string_view checkpoint, absl::Time now)
+{
+    TaskProgress* found = findTask(task);
+    if (found == nullptr || found->phase == TaskProgress::Phase::Done)
+        return false;
+    const bool isLasting = stepSpec(task.step).isLasting;
+    if (end == RunEnd::Done && !isLasting) {
+        finishTask(task);
+        completeIfDone(now);
+        return true;
+    }
+    if (found->phase != TaskProgress::Phase::Placed || found->attempt != attempt)
+        return false;
+    releaseTask(task, end, checkpoint, now);
+    return true;
+}
+
+void JobProgress::finishTask(const TaskRef& task)
+{
+    const bool isGang = stepSpec(task.step).isGang;
+    if (!isGang) {
+        findTask(task)->phase = TaskProgress::Phase::Done;
+        return;
+    }
+    // One end stands for all members.
+    for (TaskProgress& member : findStep(task)->tasks)
+        member.phase = TaskProgress::Phase::Done;
+}
+
+void JobProgress::releaseTask(const TaskRef& task, RunEnd end, absl::string_view checkpoint, absl::Time now)
+{
+    TaskProgress& released = *findTask(task);
+    released.phase = TaskProgress::Phase::Waiting;
+    released.worker = WorkerName();
+    released.workerBornMs = 0;
+    if (!checkpoint.empty())
+        keepCheckpoint(task, checkpoint);
+    if (end == RunEnd::Failed && !stepSpec(task.step).isLasting)
+        noteFailure(task, now);
+}
+
+// A gang resumes from one checkpoint, whichever member took it.
+void JobProgress::keepCheckpoint(const TaskRef& task, absl::string_view checkpoint)
+{
+    if (!stepSpec(task.step).isGang) {
+        findTask(task)->checkpoint = std::string(checkpoint);
+        return;
+    }
+    for (TaskProgress& member : findStep(task)->tasks)
+        member.checkpoint = std::string(checkpoint);
+}
+
+void JobProgress::noteFailure(const TaskRef& task, absl::Time now)
+{
+    std::int32_t failures = ++findTask(task)->failures;
+    if (stepSpec(task.step).isGang) {
+        failures = 0;
+        for (const TaskProgress& member : findStep(task)->tasks)
+            failures += member.failures;
+    }
+    if (failures >= m_job.terms.maxAttempts && !isFinal())
+        makeFinal(JobPhase::Failed, now);
+}
+
+void JobProgress::noteCheckpoint(const TaskRef& task, std::int32_t attempt, absl::string_view checkpoint)
+{
+    const TaskProgress* found = findTask(task);
+    if (found == nullptr || found->phase != TaskProgress::Phase::Placed || found->attempt != attempt)
+        return;
+    if (!checkpoint.empty() && found->checkpoint != checkpoint)
+        keepCheckpoint(task, checkpoint);
+}
+
+bool JobProgress::cancel(absl::Time now)
+{
+    if (isFinal())
+        return false;
+    makeFinal(JobPhase::Aborted, now);
+    return true;
+}
+
+bool JobProgress::wants(const TaskRef& task, std::int32_t attempt, const WorkerName& worker) const
+{
+    const TaskProgress* found = find(task);
+    return !isFinal() && found != nullptr && found->phase == TaskProgress::Phase::Placed && found->attempt == attempt
+        && found->worker == worker;
+}
+
+void JobProgress::completeIfDone(absl::Time now)
+{
+    if (isFinal() || static_cast<std::int32_t>(m_record.occurrences.size()) < occurrenceCount())
+        return;
+    for (const OccurrenceProgress& occurrence : m_record.occurrences) {
+        if (!std::all_of(occurrence.steps.begin(), occurrence.steps.end(), isStepDone))
+            return;
+    }
+    makeFinal(JobPhase::Completed, now);
+}
+
+void JobProgress::makeFinal(JobPhase phase, absl::Time now)
+{
+    m_record.phase = phase;
+    m_record.endedAt = now;
+}
+
+absl::Duration JobProgress::chainEstimate() const
+{
+    std::vector<absl::Duration> until;
+    absl::Duration longest;
+    for (const StepSpec& step : m_job.spec.steps) {
+        absl::Duration begin;
+        for (const std::int32_t earlier : step.after)
+            begin = std::max(begin, until[static_cast<std::size_t>(earlier)]);
+        until.push_back(begin + step.estimate);
+        longest = std::max(longest, until.back());
+    }
+    return longest;
+}
+
+} // namespace mangohall::batch
--- /dev/null
+++ b/src/batch/node/node_base.cpp
@@ -0,0 +1,28 @@
+#include "batch/node/node_base.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/hash/hash.h"
+#include "batch/desk/desk_part_base.h"
+#include "batch/node/directory_part_base.h"
+#include "batch/owner/owner_part_base.h"
+#include "batch/policy/priority_policy_base.h"
+
+namespace mangohall::batch {
+
+Node::Node(const NodeSettings& settings)
+{
+    m_parts.push_back(std::make_unique<DirectoryPart>(settings));
+    m_parts.push_back(std::make_unique<OwnerPart>(settings, std::make_unique<PriorityPolicy>()));
+    for (std::size_t desk = 0; desk < std::max<std::size_t>(1, settings.deskCount); ++desk)
+        m_parts.push_back(std::make_unique<DeskPart>(settings));
+}
+
+PartIndex Node::deskFor(absl::string_view path) const
+{
+    const std::size_t deskCount = m_parts.size() - firstDeskPart;
+    return firstDeskPart + absl::Hash<absl::string_view>()(path) % deskCount;
+}
+
+} // namespace mangohall::batch
--- /dev/null
+++ b/src/batch/owner/demand_func.cpp
@@ -0,0 +1,152 @@
+#include "batch/owner/demand_func.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/container/flat_hash_map.h"
+#include "absl/container/flat_hash_set.h"
+
+namespace mangohall::batch {
+
+namespace {
+
+// An accelerator that is kept busy in vain costs as much as this many cores.
+constexpr double coresPerAccelerator = 8;
+constexpr double millisPerCore = 1000;
+// The work that a task with checkpoints loses at most.
+constexpr absl::Duration checkpointPeriod = absl::Seconds(2);
+constexpr std::int32_t urgentPriority = 0;
+
+double stopCostOf(const StepSpec& spec, const RunSlot& slot, absl::Time now)
+{
+    absl::Duration unsaved = now - slot.since;
+    if (spec.isCheckpointing)
+        unsaved = std::min(unsaved, checkpointPeriod);
+    const double cores
+        = static_cast<double>(spec.demand.cpuMillis) / millisPerCore + spec.demand.accelerators * coresPerAccelerator;
+    const double members = spec.isGang ? spec.taskCount : 1;
+    return absl::ToDoubleSeconds(unsaved) * cores * members;
+}
+
+Occupant occupantOf(const RunKey& run, const RunSlot& slot, JobBook& book, absl::Time now)
+{
+    Occupant occupant;
+    occupant.run = run;
+    occupant.demand = slot.demand;
+    occupant.isStopping = slot.isStopWanted;
+    const JobEntry* entry = book.find(run.task.job);
+    if (entry == nullptr || entry->progress.find(run.task.task) == nullptr)
+        return occupant;
+    const StepSpec& spec = entry->progress.stepSpec(run.task.task.step);
+    occupant.priority = entry->progress.job().terms.priority;
+    occupant.mayBeEvicted = !spec.isLasting;
+    occupant.stopCost = stopCostOf(spec, slot, now);
+    return occupant;
+}
+
+WorkerRoom roomOf(const WorkerSession& session, JobBook& book, absl::Time now)
+{
+    const WorkerEntry& entry = session.entry();
+    WorkerRoom room;
+    room.worker = entry.name;
+    room.service = entry.service;
+    room.rack = entry.rack;
+    room.labels = entry.labels;
+    room.free = session.freeRoom();
+    room.freeAfterStops = session.roomAfterStops();
+    for (const auto& [run, slot] : session.runs())
+        room.occupants.push_back(occupantOf(run, slot, book, now));
+    return room;
+}
+
+// The accelerators that a job needs at its widest.
+std::int32_t acceleratorNeed(const Job& job)
+{
+    std::int32_t need = 0;
+    for (const StepSpec& step : job.spec.steps)
+        need += step.taskCount * step.demand.accelerators;
+    return need;
+}
+
+// The jobs of priority 0 that their organisations' guarantees cover, earliest first.
+absl::flat_hash_set<std::string> coveredJobs(absl::Span<JobEntry* const> entries, const RouteTable* routes)
+{
+    absl::flat_hash_set<std::string> covered;
+    absl::flat_hash_map<std::string, std::int32_t> used;
+    for (const JobEntry* entry : entries) {
+        const Job& job = entry->progress.job();
+        if (routes == nullptr || job.terms.priority != urgentPriority)
+            continue;
+        std::int32_t& usedHere = used[job.organisation.str()];
+        usedHere += acceleratorNeed(job);
+        if (usedHere <= routes->guaranteedAccelerators(job.organisation))
+            covered.insert(job.id.str());
+    }
+    return covered;
+}
+
+std::vector<JobEntry*> openEntries(JobBook& book)
+{
+    std::vector<JobEntry*> entries;
+    for (auto& [id, entry] : book.entries()) {
+        if (!entry.progress.isFinal())
+            entries.push_back(&entry);
+    }
+    std::sort(entries.begin(), entries.end(), [](const JobEntry* left, const JobEntry* right) {
+        return left->progress.job().acceptedAt < right->progress.job().acceptedAt;
+    });
+    return entries;
+}
+
+absl::Time objectiveOf(const JobProgress& progress, std::int32_t occurrence)
+{
+    const Job& job = progress.job();
+    absl::Time begin = job.acceptedAt;
+    if (job.spec.firstDue != absl::InfinitePast())
+        begin = std::max(begin, job.spec.firstDue + job.spec.period * occurrence);
+    return begin + progress.chainEstimate() * job.terms.stretchFactor + job.terms.targetLatency;
+}
+
+StepDemand demandOf(JobEntry& entry, ReadyStep ready, absl::Time now)
+{
+    const JobProgress& progress = entry.progress;
+    StepDemand demand;
+    demand.job = progress.job().id;
+    demand.occurrence = ready.occurrence;
+    demand.step = ready.step;
+    demand.indices = std::move(ready.indices);
+    demand.spec = &progress.stepSpec(ready.step);
+    demand.service = progress.job().service;
+    demand.priority = progress.job().terms.priority;
+    demand.objective = objectiveOf(progress, ready.occurrence);
+    demand.readySince = entry.readySince.try_emplace({ ready.occurrence, ready.step }, now).first->second;
+    return demand;
+}
+
+} // namespace
+
+std::vector<WorkerRoom> roomsOf(Fleet& fleet, JobBook& book, absl::Time now)
+{
+    std::vector<WorkerRoom> rooms;
+    for (const auto& [name, session] : fleet.sessions()) {
+        if (session.takesWork(now))
+            rooms.push_back(roomOf(session, book, now));
+    }
+    return rooms;
+}
+
+std::vector<StepDemand> demandsOf(JobBook& book, const RouteTable* routes, absl::Time now)
+{
+    const std::vector<JobEntry*> entries = openEntries(book);
+    const absl::flat_hash_set<std::string> covered = coveredJobs(entries, routes);
+    std::vector<StepDemand> demands;
+    for (JobEntry* entry : entries) {
+        for (ReadyStep& ready : entry->progress.readySteps()) {
+            demands.push_back(demandOf(*entry, std::move(ready), now));
+            demands.back().isGuaranteed = covered.contains(entry->progress.job().id.text());
+        }
+    }
+    return demands;
+}
+
+} // namespace mangohall::batch
--- /dev/null
+++ b/src/batch/owner/demand_func.h
@@ -0,0 +1,20 @@
+// What the allocation policy is shown of jobs and workers.
+#pragma once
+
+#include <vector>
+
+#include "absl/time/time.h"
+#include "batch/owner/fleet_base.h"
+#include "batch/owner/job_book_base.h"
+#include "batch/policy/allocation_type.h"
+#include "batch/routing/route_table_base.h"
+
+namespace mangohall::batch {
+
+// The workers that take work, with what runs there.
+std::vector<WorkerRoom> roomsOf(Fleet& fleet, JobBook& book, absl::Time now);
+
+// The tasks that may start, in order of the jobs' acceptance. The demands point into the book.
+std::vector<StepDemand> demandsOf(JobBook& book, const RouteTable* routes, absl::Time now);
+
+} // namespace mangohall::batch
--- /dev/null
+++ b/src/batch/owner/job_book_base.cpp
@@ -0,0 +1,106 @@
+#include "batch/owner/job_book_base.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace mangohall::batch {
+
+void JobBook::clear()
+{
+    m_entries.clear();
+    m_earlier.clear();
+    m_cancelled.clear();
+    m_dirty.clear();
+}
+
+bool JobBook::add(const Job& job)
+{
+    const auto [found, isNew] = m_entries.try_emplace(job.id, job);
+    if (!isNew)
+        return false;
+    const auto earlier = m_earlier.find(job.id.text());
+    if (earlier != m_earlier.end()) {
+        found->second.progress.restore(std::move(earlier->second.record));
+        found->second.revision = earlier->second.revision;
+        m_earlier.erase(earlier);
+    }
+    return true;
+}
+
+void JobBook::addProgress(const JobId& job, ProgressRecord record, Revision revision)
+{
+    m_earlier[job.str()] = { std::move(record), revision };
+}
+
+void JobBook::addCancellation(const JobId& job)
+{
+    m_cancelled.emplace(job.str(), true);
+}
+
+JobEntry* JobBook::find(const JobId& job)
+{
+    const auto found = m_entries.find(job);
+    return found == m_entries.end() ? nullptr : &found->second;
+}
+
+void JobBook::markDirty(JobEntry& entry)
+{
+    if (entry.isDirty)
+        return;
+    entry.isDirty = true;
+    m_dirty.push_back(entry.progress.job().id);
+}
+
+std::vector<JobId> JobBook::takeDirty(std::size_t count)
+{
+    const std::size_t taken = std::min(count, m_dirty.size());
+    std::vector<JobId> jobs(m_dirty.begin(), m_dirty.begin() + static_cast<std::ptrdiff_t>(taken));
+    m_dirty.erase(m_dirty.begin(), m_dirty.begin() + static_cast<std::ptrdiff_t>(taken));
+    for (const JobId& job : jobs) {
+        JobEntry& entry = *find(job);
+        entry.isDirty = false;
+        entry.isWriting = true;
+    }
+    return jobs;
+}
+
+QueueCounts JobBook::countWaiting() const
+{
+    QueueCounts counts;
+    for (const auto& [id, entry] : m_entries) {
+        const Job& job = entry.progress.job();
+        const bool hasTimes = job.spec.repeatCount > 0 || job.spec.firstDue != absl::InfinitePast();
+        if (entry.progress.phase() == JobPhase::Pending && !hasTimes)
+            ++counts.waiting[job.queue];
+    }
+    return counts;
+}
+
+absl::Time JobBook::nextDue() const
+{
+    absl::Time due = absl::InfiniteFuture();
+    for (const auto& [id, entry] : m_entries)
+        due = std::min(due, entry.progress.nextDue());
+    return due;
+}
+
+std::vector<JobId> JobBook::endedBefore(absl::Time time, std::size_t count) const
+{
+    std::vector<JobId> jobs;
+    for (const auto& [id, entry] : m_entries) {
+        if (jobs.size() >= count)
+            break;
+        const bool isOver = entry.progress.isFinal() && entry.progress.record().endedAt < time;
+        if (isOver && !entry.isDirty && !entry.isWriting && !entry.progress.hasPlacedTasks())
+            jobs.push_back(id);
+    }
+    return jobs;
+}
+
+void JobBook::remove(const JobId& job)
+{
+    m_entries.erase(job);
+    m_cancelled.erase(job.text());
+}
+
+} // namespace mangohall::batch
--- /dev/null
+++ b/src/batch/owner/ownership_base.cpp
@@ -0,0 +1,250 @@
+#include "batch/owner/ownership_base.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "core/error_func.h"
+
+namespace mangohall::batch {
+
+namespace {
+
+constexpr absl::Duration leaseTime = absl::Milliseconds(2200);
+constexpr absl::Duration renewPeriod = absl::Milliseconds(600);
+// An owner stops this long before its lease ends, since a timer may fire late.
+constexpr absl::Duration leaseReserve = absl::Milliseconds(150);
+constexpr absl::Duration callTimeout = absl::Milliseconds(900);
+constexpr absl::Duration holderWatchWait = absl::Milliseconds(3000);
+// Spreads the nodes that would all take the ownership at one time.
+constexpr absl::Duration claimSpread = absl::Milliseconds(120);
+constexpr absl::Duration retryPeriod = absl::Milliseconds(250);
+
+} // namespace
+
+Ownership::Ownership(NodeName self, RandomSource& random)
+    : m_self(std::move(self))
+    , m_random(random)
+    , m_follower(Collection::Holder, holderWatchWait)
+{
+}
+
+absl::Time Ownership::leaseEnd() const
+{
+    return m_leaseConfirmedAt + leaseTime - leaseReserve;
+}
+
+void Ownership::advance(Outbox& outbox, absl::Time now)
+{
+    if (m_isResigning)
+        return;
+    m_follower.advance(outbox, now);
+    if (m_call != 0 || now < m_nextTryAt || !m_isKnown)
+        return;
+    if (m_isOwner)
+        startStep(Step::Renewing, RenewLease { m_lease }, outbox, now);
+    else if (!m_holder && m_lease == 0)
+        startStep(Step::Granting, GrantLease { leaseTime }, outbox, now);
+    else if (!m_holder)
+        claim(outbox, now);
+}
+
+absl::Time Ownership::nextDue() const
+{
+    if (m_isResigning)
+        return absl::InfiniteFuture();
+    absl::Time due = m_follower.nextDue();
+    if (m_isOwner)
+        due = std::min(due, leaseEnd());
+    if (m_call == 0 && m_isKnown && (m_isOwner || !m_holder))
+        due = std::min(due, m_nextTryAt);
+    return due;
+}
+
+void Ownership::startStep(Step step, StoreRequest request, Outbox& outbox, absl::Time now)
+{
+    m_step = step;
+    m_sentAt = now;
+    m_call = outbox.toStore(std::move(request), callTimeout);
+}
+
+void Ownership::claim(Outbox& outbox, absl::Time now)
+{
+    m_epoch = m_knownEpoch + 1;
+    const RecordKey holder { Collection::Holder, "" };
+    const RecordKey epoch { Collection::Epoch, "" };
+    CommitRecords commit;
+    commit.expected = { { holder, 0 }, { epoch, m_knownEpochRevision } };
+    commit.writes
+        = { { holder, HolderRecord { m_self, m_epoch }, m_lease }, { epoch, EpochRecord { m_epoch, m_self }, 0 } };
+    startStep(Step::Claiming, std::move(commit), outbox, now);
+}
+
+OwnershipNews Ownership::takeReply(CallId call, const StoreReply& reply, absl::Time now)
+{
+    if (m_follower.isMine(call)) {
+        takeRecords(m_follower.takeReply(reply, now), now);
+        return adoptOwnRecord(now);
+    }
+    m_call = 0;
+    switch (std::exchange(m_step, Step::None)) {
+    case Step::Granting:
+        return takeGrant(reply, now);
+    case Step::Claiming:
+        return takeClaim(reply, now);
+    case Step::Renewing:
+        return takeRenewal(reply, now);
+    case Step::Ending:
+    case Step::None:
+        break;
+    }
+    return {};
+}
+
+void Ownership::takeRecords(const CollectionNews& news, absl::Time now)
+{
+    if (news.isWhole) {
+        m_isKnown = true;
+        if (m_holder)
+            m_nextTryAt = now + claimSpread * m_random.uniform();
+        m_holder = absl::nullopt;
+    }
+    for (const Record& record : news.records) {
+        if (record.key.collection == Collection::Holder) {
+            noteHolder(record, now);
+            continue;
+        }
+        m_knownEpochRevision = std::max(m_knownEpochRevision, record.revision);
+        if (const auto* epoch = std::get_if<EpochRecord>(&record.value))
+            m_knownEpoch = std::max(m_knownEpoch, epoch->epoch);
+    }
+}
+
+void Ownership::noteHolder(const Record& record, absl::Time now)
+{
+    const auto* holder = std::get_if<HolderRecord>(&record.value);
+    if (holder != nullptr) {
+        m_holder = *holder;
+        return;
+    }
+    m_holder = absl::nullopt;
+    if (!m_isOwner)
+        m_nextTryAt = now + claimSpread * m_random.uniform();
+}
+
+OwnershipNews Ownership::takeGrant(const StoreReply& reply, absl::Time now)
+{
+    if (!reply.status.ok()) {
+        setBack(now);
+        return {};
+    }
+    m_lease = reply.lease;
+    m_leaseConfirmedAt = m_sentAt;
+    return {};
+}
+
+OwnershipNews Ownership::takeClaim(const StoreReply& reply, absl::Time now)
+{
+    const ErrorKind kind = errorKindOf(reply.status);
+    if (kind == ErrorKind::None)
+        return becomeOwner(reply.revision);
+    if (kind == ErrorKind::RevisionConflict) {
+        for (const Record& record : reply.records) {
+            if (record.key.collection == Collection::Holder)
+                noteHolder(record, now);
+            else if (const auto* epoch = std::get_if<EpochRecord>(&record.value)) {
+                m_knownEpoch = epoch->epoch;
+                m_knownEpochRevision = record.revision;
+            }
+        }
+    }
+    setBack(now);
+    return adoptOwnRecord(now);
+}
+
+// A claim whose answer was lost may have been carried out: then this node's own record stands there.
+OwnershipNews Ownership::adoptOwnRecord(absl::Time now)
+{
+    const bool isOwn = m_holder && m_holder->node == m_self && m_holder->epoch == m_epoch;
+    if (m_isOwner || !isOwn || m_lease == 0 || m_step == Step::Claiming || now >= leaseEnd())
+        return {};
+    if (m_knownEpoch != m_epoch)
+        return {};
+    return becomeOwner(m_knownEpochRevision);
+}
+
+OwnershipNews Ownership::becomeOwner(Revision epochRevision)
+{
+    m_isOwner = true;
+    m_epochRevision = epochRevision;
+    m_knownEpoch = m_epoch;
+    m_knownEpochRevision = epochRevision;
+    m_holder = HolderRecord { m_self, m_epoch };
+    m_nextTryAt = m_leaseConfirmedAt + renewPeriod;
+    OwnershipNews news;
+    news.isTaken = true;
+    news.reason = "nobody held it";
+    return news;
+}
+
+OwnershipNews Ownership::takeRenewal(const StoreReply& reply, absl::Time now)
+{
+    if (!m_isOwner)
+        return {};
+    const ErrorKind kind = errorKindOf(reply.status);
+    if (kind == ErrorKind::NotFound)
+        return lose("the lease has ended", now);
+    if (kind == ErrorKind::None) {
+        m_leaseConfirmedAt = std::max(m_leaseConfirmedAt, m_sentAt);
+        m_nextTryAt = m_sentAt + renewPeriod;
+    } else {
+        m_nextTryAt = now + retryPeriod;
+    }
+    return {};
+}
+
+OwnershipNews Ownership::checkLease(absl::Time now)
+{
+    if (!m_isOwner || now < leaseEnd())
+        return {};
+    return lose(
+        absl::StrCat("the lease was last renewed ", absl::ToInt64Milliseconds(now - m_leaseConfirmedAt), " ms ago"),
+        now);
+}
+
+OwnershipNews Ownership::lose(absl::string_view reason, absl::Time now)
+{
+    if (!m_isOwner)
+        return {};
+    m_isOwner = false;
+    // What stands there now is learned anew.
+    m_holder = absl::nullopt;
+    m_isKnown = false;
+    m_follower.stop();
+    setBack(now);
+    OwnershipNews news;
+    news.isLost = true;
+    news.reason = std::string(reason);
+    return news;
+}
+
+void Ownership::setBack(absl::Time now)
+{
+    // A lease that may have lapsed is not claimed with again.
+    if (now + callTimeout >= leaseEnd())
+        m_lease = 0;
+    m_nextTryAt = now + retryPeriod + claimSpread * m_random.uniform();
+}
+
+void Ownership::resign(Outbox& outbox)
+{
+    m_isResigning = true;
+    m_follower.stop();
+    if (!m_isOwner)
+        return;
+    m_isOwner = false;
+    m_step = Step::Ending;
+    m_call = outbox.toStore(EndLease { m_lease }, callTimeout);
+}
+
+} // namespace mangohall::batch
--- /dev/null
+++ b/src/batch/owner/progress_writer_base.cpp
@@ -0,0 +1,174 @@
+#include "batch/owner/progress_writer_base.h"
+
+#include <utility>
+
+#include "core/error_func.h"
+
+namespace mangohall::batch {
+
+namespace {
+
+// Beside the epoch and the counts, each job takes an expectation and a write.
+constexpr std::size_t jobsPerCommit = (maxCommitEntries - 3) / 2;
+// A removed job takes three keys.
+constexpr std::size_t removalsPerCommit = 4;
+constexpr absl::Duration commitTimeout = absl::Milliseconds(900);
+constexpr absl::Duration retryPeriod = absl::Milliseconds(80);
+constexpr absl::Duration countsPeriod = absl::Milliseconds(500);
+constexpr absl::Duration removalPeriod = absl::Seconds(5);
+// The state of an ended job can be asked for at least this long.
+constexpr absl::Duration endedJobRetention = absl::Minutes(3);
+
+} // namespace
+
+void ProgressWriter::reset()
+{
+    m_call = 0;
+    m_inFlight.clear();
+    m_removing.clear();
+    m_isWritingCounts = false;
+    m_countsRevision = 0;
+    m_writtenCounts = QueueCounts();
+    m_retryAt = absl::InfinitePast();
+}
+
+void ProgressWriter::noteCounts(const QueueCounts& counts, Revision revision)
+{
+    m_writtenCounts = counts;
+    m_countsRevision = revision;
+}
+
+void ProgressWriter::advance(const ExpectedRevision& ownership, Outbox& outbox, absl::Time now)
+{
+    if (m_call != 0 || now < m_retryAt)
+        return;
+    m_ownership = ownership;
+    CommitRecords commit;
+    commit.expected.push_back(ownership);
+    addJobs(commit);
+    addCounts(commit, now);
+    if (commit.writes.empty())
+        addRemovals(commit, now);
+    if (commit.writes.empty() && commit.removals.empty())
+        return;
+    m_call = outbox.toStore(std::move(commit), commitTimeout);
+}
+
+void ProgressWriter::addJobs(CommitRecords& commit)
+{
+    for (const JobId& job : m_book.takeDirty(jobsPerCommit)) {
+        JobEntry& entry = *m_book.find(job);
+        const RecordKey key { Collection::Progress, job.str() };
+        commit.expected.push_back({ key, entry.revision });
+        commit.writes.push_back({ key, entry.progress.record(), 0 });
+        m_inFlight.push_back({ job, std::exchange(entry.pending, {}) });
+    }
+}
+
+void ProgressWriter::addCounts(CommitRecords& commit, absl::Time now)
+{
+    if (now < m_countsWrittenAt + countsPeriod)
+        return;
+    m_counts = m_book.countWaiting();
+    if (m_counts == m_writtenCounts)
+        return;
+    const RecordKey key { Collection::QueueCounts, "" };
+    commit.expected.push_back({ key, m_countsRevision });
+    commit.writes.push_back({ key, m_counts, 0 });
+    m_isWritingCounts = true;
+    m_countsWrittenAt = now;
+}
+
+void ProgressWriter::addRemovals(CommitRecords& commit, absl::Time now)
+{
+    if (now < m_removalCheckedAt + removalPeriod)
+        return;
+    m_removalCheckedAt = now;
+    m_removing = m_book.endedBefore(now - endedJobRetention, removalsPerCommit);
+    for (const JobId& job : m_removing) {
+        commit.removals.push_back({ Collection::Progress, job.str() });
+        commit.removals.push_back({ Collection::Jobs, job.str() });
+        commit.removals.push_back({ Collection::Cancellations, job.str() });
+    }
+}
+
+absl::Time ProgressWriter::nextDue() const
+{
+    if (m_call != 0)
+        return absl::InfiniteFuture();
+    if (m_book.hasDirty())
+        return m_retryAt;
+    return std::min(m_countsWrittenAt + countsPeriod, m_removalCheckedAt + removalPeriod);
+}
+
+WriteNews ProgressWriter::takeReply(const StoreReply& reply, absl::Time now)
+{
+    m_call = 0;
+    const ErrorKind kind = errorKindOf(reply.status);
+    if (kind == ErrorKind::None)
+        return takeSuccess(reply.revision);
+    m_retryAt = now + retryPeriod;
+    if (kind == ErrorKind::RevisionConflict)
+        return takeConflict(reply, now);
+    putBack();
+    WriteNews news;
+    news.isFailed = true;
+    return news;
+}
+
+WriteNews ProgressWriter::takeSuccess(Revision revision)
+{
+    WriteNews news;
+    for (InFlight& written : m_inFlight) {
+        if (JobEntry* entry = m_book.find(written.job)) {
+            entry->revision = revision;
+            entry->isWriting = false;
+        }
+        news.placed.insert(news.placed.end(), written.work.placed.begin(), written.work.placed.end());
+        news.ends.insert(news.ends.end(), written.work.ends.begin(), written.work.ends.end());
+    }
+    m_inFlight.clear();
+    for (const JobId& job : std::exchange(m_removing, {}))
+        m_book.remove(job);
+    if (std::exchange(m_isWritingCounts, false)) {
+        m_writtenCounts = m_counts;
+        m_countsRevision = revision;
+    }
+    return news;
+}
+
+// An earlier commit of this owner without an answer may have been carried out. Its revisions are taken over.
+WriteNews ProgressWriter::takeConflict(const StoreReply& reply, absl::Time now)
+{
+    WriteNews news;
+    m_retryAt = now;
+    for (const Record& record : reply.records) {
+        if (record.key.collection == Collection::Epoch)
+            news.isDeposed = record.revision != m_ownership.revision;
+        else if (record.key.collection == Collection::QueueCounts)
+            m_countsRevision = record.revision;
+        else if (JobEntry* entry = m_book.find(JobId(record.key.name)))
+            entry->revision = record.revision;
+    }
+    putBack();
+    return news;
+}
+
+void ProgressWriter::putBack()
+{
+    for (InFlight& unwritten : std::exchange(m_inFlight, {})) {
+        JobEntry* entry = m_book.find(unwritten.job);
+        if (entry == nullptr)
+            continue;
+        entry->isWriting = false;
+        std::vector<PlacedRun>& placed = entry->pending.placed;
+        placed.insert(placed.begin(), unwritten.work.placed.begin(), unwritten.work.placed.end());
+        std::vector<ListedEnd>& ends = entry->pending.ends;
+        ends.insert(ends.begin(), unwritten.work.ends.begin(), unwritten.work.ends.end());
+        m_book.markDirty(*entry);
+    }
+    m_removing.clear();
+    m_isWritingCounts = false;
+}
+
+} // namespace mangohall::batch
--- /dev/null
+++ b/src/batch/owner/run_name_func.cpp
@@ -0,0 +1,34 @@
+#include "batch/owner/run_name_func.h"
+
+#include "absl/strings/str_cat.h"
+
+namespace mangohall::batch {
+
+std::string runName(const RunKey& run)
+{
+    const TaskRef& task = run.task.task;
+    return absl::StrCat(task.occurrence, ".", task.step, ".", task.index, "#", run.attempt);
+}
+
+absl::string_view runEndName(RunEnd end)
+{
+    switch (end) {
+    case RunEnd::Done:
+        return "done";
+    case RunEnd::Failed:
+        return "failed";
+    case RunEnd::Stopped:
+        return "stopped";
+    case RunEnd::Lapsed:
+        return "lapsed";
+    case RunEnd::Broken:
+        return "broken";
+    case RunEnd::Alone:
+        return "alone";
+    case RunEnd::NotStarted:
+        break;
+    }
+    return "notStarted";
+}
+
+} // namespace mangohall::batch
--- /dev/null
+++ b/src/batch/policy/allocation_type.h
@@ -0,0 +1,72 @@
+// What an allocation policy is shown and what it decides.
+#pragma once
+
+#include <cstdint>
+#include <vector>
+
+#include "absl/time/time.h"
+#include "absl/types/span.h"
+#include "batch/job/job_type.h"
+
+namespace mangohall::batch {
+
+// A run that takes room on a worker.
+struct Occupant {
+    RunKey run;
+    Resources demand;
+    // 0 comes first.
+    std::int32_t priority = 0;
+    bool isStopping = false;
+    bool mayBeEvicted = false;
+    // Core-seconds of work that are lost if it is stopped now.
+    double stopCost = 0;
+};
+
+// One worker that takes work.
+struct WorkerRoom {
+    WorkerName worker;
+    ServiceName service;
+    RackName rack;
+    std::vector<WorkerLabel> labels;
+    Resources free;
+    // What is free once all that is being stopped has ended.
+    Resources freeAfterStops;
+    std::vector<Occupant> occupants;
+    // The share of recent runs that failed there beyond what their jobs explain, 0 to 1.
+    double failureShare = 0;
+};
+
+// Tasks of one step that wait for room. A gang's tasks are placed all or not at all.
+struct StepDemand {
+    JobId job;
+    std::int32_t occurrence = 0;
+    std::int32_t step = 0;
+    std::vector<std::int32_t> indices;
+    // Outlives the choice.
+    const StepSpec* spec = nullptr;
+    ServiceName service;
+    std::int32_t priority = 0;
+    // The organisation's guarantee covers it.
+    bool isGuaranteed = false;
+    // Since when the tasks may start.
+    absl::Time readySince;
+    // By when the job has to be done to be in time.
+    absl::Time objective;
+};
+
+struct Placement {
+    TaskKey task;
+    WorkerName worker;
+};
+
+struct Eviction {
+    RunKey run;
+    WorkerName worker;
+};
+
+struct Allocation {
+    std::vector<Placement> placements;
+    std::vector<Eviction> evictions;
+};
+
+} // namespace mangohall::batch
--- /dev/null
+++ b/src/batch/ports/worker_port.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <functional>
+
+#include "batch/fleet/worker_type.h"
+
+namespace mangohall::batch {
+
+// The way to workers.
+class WorkerPort {
+public:
+    using Done = std::function<void(WorkerReply)>;
+
+    virtual ~WorkerPort() = default;
+
+    // Starts a call and returns at once. `done` is called once, from any thread, at the latest when the call's timeout
+    // has passed.
+    virtual void call(const WorkerCall& call, Done done) = 0;
+};
+
+} // namespace mangohall::batch
--- /dev/null
+++ b/src/batch/store/collection_follower_base.cpp
@@ -0,0 +1,103 @@
+#include "batch/store/collection_follower_base.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "core/backoff_func.h"
+#include "core/error_func.h"
+
+namespace mangohall::batch {
+
+namespace {
+
+constexpr absl::Duration firstRetry = absl::Milliseconds(100);
+constexpr absl::Duration longestRetry = absl::Milliseconds(800);
+// Beyond the time that a watch waits; a connection that is silent for longer is given up.
+constexpr absl::Duration answerTimeout = absl::Milliseconds(1000);
+constexpr absl::Duration listTimeout = absl::Milliseconds(2000);
+
+} // namespace
+
+void CollectionFollower::startAfter(Revision revision, absl::Time now)
+{
+    stop();
+    m_hasRevision = true;
+    m_revision = revision;
+    m_confirmedAt = now;
+}
+
+void CollectionFollower::stop()
+{
+    m_call = 0;
+    m_hasRevision = false;
+    m_failures = 0;
+    m_retryAt = absl::InfinitePast();
+}
+
+void CollectionFollower::advance(Outbox& outbox, absl::Time now)
+{
+    if (m_call != 0 || now < m_retryAt)
+        return;
+    m_sentAt = now;
+    m_isListing = !m_hasRevision;
+    if (m_isListing)
+        m_call = outbox.toStore(ReadCollection { m_collection }, listTimeout);
+    else
+        m_call = outbox.toStore(WatchCollection { m_collection, m_revision, m_wait }, m_wait + answerTimeout);
+}
+
+absl::Time CollectionFollower::nextDue() const
+{
+    return m_call != 0 ? absl::InfiniteFuture() : m_retryAt;
+}
+
+CollectionNews CollectionFollower::takeReply(const StoreReply& reply, absl::Time now)
+{
+    m_call = 0;
+    const ErrorKind kind = errorKindOf(reply.status);
+    if (kind == ErrorKind::WatchExpired) {
+        m_hasRevision = false;
+        return {};
+    }
+    if (kind != ErrorKind::None) {
+        noteFailure(now);
+        CollectionNews news;
+        news.isFailed = true;
+        return news;
+    }
+    m_failures = 0;
+    m_retryAt = absl::InfinitePast();
+    return m_isListing ? takeList(reply) : takeChanges(reply, now);
+}
+
+CollectionNews CollectionFollower::takeList(const StoreReply& reply)
+{
+    m_hasRevision = true;
+    m_revision = reply.revision;
+    m_confirmedAt = std::max(m_confirmedAt, m_sentAt);
+    CollectionNews news;
+    news.isWhole = true;
+    news.isConfirmed = true;
+    news.records = reply.records;
+    return news;
+}
+
+CollectionNews CollectionFollower::takeChanges(const StoreReply& reply, absl::Time now)
+{
+    m_revision = std::max(m_revision, reply.revision);
+    // A watch that has waited in vain proves that nothing had changed when it ended, and that was not before then.
+    const bool hasWaited = reply.records.empty() && now >= m_sentAt + m_wait;
+    m_confirmedAt = std::max(m_confirmedAt, hasWaited ? m_sentAt + m_wait : m_sentAt);
+    CollectionNews news;
+    news.isConfirmed = true;
+    news.records = reply.records;
+    return news;
+}
+
+void CollectionFollower::noteFailure(absl::Time now)
+{
+    m_retryAt = now + backoffCeiling(firstRetry, longestRetry, m_failures);
+    ++m_failures;
+}
+
+} // namespace mangohall::batch
--- a/src/core/table/error_table.h
+++ b/src/core/table/error_table.h
@@ -31,6 +31,8 @@
     { ErrorKind::NotFound, "notFound", 404, false, Execution::NotRun, absl::StatusCode::kNotFound },
     // A submission may still be on its way.
     { ErrorKind::UnknownJob, "unknownJob", 404, false, Execution::Unknown, absl::StatusCode::kNotFound },
+    // The store has been asked: no such job was accepted.
+    { ErrorKind::NoSuchJob, "noSuchJob", 410, false, Execution::NotRun, absl::StatusCode::kNotFound },
     { ErrorKind::UnknownOrganisation, "unknownOrganisation", 404, false, Execution::NotRun,
         absl::StatusCode::kNotFound },
     { ErrorKind::UnknownService, "unknownService", 404, false, Execution::NotRun, absl::StatusCode::kNotFound },
@@ -55,6 +57,10 @@
     { ErrorKind::Preempted, "preempted", 503, false, Execution::Ran, absl::StatusCode::kAborted },
     { ErrorKind::OutcomeUnknown, "outcomeUnknown", 502, false, Execution::Unknown, absl::StatusCode::kUnknown },
     { ErrorKind::StoreUnavailable, "storeUnavailable", 503, true, Execution::Unknown, absl::StatusCode::kUnavailable },
+    // The store has said that it has done nothing.
+    { ErrorKind::StoreRefused, "storeRefused", 503, true, Execution::NotRun, absl::StatusCode::kUnavailable },
+    // The manifest has not been read, or not been confirmed for too long.
+    { ErrorKind::ManifestStale, "manifestStale", 503, true, Execution::NotRun, absl::StatusCode::kUnavailable },
     { ErrorKind::OwnerUnreachable, "ownerUnreachable", 503, true, Execution::Unknown, absl::StatusCode::kUnavailable },
     { ErrorKind::Draining, "draining", 503, true, Execution::NotRun, absl::StatusCode::kUnavailable },
     { ErrorKind::WatchExpired, "watchExpired", 410, true, Execution::NotRun, absl::StatusCode::kOutOfRange },
--- a/src/node/event_type.h
+++ b/src/node/event_type.h
@@ -8,6 +8,7 @@
 
 #include "absl/status/status.h"
 #include "absl/time/time.h"
+#include "core/part_type.h"
 #include "membership/directory_type.h"
 #include "node/caller_message_type.h"
 #include "node/peer_message_type.h"
@@ -16,9 +17,6 @@
 
 namespace mangohall {
 
-// Which part of a node's state an event is for. Parts are numbered from 0; part 0 is the node's directory.
-using PartIndex = std::size_t;
-
 // A number that a part gives a request, to know its reply again.
 using CallId = std::uint64_t;
 
--- a/src/worker/worker_type.h
+++ b/src/worker/worker_type.h
@@ -8,19 +8,11 @@
 
 #include "absl/time/time.h"
 #include "core/name_type.h"
+#include "core/resources_type.h"
 #include "job/job_type.h"
 
 namespace mangohall {
 
-// What a worker offers or a task uses.
-struct Resources {
-    std::int64_t cpuMillis = 0;
-    std::int64_t memoryBytes = 0;
-    std::int32_t accelerators = 0;
-
-    friend bool operator==(const Resources&, const Resources&) = default;
-};
-
 // One row of the platform's VM list.
 struct VmEntry {
     WorkerName worker;
