Fix: a new owner took jobs for new whose progress it had read after them; Change: room is made rack by rack

Ruled out: a write of the former owner after the reading (its commits expect the epoch). Policy: urgent gangs evicted task by task on any rack, a rack-local gang then ran three times as long. Room is now made where all of it fits and loses least; evicting one member counts as its whole gang; nobody goes far from its data before waiting costs as much. A new owner waits for its workers' first answers before it chooses.

--- a/src/batch/fleet/worker_session_base.h
+++ b/src/batch/fleet/worker_session_base.h
@@ -101,6 +101,7 @@
     std::vector<EndedRun> update(const WorkerEntry& entry, absl::Time now);
     // The worker is no longer listed.
     void noteUnlisted() { m_isListed = false; }
+    bool isListed() const { return m_isListed; }
     bool isForgettable() const { return !m_isListed && m_runs.empty(); }
 
     // Whether the worker has answered under this owner's epoch.
--- a/src/batch/owner/demand_func.cpp
+++ b/src/batch/owner/demand_func.cpp
@@ -40,6 +40,7 @@
     const StepSpec& spec = entry->progress.stepSpec(run.task.task.step);
     occupant.priority = entry->progress.job().terms.priority;
     occupant.mayBeEvicted = !spec.isLasting;
+    occupant.isGang = spec.isGang;
     occupant.stopCost = stopCostOf(spec, slot, now);
     return occupant;
 }
--- a/src/batch/owner/fleet_base.cpp
+++ b/src/batch/owner/fleet_base.cpp
@@ -30,6 +30,12 @@
     return session;
 }
 
+bool Fleet::isSettled() const
+{
+    return std::all_of(m_sessions.begin(), m_sessions.end(),
+        [](const auto& entry) { return entry.second.isSettled() || !entry.second.isListed(); });
+}
+
 std::vector<EndedRun> Fleet::takeEntry(const WorkerEntry& entry, absl::Time now)
 {
     const auto [found, isNew] = m_sessions.try_emplace(entry.name, entry, m_epoch, m_settings);
--- a/src/batch/owner/fleet_base.h
+++ b/src/batch/owner/fleet_base.h
@@ -40,6 +40,8 @@
 
     WorkerSession* find(const WorkerName& worker);
     absl::btree_map<WorkerName, WorkerSession>& sessions() { return m_sessions; }
+    // Whether every worker that is listed has answered under this epoch.
+    bool isSettled() const;
     // The session of a worker that may not be listed any more, where an earlier owner has placed runs.
     WorkerSession& findOrRemember(const WorkerName& worker, std::int64_t bornMs);
 
--- a/src/batch/owner/job_book_base.cpp
+++ b/src/batch/owner/job_book_base.cpp
@@ -29,7 +29,13 @@
 
 void JobBook::addProgress(const JobId& job, ProgressRecord record, Revision revision)
 {
-    m_earlier[job.str()] = { std::move(record), revision };
+    JobEntry* entry = find(job);
+    if (entry == nullptr) {
+        m_earlier[job.str()] = { std::move(record), revision };
+        return;
+    }
+    entry->progress.restore(std::move(record));
+    entry->revision = revision;
 }
 
 void JobBook::addCancellation(const JobId& job)
--- a/src/batch/owner/job_book_base.h
+++ b/src/batch/owner/job_book_base.h
@@ -57,7 +57,7 @@
 
     // Takes an accepted job. False if it is known.
     bool add(const Job& job);
-    // Takes what an earlier owner has written of a job; kept until the job itself is known.
+    // Takes what an earlier owner has written of a job, which may become known before or after.
     void addProgress(const JobId& job, ProgressRecord record, Revision revision);
     // Notes a wish that may be here before its job.
     void addCancellation(const JobId& job);
--- a/src/batch/owner/owner_part_base.h
+++ b/src/batch/owner/owner_part_base.h
@@ -34,6 +34,7 @@
         CallId countsCall = 0;
         absl::Time retryAt = absl::InfinitePast();
         bool isDone = false;
+        absl::Time doneAt = absl::InfiniteFuture();
     };
 
     void take(const Event& event, absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
@@ -58,6 +59,7 @@
     void takeWritten(const WriteNews& news, absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void releaseRun(const PlacedRun& placed, absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void openDue(absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    bool mayAllocate(absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void allocate(absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void place(absl::Span<const Placement> placements, absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void advance(absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
--- a/src/batch/owner/owner_part_cmd.cpp
+++ b/src/batch/owner/owner_part_cmd.cpp
@@ -19,6 +19,8 @@
 constexpr absl::Duration loadRetryPeriod = absl::Milliseconds(150);
 // Events that come together are served by one choice.
 constexpr absl::Duration allocationPeriod = absl::Milliseconds(10);
+// How long a new owner waits for workers that do not answer.
+constexpr absl::Duration settlePatience = absl::Milliseconds(700);
 // Waiting tasks are looked at again this often, since patience and objectives change with time alone.
 constexpr absl::Duration reallocationPeriod = absl::Milliseconds(500);
 
@@ -151,6 +153,7 @@
 void OwnerPart::finishLoading(absl::Time now)
 {
     m_loading.isDone = true;
+    m_loading.doneAt = now;
     for (auto& [id, entry] : m_book.entries())
         adoptRuns(entry, now);
     std::vector<JobId> cancelled;
@@ -392,6 +395,16 @@
     }
 }
 
+bool OwnerPart::mayAllocate(absl::Time now)
+{
+    const bool isDue = m_isAllocationDue && now >= m_allocatedAt + allocationPeriod;
+    const bool isAgain = m_hasUnplaced && now >= m_allocatedAt + reallocationPeriod;
+    if (m_isDraining || !(isDue || isAgain))
+        return false;
+    // A choice among the few workers that answered first would evict what need not be.
+    return now >= m_loading.doneAt + settlePatience || m_fleet.isSettled();
+}
+
 void OwnerPart::allocate(absl::Time now)
 {
     m_isAllocationDue = false;
@@ -449,8 +462,7 @@
     for (const FleetNews& lapsed : m_fleet.takeLapsed(now))
         takeFleetNews(lapsed, now);
     openDue(now);
-    const bool isAgain = m_hasUnplaced && now >= m_allocatedAt + reallocationPeriod;
-    if ((m_isAllocationDue && now >= m_allocatedAt + allocationPeriod && !m_isDraining) || isAgain)
+    if (mayAllocate(now))
         allocate(now);
     m_writer.advance(m_ownership.expectation(), m_outbox, now);
     m_fleet.advance(*this, m_outbox, now);
--- a/src/batch/policy/allocation_type.h
+++ b/src/batch/policy/allocation_type.h
@@ -18,7 +18,9 @@
     std::int32_t priority = 0;
     bool isStopping = false;
     bool mayBeEvicted = false;
-    // Core-seconds of work that are lost if it is stopped now.
+    // The run is a member of a gang, which ends as a whole.
+    bool isGang = false;
+    // Core-seconds of work that are lost if it is stopped now; of a gang's member, those of the whole gang.
     double stopCost = 0;
 };
 
--- a/src/batch/policy/priority_policy_base.cpp
+++ b/src/batch/policy/priority_policy_base.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <tuple>
+#include <utility>
 
 #include "batch/policy/room_search_base.h"
 
@@ -9,9 +10,14 @@
 
 namespace {
 
-// How long tasks wait for room next to their data, or on one rack, before they run slower elsewhere.
-constexpr absl::Duration placePatience = absl::Seconds(2);
 constexpr std::int32_t urgentPriority = 0;
+// Far from its data or spread over racks a task takes three times as long: waiting for twice its run time is no worse.
+constexpr double patienceFactor = 2;
+constexpr absl::Duration longestPatience = absl::Seconds(15);
+// While much is free, nothing waits for long.
+constexpr absl::Duration idlePatience = absl::Milliseconds(2000);
+// From this share of accelerators in use on, a place near the data is worth waiting for.
+constexpr double busyShare = 0.55;
 
 // Sorts before what is served later.
 auto rankOf(const StepDemand& demand, absl::Time now)
@@ -21,12 +27,51 @@
         demand.priority, !demand.isGuaranteed, isLate, demand.objective, demand.readySince, demand.job);
 }
 
+struct RackRoom {
+    RackName rack;
+    std::int32_t freeAccelerators = 0;
+};
+
+// The racks, fullest first, so that large rooms stay whole.
+std::vector<RackName> racksByRoom(absl::Span<const WorkerRoom> rooms)
+{
+    std::vector<RackRoom> racks;
+    for (const WorkerRoom& room : rooms) {
+        const auto found = std::find_if(
+            racks.begin(), racks.end(), [&room](const RackRoom& known) { return known.rack == room.rack; });
+        if (found == racks.end())
+            racks.push_back({ room.rack, room.free.accelerators });
+        else
+            found->freeAccelerators += room.free.accelerators;
+    }
+    std::sort(racks.begin(), racks.end(), [](const RackRoom& left, const RackRoom& right) {
+        return std::tie(left.freeAccelerators, left.rack) < std::tie(right.freeAccelerators, right.rack);
+    });
+    std::vector<RackName> names;
+    for (const RackRoom& rack : racks)
+        names.push_back(rack.rack);
+    return names;
+}
+
+double usedShare(absl::Span<const WorkerRoom> rooms)
+{
+    std::int64_t free = 0;
+    std::int64_t used = 0;
+    for (const WorkerRoom& room : rooms) {
+        free += room.free.accelerators;
+        for (const Occupant& occupant : room.occupants)
+            used += occupant.demand.accelerators;
+    }
+    return free + used == 0 ? 0 : static_cast<double>(used) / static_cast<double>(free + used);
+}
+
 // One choice over all rooms.
 class Choice {
 public:
     Choice(std::vector<WorkerRoom>& rooms, absl::Time now)
-        : m_search(rooms)
+        : m_rooms(rooms)
         , m_now(now)
+        , m_isBusy(usedShare(rooms) > busyShare)
     {
     }
 
@@ -41,68 +86,95 @@
     Allocation take() { return std::move(m_allocation); }
 
 private:
-    bool isPatient(const StepDemand& demand) const { return m_now < demand.readySince + placePatience; }
+    bool isPatient(const StepDemand& demand) const
+    {
+        const absl::Duration busyPatience = std::min(demand.spec->estimate * patienceFactor, longestPatience);
+        return m_now < demand.readySince + (m_isBusy ? std::max(busyPatience, idlePatience) : idlePatience);
+    }
 
-    // Near the data while that may still come free.
-    SearchLimits limitsOf(const StepDemand& demand) const
+    // Where the demand may be placed now, best first. An empty rack stands for all of them together.
+    std::vector<RackName> placesOf(const StepDemand& demand) const
     {
-        return isPatient(demand) ? SearchLimits { demand.spec->dataRack } : SearchLimits();
+        const StepSpec& spec = *demand.spec;
+        std::vector<RackName> places;
+        if (!spec.dataRack.empty())
+            places.push_back(spec.dataRack);
+        if (!spec.dataRack.empty() && isPatient(demand))
+            return places;
+        if (spec.isGang && spec.isRackLocal) {
+            const std::vector<RackName> racks = racksByRoom(m_rooms);
+            places.insert(places.end(), racks.begin(), racks.end());
+            if (isPatient(demand))
+                return places;
+        }
+        places.emplace_back();
+        return places;
     }
 
     void serveTasks(const StepDemand& demand)
     {
-        const SearchLimits limits = limitsOf(demand);
-        for (std::size_t i = 0; i < demand.indices.size(); ++i) {
-            absl::optional<Placement> placement = m_search.place(demand, demand.indices[i], limits);
-            if (!placement) {
-                makeRoom(demand, limits, demand.indices.size() - i);
-                return;
-            }
-            m_allocation.placements.push_back(*std::move(placement));
+        const std::vector<RackName> places = placesOf(demand);
+        std::vector<std::int32_t> unplaced;
+        for (const std::int32_t index : demand.indices) {
+            // What has found no room will find none for the next equal task.
+            absl::optional<Placement> placement;
+            if (unplaced.empty())
+                placement = placeTask(demand, index, places);
+            if (placement)
+                m_allocation.placements.push_back(*std::move(placement));
+            else
+                unplaced.push_back(index);
         }
+        makeRoom(demand, unplaced, places);
     }
 
-    void serveGang(const StepDemand& demand)
+    absl::optional<Placement> placeTask(const StepDemand& demand, std::int32_t index, absl::Span<const RackName> places)
     {
-        std::vector<Placement> placements = placeGang(demand);
-        if (placements.empty()) {
-            makeRoom(demand, limitsOf(demand), demand.indices.size());
-            return;
+        for (const RackName& place : places) {
+            absl::optional<Placement> placement = RoomSearch(m_rooms).place(demand, index, place);
+            if (placement)
+                return placement;
         }
-        m_allocation.placements.insert(m_allocation.placements.end(), placements.begin(), placements.end());
+        return absl::nullopt;
     }
 
-    std::vector<Placement> placeGang(const StepDemand& demand)
+    void serveGang(const StepDemand& demand)
     {
-        if (!demand.spec->isRackLocal)
-            return m_search.placeAll(demand, limitsOf(demand));
-        std::vector<Placement> placements = m_search.placeAll(demand, { demand.spec->dataRack });
-        for (const RackName& rack : m_search.racks()) {
-            if (!placements.empty())
-                return placements;
-            if (demand.spec->dataRack.empty() || !isPatient(demand))
-                placements = m_search.placeAll(demand, { rack });
+        const std::vector<RackName> places = placesOf(demand);
+        for (const RackName& place : places) {
+            const std::vector<Placement> placements = RoomSearch(m_rooms).placeAll(demand, place);
+            if (placements.empty())
+                continue;
+            m_allocation.placements.insert(m_allocation.placements.end(), placements.begin(), placements.end());
+            return;
         }
-        if (placements.empty() && !isPatient(demand))
-            placements = m_search.placeAll(demand, SearchLimits());
-        return placements;
+        makeRoom(demand, demand.indices, places);
     }
 
-    // Only urgent work makes others leave. Whoever finds no room even so takes nothing away.
-    void makeRoom(const StepDemand& demand, const SearchLimits& limits, std::size_t tasks)
+    // Only urgent work makes others leave, where that loses least. Whoever finds no room even so takes nothing away.
+    void makeRoom(const StepDemand& demand, absl::Span<const std::int32_t> indices, absl::Span<const RackName> places)
     {
-        if (demand.priority != urgentPriority)
+        if (demand.priority != urgentPriority || indices.empty())
             return;
-        for (std::size_t i = 0; i < tasks; ++i) {
-            if (m_search.makeRoom(demand, limits, m_allocation.evictions))
+        absl::optional<RoomPlan> best;
+        std::vector<WorkerRoom> bestRooms;
+        for (const RackName& place : places) {
+            std::vector<WorkerRoom> trial = m_rooms;
+            absl::optional<RoomPlan> plan = RoomSearch(trial).makeRoom(demand, indices, place);
+            if (!plan || (best && plan->cost >= best->cost))
                 continue;
-            if (limits.rack.empty() || !m_search.makeRoom(demand, SearchLimits(), m_allocation.evictions))
-                return;
+            best = std::move(plan);
+            bestRooms = std::move(trial);
         }
+        if (!best)
+            return;
+        m_rooms = std::move(bestRooms);
+        m_allocation.evictions.insert(m_allocation.evictions.end(), best->evictions.begin(), best->evictions.end());
     }
 
-    RoomSearch m_search;
+    std::vector<WorkerRoom>& m_rooms;
     const absl::Time m_now;
+    const bool m_isBusy;
     Allocation m_allocation;
 };
 
@@ -122,19 +194,19 @@
     return choice.take();
 }
 
-Allocation FirstFitPolicy::choose(
+Allocation ArrivalOrderPolicy::choose(
     std::vector<WorkerRoom>& rooms, absl::Span<const StepDemand> demands, absl::Time /*now*/) const
 {
     RoomSearch search(rooms);
     Allocation allocation;
     for (const StepDemand& demand : demands) {
-        const std::vector<Placement> gang
-            = demand.spec->isGang ? search.placeAll(demand, SearchLimits()) : std::vector<Placement>();
-        allocation.placements.insert(allocation.placements.end(), gang.begin(), gang.end());
-        if (demand.spec->isGang)
+        if (demand.spec->isGang) {
+            const std::vector<Placement> gang = search.placeAll(demand, RackName());
+            allocation.placements.insert(allocation.placements.end(), gang.begin(), gang.end());
             continue;
+        }
         for (const std::int32_t index : demand.indices) {
-            const absl::optional<Placement> placement = search.place(demand, index, SearchLimits());
+            const absl::optional<Placement> placement = search.place(demand, index, RackName());
             if (!placement)
                 break;
             allocation.placements.push_back(*placement);
--- a/src/batch/policy/priority_policy_base.h
+++ b/src/batch/policy/priority_policy_base.h
@@ -12,8 +12,8 @@
         std::vector<WorkerRoom>& rooms, absl::Span<const StepDemand> demands, absl::Time now) const override;
 };
 
-// The baseline: in order of arrival, each task on the first worker that has room.
-class FirstFitPolicy : public AllocationPolicy {
+// The baseline: in order of arrival, wherever there is room, and nobody is evicted.
+class ArrivalOrderPolicy : public AllocationPolicy {
 public:
     Allocation choose(
         std::vector<WorkerRoom>& rooms, absl::Span<const StepDemand> demands, absl::Time now) const override;
--- a/src/batch/policy/room_search_base.cpp
+++ b/src/batch/policy/room_search_base.cpp
@@ -25,11 +25,9 @@
     return demand;
 }
 
-bool RoomSearch::isEligible(const WorkerRoom& room, const StepDemand& demand, const SearchLimits& limits) const
+bool RoomSearch::isEligible(const WorkerRoom& room, const StepDemand& demand, const RackName& rack) const
 {
-    if (room.service != demand.service)
-        return false;
-    if (!limits.rack.empty() && room.rack != limits.rack)
+    if (room.service != demand.service || (!rack.empty() && room.rack != rack))
         return false;
     const WorkerLabel& label = demand.spec->requiredLabel;
     return label.empty() || std::find(room.labels.begin(), room.labels.end(), label) != room.labels.end();
@@ -70,13 +68,13 @@
     room.occupants.push_back(occupant);
 }
 
-absl::optional<Placement> RoomSearch::place(const StepDemand& demand, std::int32_t index, const SearchLimits& limits)
+absl::optional<Placement> RoomSearch::place(const StepDemand& demand, std::int32_t index, const RackName& rack)
 {
     const Resources needed = countedDemand(*demand.spec);
     WorkerRoom* best = nullptr;
     double least = std::numeric_limits<double>::infinity();
     for (WorkerRoom& room : m_rooms) {
-        if (!needed.fitsInto(room.free) || !isEligible(room, demand, limits) || !isBelowStepLimit(room, demand))
+        if (!needed.fitsInto(room.free) || !isEligible(room, demand, rack) || !isBelowStepLimit(room, demand))
             continue;
         const double misfitHere = misfit(room, demand);
         if (misfitHere < least) {
@@ -90,11 +88,11 @@
     return Placement { { demand.job, { demand.occurrence, demand.step, index } }, best->worker };
 }
 
-std::vector<Placement> RoomSearch::placeAll(const StepDemand& demand, const SearchLimits& limits)
+std::vector<Placement> RoomSearch::placeAll(const StepDemand& demand, const RackName& rack)
 {
     std::vector<Placement> placements;
     for (const std::int32_t index : demand.indices) {
-        absl::optional<Placement> placement = place(demand, index, limits);
+        absl::optional<Placement> placement = place(demand, index, rack);
         if (!placement) {
             undo(placements, demand);
             return {};
@@ -118,65 +116,80 @@
     }
 }
 
-absl::optional<RoomSearch::EvictionPlan> RoomSearch::planEviction(std::size_t room, const StepDemand& demand) const
+absl::optional<RoomSearch::Victims> RoomSearch::findVictims(std::size_t room, const StepDemand& demand) const
 {
     const WorkerRoom& candidate = m_rooms[room];
     const Resources needed = countedDemand(*demand.spec);
-    EvictionPlan plan;
-    plan.room = room;
-    std::vector<std::size_t> order;
-    for (std::size_t i = 0; i < candidate.occupants.size(); ++i) {
-        const Occupant& occupant = candidate.occupants[i];
+    std::vector<const Occupant*> order;
+    for (const Occupant& occupant : candidate.occupants) {
         if (occupant.mayBeEvicted && !occupant.isStopping && occupant.priority > demand.priority)
-            order.push_back(i);
+            order.push_back(&occupant);
     }
-    std::sort(order.begin(), order.end(), [&candidate](std::size_t left, std::size_t right) {
-        return candidate.occupants[left].stopCost < candidate.occupants[right].stopCost;
-    });
-    Resources roomThen = candidate.freeAfterStops;
-    for (const std::size_t victim : order) {
-        if (needed.fitsInto(roomThen))
+    std::sort(order.begin(), order.end(),
+        [](const Occupant* left, const Occupant* right) { return left->stopCost < right->stopCost; });
+    Victims victims;
+    victims.room = room;
+    Resources freed = candidate.freeAfterStops;
+    for (const Occupant* occupant : order) {
+        if (needed.fitsInto(freed))
             break;
-        roomThen += candidate.occupants[victim].demand;
-        plan.victims.push_back(victim);
-        plan.cost += candidate.occupants[victim].stopCost;
+        freed += occupant->demand;
+        victims.runs.push_back(occupant->run);
+        victims.cost += occupant->stopCost;
     }
-    if (!needed.fitsInto(roomThen))
+    if (!needed.fitsInto(freed))
         return absl::nullopt;
-    return plan;
+    return victims;
 }
 
-bool RoomSearch::makeRoom(const StepDemand& demand, const SearchLimits& limits, std::vector<Eviction>& evictions)
+void RoomSearch::stop(WorkerRoom& room, Occupant& occupant, RoomPlan& plan)
 {
-    absl::optional<EvictionPlan> best;
-    for (std::size_t room = 0; room < m_rooms.size(); ++room) {
-        if (!isEligible(m_rooms[room], demand, limits) || !isBelowStepLimit(m_rooms[room], demand))
-            continue;
-        absl::optional<EvictionPlan> plan = planEviction(room, demand);
-        if (plan && (!best || plan->cost < best->cost))
-            best = std::move(plan);
-    }
-    if (!best)
-        return false;
-    WorkerRoom& room = m_rooms[best->room];
-    for (const std::size_t victim : best->victims) {
-        Occupant& occupant = room.occupants[victim];
-        occupant.isStopping = true;
-        room.freeAfterStops += occupant.demand;
-        evictions.push_back({ occupant.run, room.worker });
+    if (occupant.isStopping)
+        return;
+    occupant.isStopping = true;
+    room.freeAfterStops += occupant.demand;
+    plan.evictions.push_back({ occupant.run, room.worker });
+}
+
+// With one member its whole gang ends, so that all of its room comes free.
+void RoomSearch::evict(const Victims& victims, RoomPlan& plan)
+{
+    plan.cost += victims.cost;
+    const auto isVictim = [&victims](const Occupant& occupant) {
+        return std::any_of(victims.runs.begin(), victims.runs.end(), [&occupant](const RunKey& run) {
+            const bool isSameGang = occupant.isGang && occupant.run.task.job == run.task.job
+                && occupant.run.task.task.occurrence == run.task.task.occurrence
+                && occupant.run.task.task.step == run.task.task.step;
+            return occupant.run == run || isSameGang;
+        });
+    };
+    for (WorkerRoom& room : m_rooms) {
+        for (Occupant& occupant : room.occupants) {
+            if (isVictim(occupant))
+                stop(room, occupant, plan);
+        }
     }
-    take(room, demand, demand.indices.front());
-    return true;
 }
 
-std::vector<RackName> RoomSearch::racks() const
+absl::optional<RoomPlan> RoomSearch::makeRoom(
+    const StepDemand& demand, absl::Span<const std::int32_t> indices, const RackName& rack)
 {
-    std::vector<RackName> racks;
-    for (const WorkerRoom& room : m_rooms)
-        racks.push_back(room.rack);
-    std::sort(racks.begin(), racks.end());
-    racks.erase(std::unique(racks.begin(), racks.end()), racks.end());
-    return racks;
+    RoomPlan plan;
+    for (const std::int32_t index : indices) {
+        absl::optional<Victims> best;
+        for (std::size_t room = 0; room < m_rooms.size(); ++room) {
+            if (!isEligible(m_rooms[room], demand, rack) || !isBelowStepLimit(m_rooms[room], demand))
+                continue;
+            absl::optional<Victims> victims = findVictims(room, demand);
+            if (victims && (!best || victims->cost < best->cost))
+                best = std::move(victims);
+        }
+        if (!best)
+            return absl::nullopt;
+        evict(*best, plan);
+        take(m_rooms[best->room], demand, index);
+    }
+    return plan;
 }
 
 } // namespace mangohall::batch
--- a/src/batch/policy/room_search_base.h
+++ b/src/batch/policy/room_search_base.h
@@ -10,49 +10,50 @@
 
 namespace mangohall::batch {
 
-// Where a step's tasks may be placed.
-struct SearchLimits {
-    // Only on this rack; empty for any.
-    RackName rack;
-};
-
 // What a task takes from a worker's room.
 Resources countedDemand(const StepSpec& spec);
 
+// Places made so that all of some tasks have room once what is being stopped has ended.
+struct RoomPlan {
+    std::vector<Eviction> evictions;
+    // Core-seconds that the evictions lose.
+    double cost = 0;
+};
+
+// Takes room from the workers that it is given, task by task.
 class RoomSearch {
 public:
-    // The rooms have to outlive the search, which takes from them what it places.
+    // The rooms have to outlive the search.
     explicit RoomSearch(std::vector<WorkerRoom>& rooms)
         : m_rooms(rooms)
     {
     }
 
-    // Whether the step may run on the worker, room aside.
-    bool isEligible(const WorkerRoom& room, const StepDemand& demand, const SearchLimits& limits) const;
-
-    // Places one task on the worker that it fits best, and takes its room there.
-    absl::optional<Placement> place(const StepDemand& demand, std::int32_t index, const SearchLimits& limits);
+    // Places one task on the worker that it fits best. An empty rack stands for any.
+    absl::optional<Placement> place(const StepDemand& demand, std::int32_t index, const RackName& rack);
 
     // Places every task of the demand or none.
-    std::vector<Placement> placeAll(const StepDemand& demand, const SearchLimits& limits);
-
-    // Keeps a worker's room for one task, once what is being stopped there has ended; evicts what loses least if that
-    // is not enough. False if no worker can be made to fit.
-    bool makeRoom(const StepDemand& demand, const SearchLimits& limits, std::vector<Eviction>& evictions);
+    std::vector<Placement> placeAll(const StepDemand& demand, const RackName& rack);
 
-    // The racks that stand in the rooms, each once.
-    std::vector<RackName> racks() const;
+    // Keeps room for the tasks on workers where something is being stopped, and evicts what loses least where that is
+    // not enough. Nothing if some task cannot be given room; then rooms may be taken that have to be thrown away.
+    absl::optional<RoomPlan> makeRoom(
+        const StepDemand& demand, absl::Span<const std::int32_t> indices, const RackName& rack);
 
 private:
-    struct EvictionPlan {
+    // What is taken from one worker to make room there.
+    struct Victims {
         std::size_t room = 0;
-        std::vector<std::size_t> victims;
+        std::vector<RunKey> runs;
         double cost = 0;
     };
 
-    absl::optional<EvictionPlan> planEviction(std::size_t room, const StepDemand& demand) const;
+    bool isEligible(const WorkerRoom& room, const StepDemand& demand, const RackName& rack) const;
     bool isBelowStepLimit(const WorkerRoom& room, const StepDemand& demand) const;
     double misfit(const WorkerRoom& room, const StepDemand& demand) const;
+    absl::optional<Victims> findVictims(std::size_t room, const StepDemand& demand) const;
+    void evict(const Victims& victims, RoomPlan& plan);
+    void stop(WorkerRoom& room, Occupant& occupant, RoomPlan& plan);
     void take(WorkerRoom& room, const StepDemand& demand, std::int32_t index);
     void undo(absl::Span<const Placement> placements, const StepDemand& demand);
 
