--- a/src/batch/fleet/worker_session_base.cpp
+++ b/src/batch/fleet/worker_session_base.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "core/error_func.h"
+
 namespace mangohall::batch {
 
 namespace {
@@ -144,19 +146,24 @@
     if (found == m_runs.end())
         return absl::nullopt;
     RunSlot& slot = found->second;
-    if (slot.stage == RunSlot::Stage::Reserved
-        || (slot.stage == RunSlot::Stage::Starting && slot.toldAt == absl::InfinitePast())) {
+    const bool isUntold = slot.stage == RunSlot::Stage::Starting && slot.startToldAt == absl::InfinitePast();
+    if (slot.stage == RunSlot::Stage::Reserved || isUntold) {
         m_runs.erase(found);
         return EndedRun { run, RunEnd::NotStarted, "", 0 };
     }
     if (!slot.isStopWanted) {
         slot.isStopWanted = true;
         slot.since = now;
-        slot.toldAt = absl::InfinitePast();
     }
     return absl::nullopt;
 }
 
+bool WorkerSession::isStopWanted(const RunKey& run) const
+{
+    const auto found = m_runs.find(run);
+    return found != m_runs.end() && found->second.isStopWanted;
+}
+
 void WorkerSession::noteDurableEnd(std::int64_t number)
 {
     const auto found = m_ends.find(number);
@@ -211,12 +218,12 @@
 
 absl::Time WorkerSession::dueAt(const RunSlot& slot) const
 {
-    if (slot.hasCallOut || slot.isStopConfirmed)
-        return absl::InfiniteFuture();
+    // A stop does not wait for the answer to a start: it bars one that has not arrived.
     if (slot.isStopWanted)
-        return slot.toldAt + commandRetryPeriod;
-    if (slot.stage == RunSlot::Stage::Starting && m_isSettled)
-        return slot.toldAt + commandRetryPeriod;
+        return slot.isStopOut || slot.isStopConfirmed ? absl::InfiniteFuture() : slot.stopToldAt + commandRetryPeriod;
+    // Each start renews the lease, which is left to lapse while the worker is silent.
+    if (slot.stage == RunSlot::Stage::Starting && m_isSettled && m_silences == 0 && !slot.isStartOut)
+        return slot.startToldAt + commandRetryPeriod;
     return absl::InfiniteFuture();
 }
 
@@ -227,8 +234,8 @@
         if (dueAt(slot) > now)
             continue;
         const auto kind = slot.isStopWanted ? SessionCall::Kind::Stop : SessionCall::Kind::Start;
-        slot.toldAt = now;
-        slot.hasCallOut = true;
+        (slot.isStopWanted ? slot.stopToldAt : slot.startToldAt) = now;
+        (slot.isStopWanted ? slot.isStopOut : slot.isStartOut) = true;
         calls.push_back(makeRunCall(kind, run, now));
     }
     if (isLookDue(now))
@@ -281,7 +288,9 @@
     const absl::Duration wait = nextLookWait();
     DueCall due { { SessionCall::Kind::Look, RunKey(), now, m_entry.bornMs }, makeCall(wait + callTimeout) };
     due.call.command = Look { m_acknowledgedEnd, wait };
-    due.call.leaseUntil = leaseUntil(now);
+    // The lease of a silent worker is left to lapse: a renewal may arrive though its answer does not.
+    if (m_silences == 0)
+        due.call.leaseUntil = leaseUntil(now);
     if (hasLiveRuns() && due.call.leaseUntil != 0)
         m_leaseBound = std::max(m_leaseBound, now + m_settings.maxLease * (1 + clockDrift) + leaseMargin);
     m_toldAcknowledgedEnd = m_acknowledgedEnd;
@@ -296,8 +305,10 @@
     if (about.kind == SessionCall::Kind::Look)
         m_isLookOut = false;
     const auto slot = m_runs.find(about.run);
-    if (about.kind != SessionCall::Kind::Look && slot != m_runs.end())
-        slot->second.hasCallOut = false;
+    if (about.kind == SessionCall::Kind::Start && slot != m_runs.end())
+        slot->second.isStartOut = false;
+    if (about.kind == SessionCall::Kind::Stop && slot != m_runs.end())
+        slot->second.isStopOut = false;
     const bool isLookRefused = about.kind == SessionCall::Kind::Look && reply.refusal != WorkerRefusal::None;
     if (reply.refusal == WorkerRefusal::Fenced) {
         news.isFenced = true;
@@ -306,7 +317,7 @@
     if (!reply.status.ok() || reply.refusal == WorkerRefusal::OtherProcess || isLookRefused) {
         if (about.kind == SessionCall::Kind::Start && !reply.status.ok() && slot != m_runs.end())
             slot->second.hasOpenStart = true;
-        noteSilence(news);
+        noteSilence(reply.status, news);
         return news;
     }
     // An answer that a former process of the name gave.
@@ -327,8 +338,9 @@
     return news;
 }
 
-void WorkerSession::noteSilence(SessionNews& news)
+void WorkerSession::noteSilence(const absl::Status& status, SessionNews& news)
 {
+    m_isUnreachable = errorKindOf(status) == ErrorKind::OwnerUnreachable;
     news.isLost = m_silences == 0;
     ++m_silences;
 }
@@ -345,6 +357,7 @@
         return;
     news.isRegained = m_silences > 0 || !m_isSettled;
     m_silences = 0;
+    m_isUnreachable = false;
     m_isSettled = true;
 }
 
@@ -367,7 +380,6 @@
     const bool mayHaveRun = slot.hasOpenStart || reply.refusal == WorkerRefusal::AlreadyEnded;
     if (mayHaveRun || slot.isStopWanted) {
         slot.isStopWanted = true;
-        slot.toldAt = absl::InfinitePast();
         return;
     }
     news.ended.push_back({ about.run, RunEnd::NotStarted, "", 0 });
@@ -445,9 +457,15 @@
     }
 }
 
+// A worker that drained, is no longer listed and has nobody at its address is gone, and all that it ran with it.
+bool WorkerSession::hasLeft() const
+{
+    return m_entry.isDraining && !m_isListed && m_isUnreachable;
+}
+
 std::vector<EndedRun> WorkerSession::takeLapsed(absl::Time now)
 {
-    if (m_silences == 0 || now < m_leaseBound)
+    if (m_silences == 0 || (now < m_leaseBound && !hasLeft()))
         return {};
     return endAll(RunEnd::Lapsed);
 }
--- a/src/batch/fleet/worker_session_base.h
+++ b/src/batch/fleet/worker_session_base.h
@@ -35,15 +35,17 @@
     Stage stage = Stage::Reserved;
     Resources demand;
     absl::Time since;
-    // When the worker was told last.
-    absl::Time toldAt = absl::InfinitePast();
+    // When the worker was last told to start and to stop it.
+    absl::Time startToldAt = absl::InfinitePast();
+    absl::Time stopToldAt = absl::InfinitePast();
+    bool isStartOut = false;
+    bool isStopOut = false;
     // When the worker last confirmed a start or a stop of the run.
     absl::Time confirmedAt = absl::InfiniteFuture();
     bool isStopWanted = false;
     bool isStopConfirmed = false;
     // A start without an answer may still be carried out.
     bool hasOpenStart = false;
-    bool hasCallOut = false;
     std::int32_t percent = 0;
 };
 
@@ -122,6 +124,7 @@
     void adopt(const RunKey& run, const Resources& demand, absl::Time now);
     // Wants a run stopped. A run that the worker was never told of is dropped at once.
     absl::optional<EndedRun> stop(const RunKey& run, absl::Time now);
+    bool isStopWanted(const RunKey& run) const;
 
     // Ends up to and including this one are durable.
     void noteDurableEnd(std::int64_t number);
@@ -140,7 +143,8 @@
     void takeStartReply(const SessionCall& about, const WorkerReply& reply, absl::Time now, SessionNews& news);
     void takeStopReply(const SessionCall& about, const WorkerReply& reply, absl::Time now);
     void takeLookReply(const SessionCall& about, const WorkerReply& reply, absl::Time now, SessionNews& news);
-    void noteSilence(SessionNews& news);
+    void noteSilence(const absl::Status& status, SessionNews& news);
+    bool hasLeft() const;
     void noteAnswer(const SessionCall& about, const WorkerReply& reply, absl::Time now, SessionNews& news);
     void noteProcess(std::int64_t bornMs, std::vector<EndedRun>& ended);
     std::vector<EndedRun> endAll(RunEnd end);
@@ -173,6 +177,8 @@
     bool m_isLookOut = false;
     absl::Time m_lookedAt = absl::InfinitePast();
     int m_silences = 0;
+    // The last call found nobody at the address.
+    bool m_isUnreachable = false;
     // After a refusal nothing new is sent until then.
     absl::Time m_refusedUntil = absl::InfinitePast();
     // Ends that the worker lists, and whether each is durable.
--- a/src/batch/owner/owner_part_cmd.cpp
+++ b/src/batch/owner/owner_part_cmd.cpp
@@ -274,7 +274,7 @@
 void OwnerPart::stopRun(const RunKey& run, const WorkerName& worker, absl::Time now)
 {
     WorkerSession* session = m_fleet.find(worker);
-    if (session == nullptr)
+    if (session == nullptr || session->isStopWanted(run))
         return;
     logRun(DecisionEffect::Kind::RunStopped, run, worker, "");
     if (const absl::optional<EndedRun> ended = session->stop(run, now))
@@ -350,8 +350,7 @@
         return;
     }
     WorkerSession* session = m_fleet.find(worker);
-    const auto slot = session->runs().find(row.run);
-    if (slot != session->runs().end() && !slot->second.isStopWanted)
+    if (session->runs().contains(row.run))
         stopRun(row.run, worker, now);
 }
 
--- a/src/batch/owner/progress_writer_base.cpp
+++ b/src/batch/owner/progress_writer_base.cpp
@@ -67,8 +67,9 @@
 
 void ProgressWriter::addCounts(CommitRecords& commit, absl::Time now)
 {
-    if (now < m_countsWrittenAt + countsPeriod)
+    if (now < m_countsCheckedAt + countsPeriod)
         return;
+    m_countsCheckedAt = now;
     m_counts = m_book.countWaiting();
     if (m_counts == m_writtenCounts)
         return;
@@ -76,7 +77,6 @@
     commit.expected.push_back({ key, m_countsRevision });
     commit.writes.push_back({ key, m_counts, 0 });
     m_isWritingCounts = true;
-    m_countsWrittenAt = now;
 }
 
 void ProgressWriter::addRemovals(CommitRecords& commit, absl::Time now)
@@ -98,7 +98,7 @@
         return absl::InfiniteFuture();
     if (m_book.hasDirty())
         return m_retryAt;
-    return std::min(m_countsWrittenAt + countsPeriod, m_removalCheckedAt + removalPeriod);
+    return std::max(m_retryAt, std::min(m_countsCheckedAt + countsPeriod, m_removalCheckedAt + removalPeriod));
 }
 
 WriteNews ProgressWriter::takeReply(const StoreReply& reply, absl::Time now)
--- a/src/batch/owner/progress_writer_base.h
+++ b/src/batch/owner/progress_writer_base.h
@@ -63,7 +63,7 @@
     QueueCounts m_counts;
     QueueCounts m_writtenCounts;
     Revision m_countsRevision = 0;
-    absl::Time m_countsWrittenAt = absl::InfinitePast();
+    absl::Time m_countsCheckedAt = absl::InfinitePast();
     absl::Time m_removalCheckedAt = absl::InfinitePast();
 };
 
--- /dev/null
+++ b/tests/batch/batch_cluster_base.cpp
@@ -0,0 +1,254 @@
+#include "batch/batch_cluster_base.h"
+
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "core/error_func.h"
+#include "gtest/gtest.h"
+
+namespace mangohall::batch {
+
+namespace {
+
+constexpr int racks = 2;
+constexpr int workersPerRack = 4;
+constexpr absl::Duration callerWait = absl::Seconds(3);
+
+Manifest makeManifest()
+{
+    Manifest manifest;
+    manifest.version = 1;
+    QueueSpec urgent;
+    urgent.name = QueueName("urgent");
+    urgent.host = "desk.example";
+    urgent.pathPrefix = "/urgent/";
+    urgent.service = ServiceName("desk");
+    urgent.terms = { 0, 2, 1.5, absl::Milliseconds(400) };
+    QueueSpec batch = urgent;
+    batch.name = QueueName("batch");
+    batch.pathPrefix = "/batch/";
+    batch.terms = { 2, 3, 3, absl::Seconds(3) };
+    manifest.queues = { urgent, batch };
+    manifest.organisations
+        = { { OrganisationName("large"), { "key-large" }, 32 }, { OrganisationName("small"), { "key-small" }, 8 } };
+    return manifest;
+}
+
+} // namespace
+
+BatchCluster::BatchCluster(int nodes, std::uint64_t seed)
+    : m_random(seed)
+    , m_store(m_timeline, m_random)
+    , m_fleet(m_timeline, m_random, m_store)
+    , m_manifest(makeManifest())
+{
+    putManifest(m_manifest);
+    for (int rack = 0; rack < racks; ++rack) {
+        for (int worker = 0; worker < workersPerRack; ++worker)
+            m_fleet.add(absl::StrCat("w", rack, worker), absl::StrCat("r", rack), { 128000, 1 << 30, 8 });
+    }
+    for (int node = 0; node < nodes; ++node)
+        start(node);
+    runFor(absl::Seconds(2));
+}
+
+std::string BatchCluster::nameOf(int node)
+{
+    return absl::StrCat("node-", node);
+}
+
+void BatchCluster::start(int node)
+{
+    NodeSettings settings;
+    settings.self = NodeName(nameOf(node));
+    settings.seed = ++m_starts;
+    NodeSlot& slot = m_nodes[node];
+    slot = NodeSlot();
+    slot.run = std::make_shared<Run>();
+    slot.run->node = std::make_unique<Node>(settings);
+    slot.run->wakeAt.assign(slot.run->node->partCount(), absl::InfiniteFuture());
+    for (PartIndex part = 0; part < slot.run->node->partCount(); ++part)
+        wakeAt(node, part, m_timeline.now());
+}
+
+void BatchCluster::kill(int node)
+{
+    m_nodes.at(node) = NodeSlot();
+}
+
+void BatchCluster::pause(int node, bool isPaused)
+{
+    NodeSlot& slot = m_nodes.at(node);
+    slot.isPaused = isPaused;
+    if (isPaused)
+        return;
+    for (const Held& held : std::exchange(slot.held, {}))
+        deliver(node, held.part, held.event);
+}
+
+void BatchCluster::drain(int node)
+{
+    deliver(node, directoryPart, DrainEvent());
+}
+
+void BatchCluster::wakeAt(int node, PartIndex part, absl::Time at)
+{
+    const std::shared_ptr<Run> run = m_nodes.at(node).run;
+    run->wakeAt[part] = at;
+    if (at == absl::InfiniteFuture())
+        return;
+    m_timeline.at(at, [this, node, part, at, weak = std::weak_ptr<Run>(run)] {
+        const std::shared_ptr<Run> present = weak.lock();
+        if (!present || present != m_nodes.at(node).run || present->wakeAt[part] != at)
+            return;
+        present->wakeAt[part] = absl::InfiniteFuture();
+        deliver(node, part, WakeEvent());
+    });
+}
+
+void BatchCluster::deliver(int node, PartIndex part, const Event& event)
+{
+    NodeSlot& slot = m_nodes.at(node);
+    const std::shared_ptr<Run> run = slot.run;
+    if (!run)
+        return;
+    if (slot.isPaused) {
+        slot.held.push_back({ part, event });
+        return;
+    }
+    for (const Effect& effect : run->node->handle(part, event, m_timeline.now())) {
+        if (m_nodes.at(node).run == run)
+            perform(node, part, effect);
+    }
+}
+
+void BatchCluster::perform(int node, PartIndex part, const Effect& effect)
+{
+    const std::weak_ptr<Run> run = m_nodes.at(node).run;
+    const auto reply = [this, node, part, run](const Event& event) {
+        const std::shared_ptr<Run> present = run.lock();
+        if (present && present == m_nodes.at(node).run)
+            deliver(node, part, event);
+    };
+    if (const auto* wake = std::get_if<WakeAtEffect>(&effect)) {
+        wakeAt(node, part, wake->at);
+    } else if (const auto* store = std::get_if<StoreEffect>(&effect)) {
+        m_store.request(
+            nameOf(node), store->request, store->timeout, [reply, call = store->call](const StoreReply& answer) {
+                reply(StoreEvent { call, answer });
+            });
+    } else if (const auto* worker = std::get_if<WorkerEffect>(&effect)) {
+        m_fleet.call(worker->request, [reply, call = worker->call](const WorkerReply& answer) {
+            reply(WorkerEvent { call, answer });
+        });
+    } else if (const auto* answer = std::get_if<AnswerEffect>(&effect)) {
+        CallerLog& log = m_logs.at(answer->caller);
+        EXPECT_FALSE(log.answer) << "a caller was answered twice";
+        log.answer = answer->answer;
+        log.answeredAt = m_timeline.now();
+    } else if (const auto* notify = std::get_if<NotifyEffect>(&effect)) {
+        m_timeline.after(absl::ZeroDuration(), [this, node, run, target = *notify] {
+            const std::shared_ptr<Run> present = run.lock();
+            if (present && present == m_nodes.at(node).run)
+                deliver(node, target.part, target.event);
+        });
+    } else if (const auto* ready = std::get_if<ReadyEffect>(&effect)) {
+        m_nodes.at(node).isReady = ready->isReady;
+    } else if (std::holds_alternative<DrainedEffect>(effect)) {
+        m_nodes.at(node).isDrained = true;
+    }
+}
+
+CallerId BatchCluster::ask(int node, CallerRequest request)
+{
+    request.host = "desk.example";
+    if (request.apiKey.empty())
+        request.apiKey = "key-large";
+    request.deadline = m_timeline.now() + callerWait;
+    const CallerId caller = ++m_lastCaller;
+    m_logs[caller] = { request, m_timeline.now(), {} };
+    const std::shared_ptr<Run> run = m_nodes.at(node).run;
+    if (run)
+        deliver(node, run->node->deskFor(request.path), CallerEvent { caller, request });
+    return caller;
+}
+
+CallerId BatchCluster::submit(int node, const std::string& path, const JobSpec& spec)
+{
+    CallerRequest request;
+    request.verb = CallerVerb::Submit;
+    request.path = path;
+    request.spec = spec;
+    return ask(node, std::move(request));
+}
+
+CallerId BatchCluster::query(int node, const std::string& path)
+{
+    CallerRequest request;
+    request.path = path;
+    return ask(node, std::move(request));
+}
+
+CallerId BatchCluster::cancel(int node, const std::string& path)
+{
+    CallerRequest request;
+    request.verb = CallerVerb::Cancel;
+    request.path = path;
+    return ask(node, std::move(request));
+}
+
+ErrorKind BatchCluster::kindOf(CallerId caller) const
+{
+    const CallerLog& log = m_logs.at(caller);
+    if (!log.answer)
+        return ErrorKind::Internal;
+    const auto* refusal = std::get_if<RefusalAnswer>(&*log.answer);
+    return refusal == nullptr ? ErrorKind::None : errorKindOf(refusal->status);
+}
+
+JobPhase BatchCluster::phaseOf(const std::string& path)
+{
+    int node = 0;
+    while (!m_nodes.at(node).run)
+        ++node;
+    const CallerId caller = query(node, path);
+    runFor(absl::Milliseconds(200));
+    const CallerLog& log = m_logs.at(caller);
+    const auto* state = log.answer ? std::get_if<JobStateAnswer>(&*log.answer) : nullptr;
+    EXPECT_NE(state, nullptr) << path << " has no state: " << errorName(kindOf(caller));
+    return state == nullptr ? JobPhase::Pending : state->phase;
+}
+
+int BatchCluster::owner() const
+{
+    const Record* record = m_store.find({ Collection::Holder, "" });
+    const auto* holder = record == nullptr ? nullptr : std::get_if<HolderRecord>(&record->value);
+    if (holder == nullptr)
+        return -1;
+    for (const auto& [node, slot] : m_nodes) {
+        if (holder->node.text() == nameOf(node))
+            return node;
+    }
+    return -1;
+}
+
+JobSpec tasksOf(const std::string& payload, int tasks, int accelerators, absl::Duration estimate)
+{
+    JobSpec spec;
+    spec.payload = payload;
+    StepSpec step;
+    step.taskCount = tasks;
+    step.demand = { 1000, 1 << 20, accelerators };
+    step.estimate = estimate;
+    spec.steps.push_back(step);
+    return spec;
+}
+
+JobSpec gangOf(const std::string& payload, int tasks, int accelerators, absl::Duration estimate)
+{
+    JobSpec spec = tasksOf(payload, tasks, accelerators, estimate);
+    spec.steps.front().isGang = true;
+    return spec;
+}
+
+} // namespace mangohall::batch
--- /dev/null
+++ b/tests/batch/batch_fleet_base.cpp
@@ -0,0 +1,317 @@
+#include "batch/batch_fleet_base.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "batch/owner/run_name_func.h"
+#include "batch/policy/room_search_base.h"
+#include "core/error_func.h"
+
+namespace mangohall::batch {
+
+namespace {
+
+constexpr absl::Duration callDelay = absl::Milliseconds(1);
+constexpr absl::Duration leastLateness = absl::Seconds(2);
+constexpr absl::Duration latenessSpread = absl::Seconds(10);
+constexpr absl::Duration maxLease = absl::Seconds(10);
+constexpr absl::Duration stopTime = absl::Milliseconds(300);
+constexpr absl::Duration defaultRunTime = absl::Seconds(1);
+
+std::string nameOf(const RunKey& run)
+{
+    return absl::StrCat(run.task.job.text(), " ", runName(run));
+}
+
+} // namespace
+
+BatchFleet::BatchFleet(Timeline& timeline, RandomSource& random, BatchStore& store)
+    : m_timeline(timeline)
+    , m_random(random)
+    , m_store(store)
+{
+}
+
+void BatchFleet::add(const std::string& name, const std::string& rack, const Resources& capacity)
+{
+    Worker worker;
+    worker.entry.name = WorkerName(name);
+    worker.entry.service = ServiceName("desk");
+    worker.entry.address = name;
+    worker.entry.rack = RackName(rack);
+    worker.entry.labels = { WorkerLabel("a"), WorkerLabel(rack) };
+    worker.entry.capacity = capacity;
+    worker.bornAt = m_timeline.now();
+    worker.entry.bornMs = absl::ToUnixMillis(worker.bornAt) + 1;
+    publish(worker);
+    m_workers[name] = std::move(worker);
+}
+
+void BatchFleet::publish(const Worker& worker)
+{
+    m_store.put({ Collection::Workers, worker.entry.name.str() }, worker.entry);
+}
+
+WorkerMillis BatchFleet::clockOf(const Worker& worker) const
+{
+    return absl::ToInt64Milliseconds(m_timeline.now() - worker.bornAt) + 1;
+}
+
+void BatchFleet::call(const WorkerCall& call, Reply reply)
+{
+    const auto isAnswered = std::make_shared<bool>(false);
+    const Reply once = [isAnswered, reply = std::move(reply)](const WorkerReply& answer) {
+        if (!std::exchange(*isAnswered, true))
+            reply(answer);
+    };
+    m_timeline.after(call.timeout, [once] {
+        WorkerReply none;
+        none.status = makeError(ErrorKind::TimedOut, "no answer in time");
+        once(none);
+    });
+    const bool isOrder = !std::holds_alternative<Look>(call.command);
+    if (isOrder && m_random.uniform() < m_lateOrders) {
+        const absl::Duration lateness = leastLateness + latenessSpread * m_random.uniform();
+        m_timeline.after(lateness, [this, call] {
+            Worker& worker = m_workers.at(call.worker.str());
+            if (!worker.isCut && !worker.isGone)
+                carryOut(worker, call, true);
+        });
+        return;
+    }
+    m_timeline.after(callDelay, [this, call, once] {
+        Worker& worker = m_workers.at(call.worker.str());
+        if (worker.isCut)
+            return;
+        if (worker.isGone) {
+            WorkerReply refused;
+            refused.status = makeError(ErrorKind::OwnerUnreachable, "nobody listens");
+            once(refused);
+            return;
+        }
+        if (const auto* lookCall = std::get_if<Look>(&call.command)) {
+            const WorkerReply fenced = carryOut(worker, call, false);
+            if (fenced.refusal == WorkerRefusal::None)
+                look(worker, *lookCall, once);
+            else
+                once(fenced);
+            return;
+        }
+        const WorkerReply answer = carryOut(worker, call, false);
+        m_timeline.after(callDelay, [answer, once] { once(answer); });
+    });
+}
+
+WorkerReply BatchFleet::carryOut(Worker& worker, const WorkerCall& call, bool /*isLate*/)
+{
+    lapse(worker);
+    WorkerReply reply;
+    reply.clock = clockOf(worker);
+    reply.bornMs = worker.entry.bornMs;
+    if (call.epoch < worker.epoch) {
+        reply.refusal = WorkerRefusal::Fenced;
+        return reply;
+    }
+    worker.epoch = call.epoch;
+    if (call.leaseUntil != 0) {
+        const absl::Time until = worker.bornAt + absl::Milliseconds(call.leaseUntil);
+        if (until <= m_timeline.now() && std::holds_alternative<StartRun>(call.command)) {
+            reply.refusal = WorkerRefusal::LeaseOver;
+            return reply;
+        }
+        worker.leaseUntil = std::max(worker.leaseUntil, std::min(until, m_timeline.now() + maxLease));
+        const std::string name = worker.entry.name.str();
+        m_timeline.at(worker.leaseUntil, [this, name] { lapse(m_workers.at(name)); });
+    }
+    if (const auto* startCall = std::get_if<StartRun>(&call.command))
+        start(worker, *startCall, reply);
+    else if (const auto* stopCall = std::get_if<StopRun>(&call.command))
+        stop(worker, *stopCall);
+    return reply;
+}
+
+Resources BatchFleet::demandOf(const RunKey& run) const
+{
+    const Record* record = m_store.find({ Collection::Jobs, run.task.job.str() });
+    const auto* job = record == nullptr ? nullptr : std::get_if<Job>(&record->value);
+    return job == nullptr ? Resources() : countedDemand(job->spec.steps[static_cast<std::size_t>(run.task.task.step)]);
+}
+
+void BatchFleet::start(Worker& worker, const StartRun& start, WorkerReply& reply)
+{
+    if (worker.running.contains(start.run))
+        return;
+    const auto barred = worker.barred.find(start.run.task);
+    if (barred != worker.barred.end() && start.run.attempt <= barred->second) {
+        reply.refusal = WorkerRefusal::AlreadyEnded;
+        return;
+    }
+    const Resources demand = demandOf(start.run);
+    checkStart(worker, start, demand);
+    const auto known = m_runTimes.find(start.payload);
+    const absl::Duration time = known == m_runTimes.end() ? defaultRunTime : known->second;
+    m_seen.push_back({ start.run, worker.entry.name.str(), start.payload, m_timeline.now() });
+    worker.running[start.run]
+        = { m_seen.size() - 1, m_timeline.now() + time, m_failing.contains(start.payload), demand };
+    m_timeline.after(time, [this, name = worker.entry.name.str(), born = worker.entry.bornMs, run = start.run] {
+        finish(name, born, run);
+    });
+}
+
+void BatchFleet::checkStart(const Worker& worker, const StartRun& start, const Resources& demand)
+{
+    for (const SeenRun& seen : m_seen) {
+        if (seen.run.task != start.run.task)
+            continue;
+        if (seen.end == absl::InfiniteFuture())
+            m_broken.push_back(absl::StrCat("twice: ", nameOf(start.run), " beside ", nameOf(seen.run)));
+        else if (seen.how == RunEnd::Done)
+            m_broken.push_back(absl::StrCat("again: ", nameOf(start.run), " after ", nameOf(seen.run)));
+    }
+    Resources used = demand;
+    for (const auto& [run, running] : worker.running)
+        used += running.demand;
+    if (!used.fitsInto(worker.entry.capacity))
+        m_broken.push_back(absl::StrCat("over capacity: ", nameOf(start.run), " on ", worker.entry.name.text()));
+}
+
+void BatchFleet::stop(Worker& worker, const StopRun& stop)
+{
+    std::int32_t& barred = worker.barred[stop.run.task];
+    barred = std::max(barred, stop.run.attempt);
+    if (!worker.running.contains(stop.run))
+        return;
+    m_timeline.after(stopTime, [this, name = worker.entry.name.str(), run = stop.run] {
+        Worker& later = m_workers.at(name);
+        if (later.running.contains(run))
+            end(later, run, RunEnd::Stopped);
+    });
+}
+
+void BatchFleet::look(Worker& worker, const Look& look, const Reply& reply)
+{
+    ++m_looks;
+    worker.ends.erase(std::remove_if(worker.ends.begin(), worker.ends.end(),
+                          [&look](const EndedRow& row) { return row.number <= look.acknowledgedEnd; }),
+        worker.ends.end());
+    if (look.wait == absl::ZeroDuration() || !worker.ends.empty()) {
+        m_timeline.after(callDelay, [answer = report(worker), reply] { reply(answer); });
+        return;
+    }
+    const std::uint64_t id = ++m_lastLook;
+    worker.looks.push_back({ id, reply });
+    m_timeline.after(look.wait, [this, name = worker.entry.name.str(), id] {
+        Worker& later = m_workers.at(name);
+        const auto found = std::find_if(
+            later.looks.begin(), later.looks.end(), [id](const HeldLook& held) { return held.id == id; });
+        if (found == later.looks.end())
+            return;
+        const Reply waiting = found->reply;
+        later.looks.erase(found);
+        if (!later.isCut)
+            waiting(report(later));
+    });
+}
+
+void BatchFleet::answerLooks(Worker& worker)
+{
+    if (worker.isCut)
+        return;
+    for (const HeldLook& held : std::exchange(worker.looks, {}))
+        m_timeline.after(callDelay, [answer = report(worker), reply = held.reply] { reply(answer); });
+}
+
+WorkerReply BatchFleet::report(const Worker& worker) const
+{
+    WorkerReply reply;
+    reply.clock = clockOf(worker);
+    reply.bornMs = worker.entry.bornMs;
+    for (const auto& [run, running] : worker.running)
+        reply.running.push_back({ run, "", 0 });
+    reply.ended = worker.ends;
+    return reply;
+}
+
+void BatchFleet::finish(const std::string& name, std::int64_t bornMs, const RunKey& run)
+{
+    Worker& worker = m_workers.at(name);
+    lapse(worker);
+    const auto found = worker.running.find(run);
+    if (worker.entry.bornMs != bornMs || found == worker.running.end())
+        return;
+    end(worker, run, found->second.fails ? RunEnd::Failed : RunEnd::Done);
+}
+
+void BatchFleet::end(Worker& worker, const RunKey& run, RunEnd how)
+{
+    const auto found = worker.running.find(run);
+    SeenRun& seen = m_seen[found->second.seen];
+    seen.end = m_timeline.now();
+    seen.how = how;
+    worker.running.erase(found);
+    std::int32_t& barred = worker.barred[run.task];
+    barred = std::max(barred, run.attempt);
+    worker.ends.push_back({ ++worker.lastEnd, run, how, "" });
+    answerLooks(worker);
+}
+
+void BatchFleet::lapse(Worker& worker)
+{
+    if (worker.leaseUntil <= m_timeline.now())
+        endAll(worker, RunEnd::Lapsed);
+}
+
+void BatchFleet::endAll(Worker& worker, RunEnd how)
+{
+    while (!worker.running.empty())
+        end(worker, RunKey(worker.running.begin()->first), how);
+}
+
+void BatchFleet::restart(const std::string& name)
+{
+    Worker& worker = m_workers.at(name);
+    endAll(worker, RunEnd::Lapsed);
+    Worker fresh;
+    fresh.entry = worker.entry;
+    fresh.isCut = worker.isCut;
+    fresh.bornAt = m_timeline.now();
+    fresh.entry.bornMs = absl::ToUnixMillis(fresh.bornAt) + 1;
+    worker = std::move(fresh);
+    publish(worker);
+}
+
+void BatchFleet::drain(const std::string& name, absl::Duration after)
+{
+    Worker& worker = m_workers.at(name);
+    worker.entry.isDraining = true;
+    publish(worker);
+    m_timeline.after(after, [this, name] {
+        Worker& later = m_workers.at(name);
+        endAll(later, RunEnd::Lapsed);
+        later.isGone = true;
+        later.looks.clear();
+        m_store.remove({ Collection::Workers, name });
+    });
+}
+
+int BatchFleet::doneCount(const TaskKey& task) const
+{
+    return static_cast<int>(std::count_if(m_seen.begin(), m_seen.end(), [&task](const SeenRun& seen) {
+        return seen.run.task == task && seen.end != absl::InfiniteFuture() && seen.how == RunEnd::Done;
+    }));
+}
+
+int BatchFleet::startCount(const std::string& job) const
+{
+    return static_cast<int>(std::count_if(
+        m_seen.begin(), m_seen.end(), [&job](const SeenRun& seen) { return seen.run.task.job.text() == job; }));
+}
+
+int BatchFleet::aloneCount() const
+{
+    return static_cast<int>(std::count_if(m_seen.begin(), m_seen.end(),
+        [](const SeenRun& seen) { return seen.end != absl::InfiniteFuture() && seen.how == RunEnd::Alone; }));
+}
+
+} // namespace mangohall::batch
--- /dev/null
+++ b/tests/batch/batch_path_test.cpp
@@ -0,0 +1,187 @@
+// What callers see of jobs on whole nodes, without faults.
+#include "batch/batch_cluster_base.h"
+#include "gtest/gtest.h"
+
+namespace mangohall::batch {
+namespace {
+
+const std::string first = "/urgent/00000000000000a1";
+const std::string second = "/batch/00000000000000b2";
+
+TEST(BatchPath, AcceptsRunsAndCompletesAJob)
+{
+    BatchCluster cluster;
+    const CallerId caller = cluster.submit(0, first, tasksOf("p", 3, 1));
+    cluster.runFor(absl::Milliseconds(100));
+    EXPECT_EQ(cluster.kindOf(caller), ErrorKind::None);
+    EXPECT_EQ(cluster.phaseOf(first), JobPhase::Active);
+    cluster.runFor(absl::Seconds(2));
+    EXPECT_EQ(cluster.phaseOf(first), JobPhase::Completed);
+    EXPECT_EQ(cluster.fleet().startCount("00000000000000a1"), 3);
+    EXPECT_TRUE(cluster.fleet().broken().empty());
+}
+
+TEST(BatchPath, KeepsARepeatedSubmissionOneJob)
+{
+    BatchCluster cluster;
+    cluster.submit(0, first, tasksOf("p", 1, 1));
+    const CallerId again = cluster.submit(1, first, tasksOf("p", 1, 1));
+    cluster.runFor(absl::Seconds(3));
+    EXPECT_EQ(cluster.kindOf(again), ErrorKind::None);
+    EXPECT_EQ(cluster.fleet().startCount("00000000000000a1"), 1);
+}
+
+TEST(BatchPath, RunsStepsInOrder)
+{
+    BatchCluster cluster;
+    JobSpec spec = tasksOf("p", 2, 1);
+    spec.steps.push_back(spec.steps.front());
+    spec.steps.back().after = { 0 };
+    cluster.submit(0, first, spec);
+    cluster.runFor(absl::Milliseconds(800));
+    EXPECT_EQ(cluster.fleet().seen().size(), 2U);
+    cluster.runFor(absl::Seconds(3));
+    EXPECT_EQ(cluster.fleet().seen().size(), 4U);
+    EXPECT_EQ(cluster.phaseOf(first), JobPhase::Completed);
+}
+
+TEST(BatchPath, CancelsAJobAndStopsItsTasks)
+{
+    BatchCluster cluster;
+    cluster.fleet().setRunTime("long", absl::Seconds(30));
+    cluster.submit(0, second, tasksOf("long", 4, 1));
+    cluster.runFor(absl::Seconds(1));
+    const CallerId caller = cluster.cancel(1, second);
+    cluster.runFor(absl::Seconds(1));
+    EXPECT_EQ(cluster.kindOf(caller), ErrorKind::None);
+    EXPECT_EQ(cluster.phaseOf(second), JobPhase::Aborted);
+    for (const SeenRun& run : cluster.fleet().seen())
+        EXPECT_LT(run.end, cluster.timeline().now());
+}
+
+TEST(BatchPath, SaysGoneForAJobThatNobodySubmitted)
+{
+    BatchCluster cluster;
+    const CallerId asked = cluster.query(0, first);
+    const CallerId cancelled = cluster.cancel(0, first);
+    cluster.runFor(absl::Seconds(1));
+    EXPECT_EQ(cluster.kindOf(asked), ErrorKind::NoSuchJob);
+    EXPECT_EQ(cluster.kindOf(cancelled), ErrorKind::NoSuchJob);
+}
+
+// A cancellation that overtakes its submission holds.
+TEST(BatchPath, DoesNotRunAJobThatWasCancelledBeforeItCame)
+{
+    BatchCluster cluster;
+    cluster.cancel(0, first);
+    cluster.runFor(absl::Seconds(1));
+    cluster.submit(1, first, tasksOf("p", 1, 1));
+    cluster.runFor(absl::Seconds(3));
+    EXPECT_EQ(cluster.fleet().startCount("00000000000000a1"), 0);
+    EXPECT_EQ(cluster.phaseOf(first), JobPhase::Aborted);
+}
+
+TEST(BatchPath, RefusesUnknownKeysAndQueuesAndUnreadableJobs)
+{
+    BatchCluster cluster;
+    CallerRequest request;
+    request.path = first;
+    request.apiKey = "nobody's";
+    const CallerId stranger = cluster.ask(0, request);
+    const CallerId lost = cluster.submit(0, "/none/00000000000000a1", tasksOf("p", 1, 1));
+    request.apiKey = "";
+    request.verb = CallerVerb::Submit;
+    request.spec = absl::InvalidArgumentError("not JSON");
+    const CallerId unreadable = cluster.ask(0, request);
+    cluster.runFor(absl::Seconds(1));
+    EXPECT_EQ(cluster.kindOf(stranger), ErrorKind::Unauthenticated);
+    EXPECT_EQ(cluster.kindOf(lost), ErrorKind::NotFound);
+    EXPECT_NE(cluster.kindOf(unreadable), ErrorKind::None);
+}
+
+TEST(BatchPath, CountsTheJobsThatWait)
+{
+    BatchCluster cluster;
+    cluster.fleet().setRunTime("long", absl::Seconds(30));
+    cluster.submit(0, "/batch/00000000000000c1", tasksOf("long", 8, 8));
+    cluster.runFor(absl::Seconds(1));
+    cluster.submit(1, "/batch/00000000000000c2", tasksOf("long", 1, 8));
+    cluster.submit(2, "/batch/00000000000000c3", tasksOf("long", 1, 8));
+    cluster.runFor(absl::Seconds(2));
+    const CallerId caller = cluster.query(2, "/batch/");
+    cluster.runFor(absl::Milliseconds(200));
+    const CallerLog& log = cluster.log(caller);
+    ASSERT_TRUE(log.answer);
+    ASSERT_NE(std::get_if<QueueCountAnswer>(&*log.answer), nullptr);
+    EXPECT_EQ(std::get<QueueCountAnswer>(*log.answer).waitingJobs, 2);
+}
+
+// A guarantee's urgent gang finds the building full of batch work.
+TEST(BatchPath, ReclaimsRoomForUrgentWorkInTime)
+{
+    BatchCluster cluster;
+    cluster.fleet().setRunTime("long", absl::Seconds(60));
+    cluster.submit(0, second, tasksOf("long", 64, 1, absl::Seconds(60)));
+    cluster.runFor(absl::Seconds(2));
+    cluster.submit(1, first, gangOf("p", 4, 8));
+    cluster.runFor(absl::Milliseconds(3400));
+    EXPECT_EQ(cluster.fleet().startCount("00000000000000a1"), 4);
+    EXPECT_TRUE(cluster.fleet().broken().empty());
+}
+
+TEST(BatchPath, FailsAJobThatAlwaysFailsAfterItsAttempts)
+{
+    BatchCluster cluster;
+    cluster.fleet().setFailing("sick");
+    cluster.submit(0, first, tasksOf("sick", 1, 1));
+    cluster.runFor(absl::Seconds(5));
+    EXPECT_EQ(cluster.phaseOf(first), JobPhase::Failed);
+    EXPECT_EQ(cluster.fleet().startCount("00000000000000a1"), 2);
+}
+
+TEST(BatchPath, StartsOccurrencesWhenTheyAreDue)
+{
+    BatchCluster cluster;
+    JobSpec spec = tasksOf("p", 1, 1);
+    spec.repeatCount = 3;
+    spec.firstDue = cluster.timeline().now() + absl::Seconds(2);
+    spec.period = absl::Seconds(2);
+    const absl::Time due = spec.firstDue;
+    cluster.submit(0, first, spec);
+    cluster.runFor(absl::Seconds(10));
+    ASSERT_EQ(cluster.fleet().seen().size(), 3U);
+    for (std::size_t i = 0; i < 3; ++i) {
+        EXPECT_GE(cluster.fleet().seen()[i].begin, due + absl::Seconds(2) * static_cast<double>(i));
+        EXPECT_LT(cluster.fleet().seen()[i].begin, due + absl::Seconds(2) * static_cast<double>(i) + absl::Seconds(1));
+    }
+    EXPECT_EQ(cluster.phaseOf(first), JobPhase::Completed);
+}
+
+TEST(BatchPath, LooksAtNobodyWhileNothingRuns)
+{
+    BatchCluster cluster;
+    cluster.runFor(absl::Seconds(5));
+    const int before = cluster.fleet().lookCount();
+    cluster.runFor(absl::Seconds(20));
+    EXPECT_EQ(cluster.fleet().lookCount(), before);
+}
+
+TEST(BatchPath, AppliesANewManifestEverywhereAndNeverAnOlderOne)
+{
+    BatchCluster cluster;
+    Manifest later = cluster.manifest();
+    later.version = 5;
+    later.queues.pop_back();
+    cluster.putManifest(later);
+    cluster.runFor(absl::Seconds(2));
+    cluster.putManifest(cluster.manifest());
+    cluster.runFor(absl::Seconds(2));
+    for (int node = 0; node < 3; ++node) {
+        const CallerId caller = cluster.submit(node, second, tasksOf("p", 1, 1));
+        cluster.runFor(absl::Milliseconds(200));
+        EXPECT_EQ(cluster.kindOf(caller), ErrorKind::NotFound);
+    }
+}
+
+} // namespace
+} // namespace mangohall::batch
--- /dev/null
+++ b/tests/batch/batch_recovery_test.cpp
@@ -0,0 +1,130 @@
+// Owners that die, stand still or leave at any moment.
+#include "batch/batch_cluster_base.h"
+#include "gtest/gtest.h"
+
+namespace mangohall::batch {
+namespace {
+
+const std::string path = "/batch/00000000000000a1";
+const JobId job("00000000000000a1");
+
+// A job of two steps and a gang, so that every kind of start is under way.
+JobSpec mixedJob()
+{
+    JobSpec spec = tasksOf("p", 6, 2);
+    JobSpec gang = gangOf("p", 3, 4);
+    gang.steps.front().after = { 0 };
+    spec.steps.push_back(gang.steps.front());
+    return spec;
+}
+
+void expectDoneOnce(BatchCluster& cluster)
+{
+    EXPECT_EQ(cluster.phaseOf(path), JobPhase::Completed);
+    EXPECT_TRUE(cluster.fleet().broken().empty()) << cluster.fleet().broken().front();
+    for (std::int32_t index = 0; index < 6; ++index)
+        EXPECT_EQ(cluster.fleet().doneCount({ job, { 0, 0, index } }), 1);
+    EXPECT_EQ(cluster.fleet().aloneCount(), 0);
+}
+
+class OwnerKilledAt : public testing::TestWithParam<int> { };
+
+TEST_P(OwnerKilledAt, RunsEveryTaskToItsEndOnce)
+{
+    BatchCluster cluster;
+    cluster.submit(0, path, mixedJob());
+    cluster.runFor(absl::Milliseconds(GetParam()));
+    const int owner = cluster.owner();
+    ASSERT_GE(owner, 0);
+    cluster.kill(owner);
+    cluster.runFor(absl::Milliseconds(500));
+    cluster.start(owner);
+    cluster.runFor(absl::Seconds(25));
+    expectDoneOnce(cluster);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Moments, OwnerKilledAt, testing::Values(1, 5, 8, 12, 16, 20, 25, 40, 300, 1005, 1010, 1020, 1500));
+
+TEST(BatchRecovery, SurvivesTheLossOfAllNodesAtOnce)
+{
+    for (const int moment : { 10, 20, 500, 1015, 1030 }) {
+        BatchCluster cluster;
+        cluster.submit(0, path, mixedJob());
+        cluster.runFor(absl::Milliseconds(moment));
+        for (int node = 0; node < 3; ++node)
+            cluster.kill(node);
+        cluster.runFor(absl::Seconds(4));
+        for (int node = 0; node < 3; ++node)
+            cluster.start(node);
+        cluster.runFor(absl::Seconds(25));
+        expectDoneOnce(cluster);
+    }
+}
+
+TEST(BatchRecovery, KeepsAJobWhoseAcceptanceWasDurableWhenEveryNodeDied)
+{
+    BatchCluster cluster;
+    cluster.store().afterNextCommit(Collection::Jobs, [&cluster] {
+        for (int node = 0; node < 3; ++node)
+            cluster.kill(node);
+    });
+    cluster.submit(0, path, mixedJob());
+    cluster.runFor(absl::Seconds(2));
+    for (int node = 0; node < 3; ++node)
+        cluster.start(node);
+    cluster.runFor(absl::Seconds(20));
+    expectDoneOnce(cluster);
+}
+
+// An owner that stood still finds its lease gone before it starts anything.
+TEST(BatchRecovery, FencesAnOwnerThatStoodStill)
+{
+    for (const int moment : { 9, 14, 18, 22, 30, 1008, 1016 }) {
+        BatchCluster cluster;
+        cluster.submit(0, path, mixedJob());
+        cluster.runFor(absl::Milliseconds(moment));
+        const int owner = cluster.owner();
+        cluster.pause(owner, true);
+        cluster.runFor(absl::Seconds(5));
+        EXPECT_NE(cluster.owner(), owner);
+        cluster.pause(owner, false);
+        cluster.runFor(absl::Seconds(20));
+        expectDoneOnce(cluster);
+    }
+}
+
+TEST(BatchRecovery, HandsOverAtOnceWhenItStopsGracefully)
+{
+    BatchCluster cluster;
+    const int owner = cluster.owner();
+    cluster.drain(owner);
+    cluster.runFor(absl::Milliseconds(400));
+    EXPECT_NE(cluster.owner(), owner);
+    EXPECT_GE(cluster.owner(), 0);
+    EXPECT_FALSE(cluster.isReady(owner));
+    // It goes on serving callers that use open connections.
+    const CallerId caller = cluster.submit(owner, path, mixedJob());
+    cluster.runFor(absl::Milliseconds(300));
+    EXPECT_EQ(cluster.kindOf(caller), ErrorKind::None);
+    cluster.runFor(absl::Seconds(4));
+    EXPECT_TRUE(cluster.isDrained(owner));
+    cluster.kill(owner);
+    cluster.runFor(absl::Seconds(10));
+    expectDoneOnce(cluster);
+}
+
+TEST(BatchRecovery, EvictsNothingBeforeAllWorkersHaveAnsweredTheNewOwner)
+{
+    BatchCluster cluster;
+    cluster.fleet().setRunTime("long", absl::Seconds(20));
+    cluster.submit(0, path, tasksOf("long", 7, 8, absl::Seconds(20)));
+    cluster.runFor(absl::Seconds(1));
+    cluster.kill(cluster.owner());
+    cluster.submit((cluster.owner() + 1) % 3, "/urgent/00000000000000b1", tasksOf("p", 1, 8));
+    cluster.runFor(absl::Seconds(25));
+    EXPECT_EQ(cluster.fleet().startCount("00000000000000a1"), 7);
+}
+
+} // namespace
+} // namespace mangohall::batch
--- /dev/null
+++ b/tests/batch/batch_store_base.cpp
@@ -0,0 +1,274 @@
+#include "batch/batch_store_base.h"
+
+#include <utility>
+
+#include "core/error_func.h"
+
+namespace mangohall::batch {
+
+namespace {
+
+// Those that are read and watched together.
+Collection scopeOf(Collection collection)
+{
+    if (collection == Collection::Cancellations)
+        return Collection::Jobs;
+    return collection == Collection::Epoch ? Collection::Holder : collection;
+}
+
+constexpr absl::Duration leastLateness = absl::Seconds(1);
+constexpr absl::Duration latenessSpread = absl::Seconds(5);
+
+} // namespace
+
+StoreReply BatchStore::failure(ErrorKind kind) const
+{
+    StoreReply reply;
+    reply.status = makeError(kind, "a fault of the test");
+    return reply;
+}
+
+void BatchStore::request(const std::string& node, const StoreRequest& request, absl::Duration timeout, Reply reply)
+{
+    lapseLeases();
+    // Once answered, by the store or by the timeout, nothing else comes.
+    const auto isAnswered = std::make_shared<bool>(false);
+    const Reply once = [isAnswered, reply = std::move(reply)](const StoreReply& answer) {
+        if (!std::exchange(*isAnswered, true))
+            reply(answer);
+    };
+    m_timeline.after(timeout, [this, once] { once(failure(ErrorKind::OutcomeUnknown)); });
+    if (m_isOut && m_isSilent)
+        return;
+    if (m_isOut || m_refused.contains(node)) {
+        m_timeline.after(m_delay, [this, once] { once(failure(ErrorKind::StoreRefused)); });
+        return;
+    }
+    const bool isCommit = std::holds_alternative<CommitRecords>(request);
+    if (isCommit && m_random.uniform() < m_lateCommits) {
+        const absl::Duration lateness = leastLateness + latenessSpread * m_random.uniform();
+        m_timeline.after(lateness, [this, request] { serve(request); });
+        return;
+    }
+    const bool isLost = isCommit && m_random.uniform() < m_lostAnswers;
+    m_timeline.after(m_delay / 2, [this, request, once, isLost] {
+        if (const auto* watch = std::get_if<WatchCollection>(&request)) {
+            startWatch(*watch, once);
+            return;
+        }
+        const StoreReply answer = serve(request);
+        if (!isLost)
+            m_timeline.after(m_delay / 2, [answer, once] { once(answer); });
+    });
+}
+
+StoreReply BatchStore::serve(const StoreRequest& request)
+{
+    lapseLeases();
+    StoreReply reply;
+    reply.revision = m_revision;
+    if (const auto* read = std::get_if<ReadRecord>(&request)) {
+        const Record* found = find(read->key);
+        if (found == nullptr)
+            return failure(ErrorKind::NotFound);
+        reply.records.push_back(*found);
+    } else if (const auto* whole = std::get_if<ReadCollection>(&request)) {
+        reply.records = list(whole->collection);
+    } else if (const auto* commitRequest = std::get_if<CommitRecords>(&request)) {
+        return commit(*commitRequest);
+    } else if (const auto* grant = std::get_if<GrantLease>(&request)) {
+        reply.lease = ++m_lastLease;
+        m_leases[reply.lease].timeToLive = grant->timeToLive;
+        extend(m_leases[reply.lease]);
+    } else if (const auto* renew = std::get_if<RenewLease>(&request)) {
+        const auto found = m_leases.find(renew->lease);
+        if (found == m_leases.end())
+            return failure(ErrorKind::NotFound);
+        extend(found->second);
+    } else if (const auto* end = std::get_if<EndLease>(&request)) {
+        const auto found = m_leases.find(end->lease);
+        if (found != m_leases.end())
+            found->second.until = m_timeline.now();
+        lapseLeases();
+    }
+    return reply;
+}
+
+StoreReply BatchStore::commit(const CommitRecords& request)
+{
+    StoreReply reply;
+    bool holds = true;
+    for (const ExpectedRevision& expected : request.expected) {
+        const Record* present = find(expected.key);
+        const Revision revision = present == nullptr ? 0 : present->revision;
+        holds = holds && revision == expected.revision;
+        reply.records.push_back(present == nullptr ? Record { expected.key, 0, {} } : *present);
+    }
+    if (!holds) {
+        reply.status = makeError(ErrorKind::RevisionConflict, "an expected revision has changed");
+        return reply;
+    }
+    for (const RecordWrite& write : request.writes) {
+        if (write.lease != 0 && m_leases.find(write.lease) == m_leases.end())
+            return failure(ErrorKind::NotFound);
+    }
+    reply.records.clear();
+    ++m_commits;
+    ++m_revision;
+    bool isHooked = false;
+    for (const RecordWrite& write : request.writes) {
+        change(write.key, write.value, write.lease);
+        isHooked = isHooked || write.key.collection == m_hookCollection;
+    }
+    for (const RecordKey& key : request.removals)
+        change(key, {}, 0);
+    reply.revision = m_revision;
+    tellWatches();
+    if (isHooked && m_hook)
+        std::exchange(m_hook, nullptr)();
+    return reply;
+}
+
+void BatchStore::afterNextCommit(Collection collection, std::function<void()> action)
+{
+    m_hookCollection = collection;
+    m_hook = std::move(action);
+}
+
+void BatchStore::change(const RecordKey& key, RecordValue value, std::int64_t lease)
+{
+    Record record { key, m_revision, std::move(value) };
+    m_history.push_back(record);
+    m_leaseOf.erase(key);
+    if (std::holds_alternative<std::monostate>(record.value)) {
+        m_records.erase(key);
+        return;
+    }
+    if (lease != 0)
+        m_leaseOf[key] = lease;
+    m_records[key] = std::move(record);
+}
+
+void BatchStore::put(const RecordKey& key, RecordValue value)
+{
+    ++m_revision;
+    change(key, std::move(value), 0);
+    tellWatches();
+}
+
+void BatchStore::remove(const RecordKey& key)
+{
+    put(key, {});
+}
+
+const Record* BatchStore::find(const RecordKey& key) const
+{
+    const auto found = m_records.find(key);
+    return found == m_records.end() ? nullptr : &found->second;
+}
+
+std::vector<Record> BatchStore::list(Collection collection) const
+{
+    std::vector<Record> records;
+    for (const auto& [key, record] : m_records) {
+        if (scopeOf(key.collection) == scopeOf(collection))
+            records.push_back(record);
+    }
+    return records;
+}
+
+std::vector<Record> BatchStore::changesAfter(Collection collection, Revision after) const
+{
+    std::vector<Record> changes;
+    for (const Record& record : m_history) {
+        if (record.revision > after && scopeOf(record.key.collection) == scopeOf(collection))
+            changes.push_back(record);
+    }
+    return changes;
+}
+
+void BatchStore::startWatch(const WatchCollection& request, const Reply& reply)
+{
+    if (request.after < m_compactedAt) {
+        reply(failure(ErrorKind::WatchExpired));
+        return;
+    }
+    const auto watch = std::make_shared<Watch>(Watch { request.collection, request.after, reply });
+    m_watches.push_back(watch);
+    m_timeline.after(request.wait, [this, watch] {
+        if (std::exchange(watch->isOver, true))
+            return;
+        StoreReply nothing;
+        nothing.revision = m_revision;
+        if (!m_isOut)
+            watch->reply(nothing);
+    });
+    tellWatches();
+}
+
+void BatchStore::tellWatches()
+{
+    std::vector<std::shared_ptr<Watch>> waiting;
+    for (const std::shared_ptr<Watch>& watch : std::exchange(m_watches, {})) {
+        if (watch->isOver)
+            continue;
+        StoreReply news;
+        news.revision = m_revision;
+        news.records = changesAfter(watch->collection, watch->after);
+        if (news.records.empty()) {
+            waiting.push_back(watch);
+            continue;
+        }
+        watch->isOver = true;
+        m_timeline.after(m_delay / 2, [watch, news] { watch->reply(news); });
+    }
+    m_watches.insert(m_watches.end(), waiting.begin(), waiting.end());
+}
+
+void BatchStore::extend(Lease& lease)
+{
+    lease.until = m_timeline.now() + lease.timeToLive;
+    m_timeline.at(lease.until, [this] { lapseLeases(); });
+}
+
+void BatchStore::lapseLeases()
+{
+    if (m_isOut)
+        return;
+    for (auto it = m_leases.begin(); it != m_leases.end();) {
+        if (it->second.until > m_timeline.now()) {
+            ++it;
+            continue;
+        }
+        const std::int64_t lease = it->first;
+        it = m_leases.erase(it);
+        std::vector<RecordKey> gone;
+        for (const auto& [key, holder] : m_leaseOf) {
+            if (holder == lease)
+                gone.push_back(key);
+        }
+        for (const RecordKey& key : gone)
+            remove(key);
+    }
+}
+
+void BatchStore::setOut(bool isOut, bool isSilent)
+{
+    // Leases pause while the store is away.
+    if (m_isOut && !isOut) {
+        for (auto& [id, lease] : m_leases)
+            extend(lease);
+    }
+    m_isOut = isOut;
+    m_isSilent = isSilent;
+}
+
+void BatchStore::refuseNode(const std::string& node, bool isRefused)
+{
+    if (isRefused)
+        m_refused.insert(node);
+    else
+        m_refused.erase(node);
+}
+
+} // namespace mangohall::batch
--- /dev/null
+++ b/tests/batch/batch_store_fault_test.cpp
@@ -0,0 +1,138 @@
+// A store that is away, slow, forgetful or answers nothing.
+#include "batch/batch_cluster_base.h"
+#include "gtest/gtest.h"
+
+namespace mangohall::batch {
+namespace {
+
+const std::string path = "/batch/00000000000000a1";
+
+TEST(BatchStoreFault, RunsEveryTaskOnceThroughLostAnswers)
+{
+    for (std::uint64_t seed = 1; seed <= 6; ++seed) {
+        BatchCluster cluster(3, seed);
+        cluster.store().setLostAnswers(0.4);
+        const CallerId caller = cluster.submit(0, path, tasksOf("p", 10, 1));
+        cluster.runFor(absl::Seconds(5));
+        cluster.store().setLostAnswers(0);
+        cluster.runFor(absl::Seconds(15));
+        if (cluster.kindOf(caller) == ErrorKind::None) {
+            EXPECT_EQ(cluster.phaseOf(path), JobPhase::Completed);
+        }
+        EXPECT_TRUE(cluster.fleet().broken().empty());
+    }
+}
+
+TEST(BatchStoreFault, RunsEveryTaskOnceThroughCommitsThatAreCarriedOutLate)
+{
+    for (std::uint64_t seed = 1; seed <= 6; ++seed) {
+        BatchCluster cluster(3, seed);
+        cluster.store().setLateCommits(0.4);
+        const CallerId caller = cluster.submit(0, path, tasksOf("p", 10, 1));
+        cluster.runFor(absl::Seconds(8));
+        cluster.store().setLateCommits(0);
+        cluster.runFor(absl::Seconds(20));
+        if (cluster.kindOf(caller) == ErrorKind::None) {
+            EXPECT_EQ(cluster.phaseOf(path), JobPhase::Completed);
+        }
+        EXPECT_TRUE(cluster.fleet().broken().empty());
+    }
+}
+
+TEST(BatchStoreFault, RefusesAtOnceAndTrulyWhileTheStoreRefuses)
+{
+    BatchCluster cluster;
+    cluster.store().setOut(true);
+    const CallerId caller = cluster.submit(0, path, tasksOf("p", 1, 1));
+    cluster.runFor(absl::Milliseconds(300));
+    EXPECT_EQ(cluster.kindOf(caller), ErrorKind::StoreRefused);
+    cluster.store().setOut(false);
+    cluster.runFor(absl::Seconds(10));
+    EXPECT_EQ(cluster.fleet().startCount("00000000000000a1"), 0);
+}
+
+TEST(BatchStoreFault, SaysThatTheOutcomeIsUnknownWhileTheStoreIsSilent)
+{
+    BatchCluster cluster;
+    cluster.store().setOut(true, true);
+    const CallerId caller = cluster.submit(0, path, tasksOf("p", 1, 1));
+    cluster.runFor(absl::Seconds(3));
+    EXPECT_EQ(cluster.kindOf(caller), ErrorKind::OutcomeUnknown);
+    EXPECT_LT(cluster.log(caller).answeredAt, cluster.log(caller).request.deadline);
+}
+
+// Running work outlives an outage that is shorter than its workers' leases.
+TEST(BatchStoreFault, GoesOnWithRunningWorkAfterAnOutage)
+{
+    BatchCluster cluster;
+    cluster.fleet().setRunTime("long", absl::Seconds(8));
+    cluster.submit(0, path, tasksOf("long", 4, 1));
+    cluster.runFor(absl::Seconds(1));
+    cluster.store().setOut(true);
+    cluster.runFor(absl::Seconds(5));
+    cluster.store().setOut(false);
+    cluster.runFor(absl::Seconds(6));
+    EXPECT_EQ(cluster.phaseOf(path), JobPhase::Completed);
+    EXPECT_EQ(cluster.fleet().startCount("00000000000000a1"), 4);
+}
+
+// A node that cannot see the manifest any more takes no call with a key: it may have been taken away.
+TEST(BatchStoreFault, TakesNoKeyOnceTheManifestIsTooOld)
+{
+    BatchCluster cluster;
+    cluster.store().refuseNode("node-1", true);
+    // The manifest may have been confirmed until just before.
+    cluster.runFor(absl::Seconds(6));
+    EXPECT_FALSE(cluster.isReady(1));
+    EXPECT_TRUE(cluster.isReady(0));
+    const CallerId caller = cluster.query(1, path);
+    cluster.runFor(absl::Milliseconds(100));
+    EXPECT_EQ(cluster.kindOf(caller), ErrorKind::ManifestStale);
+    cluster.store().refuseNode("node-1", false);
+    cluster.runFor(absl::Seconds(3));
+    EXPECT_TRUE(cluster.isReady(1));
+}
+
+TEST(BatchStoreFault, PassesOwnershipOnWhenOnlyTheOwnerIsTurnedAway)
+{
+    BatchCluster cluster;
+    const int owner = cluster.owner();
+    cluster.store().refuseNode("node-" + std::to_string(owner), true);
+    cluster.runFor(absl::Seconds(4));
+    EXPECT_NE(cluster.owner(), owner);
+    EXPECT_GE(cluster.owner(), 0);
+    cluster.submit((owner + 1) % 3, path, tasksOf("p", 2, 1));
+    cluster.runFor(absl::Seconds(4));
+    EXPECT_EQ(cluster.fleet().startCount("00000000000000a1"), 2);
+}
+
+TEST(BatchStoreFault, ReadsAgainWhenTheHistoryIsGone)
+{
+    BatchCluster cluster;
+    cluster.submit(0, path, tasksOf("p", 2, 1));
+    cluster.store().compact();
+    cluster.runFor(absl::Seconds(1));
+    cluster.store().compact();
+    cluster.submit(1, "/batch/00000000000000b1", tasksOf("p", 2, 1));
+    cluster.store().compact();
+    cluster.runFor(absl::Seconds(6));
+    EXPECT_EQ(cluster.phaseOf(path), JobPhase::Completed);
+    EXPECT_EQ(cluster.phaseOf("/batch/00000000000000b1"), JobPhase::Completed);
+    EXPECT_TRUE(cluster.fleet().broken().empty());
+}
+
+TEST(BatchStoreFault, UsesNoWorkerWhoseEntryCannotBeRead)
+{
+    BatchCluster cluster;
+    for (int worker = 0; worker < 4; ++worker)
+        cluster.store().put({ Collection::Workers, "w0" + std::to_string(worker) }, UnreadableRecord { "no JSON" });
+    cluster.runFor(absl::Seconds(1));
+    cluster.submit(0, path, tasksOf("p", 4, 8));
+    cluster.runFor(absl::Seconds(4));
+    EXPECT_EQ(cluster.phaseOf(path), JobPhase::Completed);
+    for (const SeenRun& run : cluster.fleet().seen())
+        EXPECT_EQ(run.worker.substr(0, 2), "w1");
+}
+
+} // namespace
+} // namespace mangohall::batch
--- /dev/null
+++ b/tests/batch/batch_worker_fault_test.cpp
@@ -0,0 +1,84 @@
+// Workers that are cut off, are born again, leave, or carry orders out late.
+#include "batch/batch_cluster_base.h"
+#include "gtest/gtest.h"
+
+namespace mangohall::batch {
+namespace {
+
+const std::string path = "/batch/00000000000000a1";
+const std::string id = "00000000000000a1";
+
+TEST(BatchWorkerFault, RunsTasksOfACutWorkerAgainOnlyWhenItsLeaseMustHaveLapsed)
+{
+    BatchCluster cluster;
+    cluster.fleet().setRunTime("long", absl::Seconds(20));
+    cluster.submit(0, path, tasksOf("long", 1, 1));
+    cluster.runFor(absl::Seconds(1));
+    ASSERT_EQ(cluster.fleet().seen().size(), 1U);
+    cluster.fleet().cut(cluster.fleet().seen().front().worker, true);
+    cluster.runFor(absl::Seconds(60));
+    EXPECT_EQ(cluster.phaseOf(path), JobPhase::Completed);
+    EXPECT_TRUE(cluster.fleet().broken().empty());
+}
+
+TEST(BatchWorkerFault, RunsTasksOfARebornWorkerAgainAtOnce)
+{
+    BatchCluster cluster;
+    cluster.fleet().setRunTime("long", absl::Seconds(3));
+    cluster.submit(0, path, tasksOf("long", 1, 1));
+    cluster.runFor(absl::Seconds(1));
+    cluster.fleet().restart(cluster.fleet().seen().front().worker);
+    cluster.runFor(absl::Seconds(5));
+    EXPECT_EQ(cluster.phaseOf(path), JobPhase::Completed);
+    EXPECT_EQ(cluster.fleet().startCount(id), 2);
+}
+
+// A gang with a member on a worker that drains and goes is whole again soon after, on others.
+TEST(BatchWorkerFault, RestartsAGangWhoseMembersWorkerLeft)
+{
+    BatchCluster cluster;
+    cluster.fleet().setRunTime("long", absl::Seconds(6));
+    cluster.submit(0, path, gangOf("long", 4, 8));
+    cluster.runFor(absl::Seconds(1));
+    cluster.fleet().drain(cluster.fleet().seen().front().worker, absl::Seconds(1));
+    cluster.runFor(absl::Seconds(12));
+    EXPECT_EQ(cluster.phaseOf(path), JobPhase::Completed);
+    EXPECT_TRUE(cluster.fleet().broken().empty());
+}
+
+TEST(BatchWorkerFault, StartsNothingOnAWorkerThatDrains)
+{
+    BatchCluster cluster;
+    for (int worker = 0; worker < 4; ++worker)
+        cluster.fleet().drain("w0" + std::to_string(worker), absl::Seconds(20));
+    cluster.runFor(absl::Milliseconds(200));
+    cluster.submit(0, path, tasksOf("p", 6, 8));
+    cluster.runFor(absl::Seconds(6));
+    for (const SeenRun& run : cluster.fleet().seen())
+        EXPECT_EQ(run.worker.substr(0, 2), "w1");
+    EXPECT_EQ(cluster.phaseOf(path), JobPhase::Completed);
+}
+
+// Orders without an answer are carried out seconds later, among evictions and changes of owner.
+TEST(BatchWorkerFault, RunsNothingTwiceThroughOrdersThatAreCarriedOutLate)
+{
+    for (std::uint64_t seed = 1; seed <= 8; ++seed) {
+        BatchCluster cluster(3, seed);
+        cluster.fleet().setLateOrders(0.3);
+        cluster.fleet().setRunTime("long", absl::Seconds(5));
+        cluster.submit(0, path, tasksOf("long", 64, 1, absl::Seconds(5)));
+        cluster.runFor(absl::Seconds(1));
+        cluster.submit(1, "/urgent/00000000000000b1", gangOf("p", 4, 8));
+        cluster.runFor(absl::Seconds(3));
+        cluster.kill(cluster.owner());
+        cluster.submit((cluster.owner() + 1) % 3, "/urgent/00000000000000b2", tasksOf("p", 4, 8));
+        cluster.runFor(absl::Seconds(14));
+        cluster.fleet().setLateOrders(0);
+        cluster.runFor(absl::Seconds(60));
+        EXPECT_EQ(cluster.phaseOf(path), JobPhase::Completed) << seed;
+        EXPECT_TRUE(cluster.fleet().broken().empty()) << seed << " " << cluster.fleet().broken().front();
+    }
+}
+
+} // namespace
+} // namespace mangohall::batch
--- /dev/null
+++ b/tests/batch/priority_policy_test.cpp
@@ -0,0 +1,208 @@
+#include "batch/policy/priority_policy_base.h"
+
+#include <algorithm>
+#include <set>
+
+#include "absl/strings/str_cat.h"
+#include "gtest/gtest.h"
+
+namespace mangohall::batch {
+namespace {
+
+const absl::Time now = absl::FromUnixSeconds(1700000000);
+
+// Racks of workers with 8 accelerators each.
+std::vector<WorkerRoom> makeRooms(int racks, int workers)
+{
+    std::vector<WorkerRoom> rooms;
+    for (int rack = 0; rack < racks; ++rack) {
+        for (int worker = 0; worker < workers; ++worker) {
+            WorkerRoom room;
+            room.worker = WorkerName(absl::StrCat("w", rack, worker));
+            room.rack = RackName(absl::StrCat("r", rack));
+            room.free = { 128000, 1 << 30, 8 };
+            room.freeAfterStops = room.free;
+            rooms.push_back(room);
+        }
+    }
+    return rooms;
+}
+
+void occupy(WorkerRoom& room, const std::string& job, int accelerators, double stopCost, int priority = 2)
+{
+    Occupant occupant;
+    occupant.run.task.job = JobId(job);
+    occupant.run.task.task.index = static_cast<std::int32_t>(room.occupants.size());
+    occupant.demand = { 1000, 1, accelerators };
+    occupant.priority = priority;
+    occupant.mayBeEvicted = true;
+    occupant.stopCost = stopCost;
+    room.free -= occupant.demand;
+    room.freeAfterStops -= occupant.demand;
+    room.occupants.push_back(occupant);
+}
+
+StepSpec specOf(int tasks, int accelerators)
+{
+    StepSpec spec;
+    spec.taskCount = tasks;
+    spec.demand = { 1000, 1, accelerators };
+    spec.estimate = absl::Seconds(4);
+    return spec;
+}
+
+StepDemand demandOf(const std::string& job, const StepSpec& spec, int priority)
+{
+    StepDemand demand;
+    demand.job = JobId(job);
+    demand.spec = &spec;
+    demand.priority = priority;
+    demand.readySince = now;
+    demand.objective = now + absl::Seconds(5);
+    for (std::int32_t index = 0; index < spec.taskCount; ++index)
+        demand.indices.push_back(index);
+    return demand;
+}
+
+std::set<std::string> racksOf(const Allocation& allocation, absl::Span<const WorkerRoom> rooms)
+{
+    std::set<std::string> racks;
+    for (const Placement& placement : allocation.placements) {
+        const auto room = std::find_if(rooms.begin(), rooms.end(),
+            [&placement](const WorkerRoom& candidate) { return candidate.worker == placement.worker; });
+        racks.insert(room->rack.str());
+    }
+    return racks;
+}
+
+// Load: small urgent tasks among long runs that fill the building.
+TEST(PriorityPolicy, EvictsWhatLosesLeastForUrgentWork)
+{
+    std::vector<WorkerRoom> rooms = makeRooms(1, 2);
+    occupy(rooms[0], "dear", 8, 100);
+    occupy(rooms[1], "cheap", 8, 1);
+    const StepSpec spec = specOf(1, 8);
+    const Allocation allocation = PriorityPolicy().choose(rooms, { demandOf("urgent", spec, 0) }, now);
+    ASSERT_EQ(allocation.evictions.size(), 1U);
+    EXPECT_EQ(allocation.evictions.front().run.task.job, JobId("cheap"));
+}
+
+TEST(PriorityPolicy, EvictsNobodyForWorkThatIsNotUrgent)
+{
+    std::vector<WorkerRoom> rooms = makeRooms(1, 1);
+    occupy(rooms[0], "batch", 8, 1, 2);
+    const StepSpec spec = specOf(1, 8);
+    EXPECT_TRUE(PriorityPolicy().choose(rooms, { demandOf("normal", spec, 1) }, now).evictions.empty());
+}
+
+// Load: an urgent gang of whole workers that has to stand on one rack, while others are half full.
+TEST(PriorityPolicy, MakesRoomForAGangOnOneRackOnly)
+{
+    std::vector<WorkerRoom> rooms = makeRooms(2, 2);
+    occupy(rooms[0], "a", 8, 10);
+    occupy(rooms[1], "b", 8, 10);
+    occupy(rooms[2], "c", 8, 1);
+    occupy(rooms[3], "d", 8, 100);
+    StepSpec spec = specOf(2, 8);
+    spec.isGang = true;
+    spec.isRackLocal = true;
+    const Allocation allocation = PriorityPolicy().choose(rooms, { demandOf("urgent", spec, 0) }, now);
+    ASSERT_EQ(allocation.evictions.size(), 2U);
+    EXPECT_EQ(allocation.evictions[0].run.task.job, JobId("a"));
+    EXPECT_EQ(allocation.evictions[1].run.task.job, JobId("b"));
+}
+
+TEST(PriorityPolicy, DoesNotEvictAgainWhileRoomIsComingFree)
+{
+    std::vector<WorkerRoom> rooms = makeRooms(1, 2);
+    occupy(rooms[0], "leaving", 8, 1);
+    occupy(rooms[1], "staying", 8, 1);
+    rooms[0].occupants.front().isStopping = true;
+    rooms[0].freeAfterStops.accelerators = 8;
+    const StepSpec spec = specOf(1, 8);
+    EXPECT_TRUE(PriorityPolicy().choose(rooms, { demandOf("urgent", spec, 0) }, now).evictions.empty());
+}
+
+TEST(PriorityPolicy, PlacesAGangWholeOrNotAtAll)
+{
+    std::vector<WorkerRoom> rooms = makeRooms(1, 2);
+    StepSpec spec = specOf(3, 8);
+    spec.isGang = true;
+    const StepSpec small = specOf(1, 8);
+    const Allocation allocation
+        = PriorityPolicy().choose(rooms, { demandOf("gang", spec, 1), demandOf("small", small, 2) }, now);
+    ASSERT_EQ(allocation.placements.size(), 1U);
+    EXPECT_EQ(allocation.placements.front().task.job, JobId("small"));
+}
+
+TEST(PriorityPolicy, KeepsARackLocalGangOnOneRack)
+{
+    std::vector<WorkerRoom> rooms = makeRooms(3, 2);
+    occupy(rooms[0], "x", 4, 1);
+    StepSpec spec = specOf(2, 8);
+    spec.isGang = true;
+    spec.isRackLocal = true;
+    const std::vector<WorkerRoom> before = rooms;
+    const Allocation allocation = PriorityPolicy().choose(rooms, { demandOf("gang", spec, 1) }, now);
+    EXPECT_EQ(allocation.placements.size(), 2U);
+    EXPECT_EQ(racksOf(allocation, before).size(), 1U);
+}
+
+// Load: data far away. A task that runs three times as long elsewhere waits, but not for ever.
+TEST(PriorityPolicy, WaitsForARackNearTheDataForAWhile)
+{
+    std::vector<WorkerRoom> rooms = makeRooms(2, 1);
+    occupy(rooms[0], "x", 8, 1);
+    StepSpec spec = specOf(1, 4);
+    spec.dataRack = RackName("r0");
+    StepDemand demand = demandOf("near", spec, 1);
+    EXPECT_TRUE(PriorityPolicy().choose(rooms, { demand }, now).placements.empty());
+    demand.readySince = now - absl::Seconds(30);
+    EXPECT_EQ(PriorityPolicy().choose(rooms, { demand }, now).placements.size(), 1U);
+}
+
+// Load: whole-worker tasks in a building that small ones would scatter over.
+TEST(PriorityPolicy, PacksSmallTasksSoThatWholeWorkersStayFree)
+{
+    std::vector<WorkerRoom> rooms = makeRooms(1, 3);
+    occupy(rooms[1], "x", 4, 1);
+    const StepSpec spec = specOf(4, 1);
+    const Allocation allocation = PriorityPolicy().choose(rooms, { demandOf("small", spec, 2) }, now);
+    ASSERT_EQ(allocation.placements.size(), 4U);
+    for (const Placement& placement : allocation.placements)
+        EXPECT_EQ(placement.worker, WorkerName("w01"));
+}
+
+TEST(PriorityPolicy, ServesGuaranteedWorkFirstAndLateWorkLast)
+{
+    std::vector<WorkerRoom> rooms = makeRooms(1, 1);
+    const StepSpec spec = specOf(1, 8);
+    StepDemand late = demandOf("late", spec, 0);
+    late.objective = now - absl::Seconds(1);
+    const StepDemand inTime = demandOf("inTime", spec, 0);
+    StepDemand guaranteed = demandOf("guaranteed", spec, 0);
+    guaranteed.isGuaranteed = true;
+    std::vector<WorkerRoom> first = rooms;
+    const Allocation both = PriorityPolicy().choose(first, { late, inTime }, now);
+    ASSERT_EQ(both.placements.size(), 1U);
+    EXPECT_EQ(both.placements.front().task.job, JobId("inTime"));
+    std::vector<WorkerRoom> second = rooms;
+    const Allocation all = PriorityPolicy().choose(second, { late, inTime, guaranteed }, now);
+    ASSERT_EQ(all.placements.size(), 1U);
+    EXPECT_EQ(all.placements.front().task.job, JobId("guaranteed"));
+}
+
+TEST(PriorityPolicy, KeepsToLabelsAndTheLimitPerWorker)
+{
+    std::vector<WorkerRoom> rooms = makeRooms(1, 2);
+    rooms[1].labels = { WorkerLabel("special") };
+    StepSpec spec = specOf(3, 1);
+    spec.requiredLabel = WorkerLabel("special");
+    spec.maxPerWorker = 2;
+    const Allocation allocation = PriorityPolicy().choose(rooms, { demandOf("picky", spec, 1) }, now);
+    ASSERT_EQ(allocation.placements.size(), 2U);
+    EXPECT_EQ(allocation.placements.front().worker, WorkerName("w01"));
+}
+
+} // namespace
+} // namespace mangohall::batch
--- /dev/null
+++ b/tests/batch/record_writer_test.cpp
@@ -0,0 +1,109 @@
+#include "batch/desk/record_writer_base.h"
+
+#include "core/error_func.h"
+#include "gtest/gtest.h"
+
+namespace mangohall::batch {
+namespace {
+
+const absl::Time start = absl::FromUnixSeconds(1700000000);
+
+CreateRecord recordOf(CallerId caller, const std::string& name)
+{
+    return { caller, { Collection::Cancellations, name }, Cancellation(), start + absl::Seconds(2) };
+}
+
+StoreReply replyOf(ErrorKind kind)
+{
+    StoreReply reply;
+    reply.status = makeError(kind, "a fault of the test");
+    return reply;
+}
+
+// The number of the one commit that is out.
+CallId commitOf(Outbox& outbox)
+{
+    CallId call = 0;
+    for (const Effect& effect : outbox.take()) {
+        if (const auto* store = std::get_if<StoreEffect>(&effect))
+            call = store->call;
+    }
+    EXPECT_NE(call, 0U);
+    return call;
+}
+
+TEST(RecordWriter, CarriesManyRecordsInOneCommit)
+{
+    RecordWriter writer;
+    Outbox outbox;
+    for (CallerId caller = 1; caller <= 10; ++caller)
+        writer.add(recordOf(caller, std::to_string(caller)));
+    writer.advance(outbox, start);
+    EXPECT_EQ(writer.takeReply(commitOf(outbox), StoreReply(), start).size(), 10U);
+}
+
+TEST(RecordWriter, MeetsItsOwnRecordAfterALostAnswer)
+{
+    RecordWriter writer;
+    Outbox outbox;
+    writer.add(recordOf(1, "a"));
+    writer.advance(outbox, start);
+    EXPECT_TRUE(writer.takeReply(commitOf(outbox), replyOf(ErrorKind::OutcomeUnknown), start).empty());
+    writer.advance(outbox, start + absl::Milliseconds(100));
+    StoreReply conflict = replyOf(ErrorKind::RevisionConflict);
+    conflict.records = { { { Collection::Cancellations, "a" }, 7, Cancellation() } };
+    const std::vector<CreateResult> results = writer.takeReply(commitOf(outbox), conflict, start);
+    ASSERT_EQ(results.size(), 1U);
+    EXPECT_EQ(results.front().outcome, CreateResult::Outcome::Existed);
+}
+
+// "Not written" promises that it never will be: a lost answer forbids it for good.
+TEST(RecordWriter, NeverSaysNotWrittenAfterALostAnswer)
+{
+    RecordWriter writer;
+    Outbox outbox;
+    writer.add(recordOf(1, "a"));
+    writer.advance(outbox, start);
+    writer.takeReply(commitOf(outbox), replyOf(ErrorKind::OutcomeUnknown), start);
+    absl::Time now = start;
+    for (int i = 0; i < 5; ++i) {
+        now += absl::Milliseconds(100);
+        writer.advance(outbox, now);
+        EXPECT_TRUE(writer.takeReply(commitOf(outbox), replyOf(ErrorKind::StoreRefused), now).empty());
+    }
+    const std::vector<CreateResult> results = writer.advance(outbox, start + absl::Seconds(2));
+    ASSERT_EQ(results.size(), 1U);
+    EXPECT_EQ(results.front().outcome, CreateResult::Outcome::Unknown);
+}
+
+TEST(RecordWriter, GivesUpSoonWhenTheStoreRefuses)
+{
+    RecordWriter writer;
+    Outbox outbox;
+    writer.add(recordOf(1, "a"));
+    writer.advance(outbox, start);
+    EXPECT_TRUE(writer.takeReply(commitOf(outbox), replyOf(ErrorKind::StoreRefused), start).empty());
+    writer.advance(outbox, start + absl::Milliseconds(100));
+    const std::vector<CreateResult> results
+        = writer.takeReply(commitOf(outbox), replyOf(ErrorKind::StoreRefused), start + absl::Milliseconds(110));
+    ASSERT_EQ(results.size(), 1U);
+    EXPECT_EQ(results.front().outcome, CreateResult::Outcome::NotWritten);
+}
+
+TEST(RecordWriter, WritesTheRestOfABatchThatHadOneKnownRecord)
+{
+    RecordWriter writer;
+    Outbox outbox;
+    writer.add(recordOf(1, "a"));
+    writer.add(recordOf(2, "b"));
+    writer.advance(outbox, start);
+    StoreReply conflict = replyOf(ErrorKind::RevisionConflict);
+    conflict.records
+        = { { { Collection::Cancellations, "a" }, 7, Cancellation() }, { { Collection::Cancellations, "b" }, 0, {} } };
+    EXPECT_EQ(writer.takeReply(commitOf(outbox), conflict, start).size(), 1U);
+    writer.advance(outbox, start);
+    EXPECT_EQ(writer.takeReply(commitOf(outbox), StoreReply(), start).size(), 1U);
+}
+
+} // namespace
+} // namespace mangohall::batch
