Feature: sick workers are told from sick jobs

Urgent single runs and those that have barely begun are started elsewhere when they stand still for 1.2 s; workers are looked at every 0.7 s for that instead of 1.5 s.

--- a/src/batch/fleet/worker_session_base.cpp
+++ b/src/batch/fleet/worker_session_base.cpp
@@ -22,6 +22,8 @@
 constexpr double clockDrift = 0.025;
 // A worker that has refused a start is left alone for so long.
 constexpr absl::Duration refusalPause = absl::Milliseconds(700);
+// A hundredth of the longest task takes less, also far from its data.
+constexpr absl::Duration standstillTime = absl::Milliseconds(1200);
 constexpr absl::Duration leaseMargin = absl::Milliseconds(300);
 // A worker lists at most this many ends at a time; a full list says nothing of what is not on it.
 constexpr std::size_t fullEndList = 500;
@@ -419,6 +421,8 @@
         return;
     }
     RunSlot& slot = found->second;
+    if (slot.movedAt == absl::InfiniteFuture() || slot.percent != row.percent)
+        slot.movedAt = now;
     slot.percent = row.percent;
     if (slot.stage == RunSlot::Stage::Running)
         return;
@@ -457,6 +461,19 @@
     }
 }
 
+std::vector<RunKey> WorkerSession::standingRuns(absl::Time now) const
+{
+    constexpr std::int32_t wholePercent = 100;
+    std::vector<RunKey> standing;
+    for (const auto& [run, slot] : m_runs) {
+        const bool isWorking
+            = slot.stage == RunSlot::Stage::Running && !slot.isStopWanted && slot.percent < wholePercent;
+        if (isWorking && now - slot.movedAt >= standstillTime)
+            standing.push_back(run);
+    }
+    return standing;
+}
+
 // A worker that drained, is no longer listed and has nobody at its address is gone, and all that it ran with it.
 bool WorkerSession::hasLeft() const
 {
--- a/src/batch/fleet/worker_session_base.h
+++ b/src/batch/fleet/worker_session_base.h
@@ -10,6 +10,7 @@
 #include "absl/strings/string_view.h"
 #include "absl/time/time.h"
 #include "absl/types/optional.h"
+#include "batch/fleet/worker_health_base.h"
 #include "batch/fleet/worker_type.h"
 
 namespace mangohall::batch {
@@ -18,7 +19,7 @@
     // The longest lease that a worker grants.
     absl::Duration maxLease = absl::Seconds(10);
     // How long a look waits for an end.
-    absl::Duration lookWait = absl::Milliseconds(1500);
+    absl::Duration lookWait = absl::Milliseconds(700);
 };
 
 // A run that takes room on a worker.
@@ -47,6 +48,8 @@
     // A start without an answer may still be carried out.
     bool hasOpenStart = false;
     std::int32_t percent = 0;
+    // When the worker first showed it that far.
+    absl::Time movedAt = absl::InfiniteFuture();
 };
 
 // A run that takes no room any more.
@@ -97,6 +100,8 @@
     WorkerSession(WorkerEntry entry, Epoch epoch, SessionSettings settings);
 
     const WorkerEntry& entry() const { return m_entry; }
+    WorkerHealth& health() { return m_health; }
+    const WorkerHealth& health() const { return m_health; }
     const absl::btree_map<RunKey, RunSlot>& runs() const { return m_runs; }
 
     // Takes a new row of the worker list. Returns the runs that ended with the process that had the name before.
@@ -136,6 +141,9 @@
 
     SessionNews takeReply(const SessionCall& about, const WorkerReply& reply, absl::Time now);
 
+    // Runs that have not moved for so long that something must be wrong with them or the worker.
+    std::vector<RunKey> standingRuns(absl::Time now) const;
+
     // Runs whose lease must have lapsed on a worker that does not answer.
     std::vector<EndedRun> takeLapsed(absl::Time now);
 
@@ -162,6 +170,7 @@
     absl::Time dueAt(const RunSlot& slot) const;
 
     WorkerEntry m_entry;
+    WorkerHealth m_health;
     const Epoch m_epoch;
     const SessionSettings m_settings;
     bool m_isListed = true;
--- a/src/batch/owner/demand_func.cpp
+++ b/src/batch/owner/demand_func.cpp
@@ -55,6 +55,7 @@
     room.labels = entry.labels;
     room.free = session.freeRoom();
     room.freeAfterStops = session.roomAfterStops();
+    room.suspicion = session.health().suspicion();
     for (const auto& [run, slot] : session.runs())
         room.occupants.push_back(occupantOf(run, slot, book, now));
     return room;
@@ -130,7 +131,7 @@
 {
     std::vector<WorkerRoom> rooms;
     for (const auto& [name, session] : fleet.sessions()) {
-        if (session.takesWork(now))
+        if (session.takesWork(now) && !session.health().isSick(now))
             rooms.push_back(roomOf(session, book, now));
     }
     return rooms;
--- a/src/batch/owner/owner_part_base.h
+++ b/src/batch/owner/owner_part_base.h
@@ -56,6 +56,9 @@
     void takeEnd(const EndedRun& ended, const FleetNews& news, absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void takeRunning(const RunningRow& row, const WorkerName& worker, absl::Time now)
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    void noteHealth(const EndedRun& ended, const WorkerName& worker, absl::Time now)
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    void stopStanding(const WorkerName& worker, absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void takeWritten(const WriteNews& news, absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void releaseRun(const PlacedRun& placed, absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void openDue(absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
--- a/src/batch/owner/owner_part_cmd.cpp
+++ b/src/batch/owner/owner_part_cmd.cpp
@@ -21,6 +21,8 @@
 constexpr absl::Duration allocationPeriod = absl::Milliseconds(10);
 // How long a new owner waits for workers that do not answer.
 constexpr absl::Duration settlePatience = absl::Milliseconds(700);
+// Work that is given up for a start elsewhere.
+constexpr absl::Duration cheapRestart = absl::Milliseconds(1000);
 // Waiting tasks are looked at again this often, since patience and objectives change with time alone.
 constexpr absl::Duration reallocationPeriod = absl::Milliseconds(500);
 
@@ -307,11 +309,43 @@
         takeEnd(ended, news, now);
     for (const RunningRow& row : news.session.running)
         takeRunning(row, news.worker, now);
+    if (!news.session.running.empty())
+        stopStanding(news.worker, now);
+}
+
+// A run that stands still is started elsewhere unless that loses more than its standing may.
+void OwnerPart::stopStanding(const WorkerName& worker, absl::Time now)
+{
+    WorkerSession* session = m_fleet.find(worker);
+    for (const RunKey& run : session->standingRuns(now)) {
+        const JobEntry* entry = m_book.find(run.task.job);
+        if (entry == nullptr || entry->progress.find(run.task.task) == nullptr)
+            continue;
+        const StepSpec& spec = entry->progress.stepSpec(run.task.task.step);
+        session->health().noteStandstill(run.task.job, spec.isGang, now);
+        const double doneShare = session->runs().at(run).percent / 100.0;
+        const bool isUrgent = entry->progress.job().terms.priority == 0 && !spec.isGang;
+        const bool isCheap = spec.estimate * doneShare < cheapRestart;
+        if (!spec.isLasting && (isUrgent || isCheap))
+            stopRun(run, worker, now);
+    }
+}
+
+void OwnerPart::noteHealth(const EndedRun& ended, const WorkerName& worker, absl::Time now)
+{
+    WorkerSession* session = m_fleet.find(worker);
+    if (session == nullptr)
+        return;
+    if (ended.end == RunEnd::Done)
+        session->health().noteDone();
+    else if (ended.end == RunEnd::Failed)
+        session->health().noteFailed(ended.run.task.job, now);
 }
 
 void OwnerPart::takeEnd(const EndedRun& ended, const FleetNews& news, absl::Time now)
 {
     m_isAllocationDue = true;
+    noteHealth(ended, news.worker, now);
     logRun(DecisionEffect::Kind::RunEnded, ended.run, news.worker, runEndName(ended.end));
     JobEntry* entry = m_book.find(ended.run.task.job);
     const TaskRef& task = ended.run.task.task;
--- a/src/batch/policy/allocation_type.h
+++ b/src/batch/policy/allocation_type.h
@@ -36,8 +36,8 @@
     std::vector<Occupant> occupants;
     // Kept for urgent work; set by the policy itself.
     bool isReserved = false;
-    // The share of recent runs that failed there beyond what their jobs explain, 0 to 1.
-    double failureShare = 0;
+    // How much a sound worker is to be preferred, 0 to 1.
+    double suspicion = 0;
 };
 
 // Tasks of one step that wait for room. A gang's tasks are placed all or not at all.
--- a/src/batch/policy/room_search_base.cpp
+++ b/src/batch/policy/room_search_base.cpp
@@ -10,8 +10,8 @@
 
 // Misfit of a worker that is not on the rack of the data, in accelerators left over.
 constexpr double farDataMisfit = 1000;
-// Misfit of a worker on which everything fails.
-constexpr double failureMisfit = 500;
+// Misfit of a worker that much speaks against.
+constexpr double suspicionMisfit = 500;
 // An accelerator that is left over weighs as much as this share of a worker's cores.
 constexpr double millisPerAccelerator = 16000;
 
@@ -50,7 +50,7 @@
 double RoomSearch::misfit(const WorkerRoom& room, const StepDemand& demand) const
 {
     const Resources needed = countedDemand(*demand.spec);
-    double misfit = room.failureShare * failureMisfit;
+    double misfit = room.suspicion * suspicionMisfit;
     if (!demand.spec->dataRack.empty() && room.rack != demand.spec->dataRack)
         misfit += farDataMisfit;
     misfit += room.free.accelerators - needed.accelerators;
--- a/tests/batch/worker_session_test.cpp
+++ b/tests/batch/worker_session_test.cpp
@@ -218,6 +218,19 @@
     EXPECT_EQ(std::get<Look>(late.call.command).acknowledgedEnd, 2);
 }
 
+TEST_F(WorkerSessionTest, NamesRunsThatDoNotMove)
+{
+    settle();
+    m_session.takeReply(startRun(runOf(0)), answerOf(5100), m_now);
+    WorkerReply reply = answerOf(5200);
+    for (int percent : { 10, 20, 20, 20 }) {
+        m_now += absl::Milliseconds(700);
+        reply.running = { { runOf(0), "", percent } };
+        m_session.takeReply(due(SessionCall::Kind::Look).about, reply, m_now);
+        EXPECT_EQ(m_session.standingRuns(m_now).size(), m_now >= start + absl::Milliseconds(2600) ? 1U : 0U);
+    }
+}
+
 TEST_F(WorkerSessionTest, KeepsRoomUntilAStoppedRunIsListedAsEnded)
 {
     settle();
