--- a/tests/batch/batch_fleet_base.cpp
+++ b/tests/batch/batch_fleet_base.cpp
@@ -222,13 +222,19 @@
         m_timeline.after(callDelay, [answer = report(worker), reply = held.reply] { reply(answer); });
 }
 
+std::int32_t BatchFleet::percentOf(const Running& running) const
+{
+    const absl::Time begin = m_seen[running.seen].begin;
+    return static_cast<std::int32_t>(100 * absl::FDivDuration(m_timeline.now() - begin, running.endsAt - begin));
+}
+
 WorkerReply BatchFleet::report(const Worker& worker) const
 {
     WorkerReply reply;
     reply.clock = clockOf(worker);
     reply.bornMs = worker.entry.bornMs;
     for (const auto& [run, running] : worker.running)
-        reply.running.push_back({ run, "", 0 });
+        reply.running.push_back({ run, "", percentOf(running) });
     reply.ended = worker.ends;
     return reply;
 }
--- a/tests/batch/batch_fleet_base.h
+++ b/tests/batch/batch_fleet_base.h
@@ -90,6 +90,7 @@
     void stop(Worker& worker, const StopRun& stop);
     void look(Worker& worker, const Look& look, const Reply& reply);
     void answerLooks(Worker& worker);
+    std::int32_t percentOf(const Running& running) const;
     WorkerReply report(const Worker& worker) const;
     void finish(const std::string& name, std::int64_t bornMs, const RunKey& run);
     void end(Worker& worker, const RunKey& run, RunEnd how);
