--- /dev/null
+++ b/tests/platform/record_json_test.cpp
@@ -0,0 +1,84 @@
+#include "adapters/json/batch_record_json_func.h"
+
+#include "core/error_func.h"
+#include "gtest/gtest.h"
+
+namespace mangohall::batch {
+namespace {
+
+Job makeJob()
+{
+    Job job;
+    job.id = JobId("00000000000000a1");
+    job.queue = QueueName("q");
+    job.service = ServiceName("s");
+    job.organisation = OrganisationName("o");
+    job.terms = { 1, 4, 2.5, absl::Milliseconds(400) };
+    job.acceptedAt = absl::FromUnixMillis(1234567);
+    job.spec.payload = "text";
+    job.spec.repeatCount = 2;
+    job.spec.firstDue = absl::FromUnixMillis(99);
+    job.spec.period = absl::Milliseconds(7);
+    StepSpec step;
+    step.taskCount = 3;
+    step.demand = { 1, 2, 3 };
+    step.estimate = absl::Milliseconds(900);
+    step.isGang = step.isRackLocal = step.isCheckpointing = true;
+    step.requiredLabel = WorkerLabel("l");
+    step.dataRack = RackName("r");
+    step.maxPerWorker = 2;
+    step.image = "i";
+    step.tailTarget = absl::Milliseconds(50);
+    step.allowedMissing = 1;
+    StepSpec second = step;
+    second.after = { 0 };
+    second.isGang = false;
+    second.isSpeculative = second.isLasting = second.isFilling = true;
+    job.spec.steps = { step, second };
+    return job;
+}
+
+ProgressRecord makeProgress()
+{
+    ProgressRecord record;
+    record.phase = JobPhase::Failed;
+    record.endedAt = absl::FromUnixMillis(777);
+    TaskProgress task;
+    task.phase = TaskProgress::Phase::Placed;
+    task.attempt = 4;
+    task.failures = 2;
+    task.worker = WorkerName("w");
+    task.workerBornMs = 5;
+    task.checkpoint = "saved";
+    record.occurrences = { { 0, { StepProgress { { TaskProgress(), task } } } }, { 1, { StepProgress { { task } } } } };
+    return record;
+}
+
+void expectKept(Collection collection, const RecordValue& value)
+{
+    const absl::StatusOr<RecordValue> decoded = decodeRecord(collection, encodeRecord(value));
+    ASSERT_TRUE(decoded.ok()) << decoded.status();
+    EXPECT_TRUE(*decoded == value);
+}
+
+TEST(RecordJson, KeepsEveryFieldThroughBothWays)
+{
+    expectKept(Collection::Jobs, makeJob());
+    expectKept(Collection::Progress, makeProgress());
+    expectKept(Collection::Cancellations, Cancellation { absl::FromUnixMillis(5) });
+    expectKept(Collection::QueueCounts, QueueCounts { { { QueueName("q"), 3 } } });
+    expectKept(Collection::Holder, HolderRecord { NodeName("n"), 4 });
+    expectKept(Collection::Epoch, EpochRecord { 4, NodeName("n") });
+}
+
+TEST(RecordJson, RefusesBytesThatNoNodeHasWritten)
+{
+    for (const char* text : { "", "7", "[]", R"({"phase":"odd"})", R"({"phase":"active","occurrences":[[[[1,2]]]]})",
+             R"({"phase":"active","occurrences":[[[[9,1,0,"","w",1]]]]})" })
+        EXPECT_FALSE(decodeRecord(Collection::Progress, text).ok()) << text;
+    for (const char* text : { "{}", R"({"steps":[{"tasks":1,"after":[5]}]})", R"({"steps":[{"tasks":"x"}]})" })
+        EXPECT_FALSE(decodeRecord(Collection::Jobs, text).ok()) << text;
+}
+
+} // namespace
+} // namespace mangohall::batch
