--- a/tests/batch/batch_fleet_base.cpp
+++ b/tests/batch/batch_fleet_base.cpp
@@ -33,12 +33,14 @@
 {
 }
 
-void BatchFleet::add(const std::string& name, const std::string& rack, const Resources& capacity)
+void BatchFleet::add(
+    const std::string& name, const std::string& rack, const Resources& capacity, const std::string& address)
 {
     Worker worker;
     worker.entry.name = WorkerName(name);
     worker.entry.service = ServiceName("desk");
-    worker.entry.address = name;
+    worker.entry.address = address;
+    worker.entry.dataCentre = DataCentreName("here");
     worker.entry.rack = RackName(rack);
     worker.entry.labels = { WorkerLabel("a"), WorkerLabel(rack) };
     worker.entry.capacity = capacity;
--- a/tests/batch/batch_fleet_base.h
+++ b/tests/batch/batch_fleet_base.h
@@ -31,7 +31,8 @@
     BatchFleet(Timeline& timeline, RandomSource& random, BatchStore& store);
 
     // Adds a worker that writes its entry to the store.
-    void add(const std::string& name, const std::string& rack, const Resources& capacity);
+    void add(const std::string& name, const std::string& rack, const Resources& capacity,
+        const std::string& address = "nowhere");
     void call(const WorkerCall& call, Reply reply);
 
     // How long tasks of the payload run, and whether their runs fail.
--- a/tests/cluster/timeline_base.h
+++ b/tests/cluster/timeline_base.h
@@ -26,6 +26,12 @@
         m_actions.emplace(Due { std::max(time, now()), ++m_count }, std::move(action));
     }
 
+    // The time of the next action; the infinite future if there is none.
+    absl::Time nextDue() const
+    {
+        return m_actions.empty() ? absl::InfiniteFuture() : m_actions.begin()->first.at;
+    }
+
     // Runs everything due up to the time and leaves the clock there.
     void runUntil(absl::Time end)
     {
--- /dev/null
+++ b/tests/platform/platform_standin_base.cpp
@@ -0,0 +1,155 @@
+#include "platform/platform_standin_base.h"
+
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "absl/time/clock.h"
+#include "platform/standin_json_func.h"
+
+namespace mangohall::platform {
+
+namespace {
+
+constexpr absl::string_view loopback = "127.0.0.1";
+constexpr absl::Duration longestNap = absl::Milliseconds(50);
+constexpr absl::Duration longestCall = absl::Seconds(60);
+
+batch::Manifest makeManifest()
+{
+    batch::Manifest manifest;
+    manifest.version = 1;
+    batch::QueueSpec urgent;
+    urgent.name = batch::QueueName("urgent");
+    urgent.host = "desk.example";
+    urgent.pathPrefix = "/urgent/";
+    urgent.service = ServiceName("desk");
+    urgent.terms = { 0, 2, 1.5, absl::Milliseconds(400) };
+    batch::QueueSpec batch = urgent;
+    batch.name = batch::QueueName("batch");
+    batch.pathPrefix = "/batch/";
+    batch.terms = { 2, 3, 3, absl::Seconds(3) };
+    manifest.queues = { urgent, batch };
+    manifest.organisations = { { OrganisationName("large"), { "key-large" }, 16 } };
+    return manifest;
+}
+
+HttpResponse malformedResponse(const absl::Status& status)
+{
+    HttpResponse response;
+    response.status = 400;
+    response.body = std::string(status.message());
+    return response;
+}
+
+} // namespace
+
+PlatformStandin::PlatformStandin()
+    : m_startedAt(absl::Now())
+    , m_timelineStart(m_timeline.now())
+    , m_random(1)
+    , m_store(m_timeline, m_random)
+    , m_fleet(m_timeline, m_random, m_store)
+    , m_storeServer(*this)
+{
+}
+
+PlatformStandin::~PlatformStandin()
+{
+    stop();
+}
+
+absl::Status PlatformStandin::start(std::uint16_t storePort, int workers)
+{
+    if (const absl::Status status = m_storeServer.start(loopback, storePort); !status.ok())
+        return status;
+    for (int worker = 0; worker < workers; ++worker) {
+        const std::string name = absl::StrCat("worker-", worker);
+        m_doors.push_back(std::make_unique<WorkerDoor>(*this, name));
+        HttpServer& server = m_doors.back()->server();
+        if (const absl::Status status = server.start(loopback, 0); !status.ok())
+            return status;
+        absl::MutexLock lock(&m_mutex);
+        m_fleet.add(name, absl::StrCat("rack-", worker * 2 / workers), { 128000, std::int64_t { 1 } << 38, 8 },
+            absl::StrCat(loopback, ":", server.port()));
+    }
+    absl::MutexLock lock(&m_mutex);
+    m_store.put({ batch::Collection::Manifest, "" }, makeManifest());
+    m_timeThread = std::thread([this] { keepTime(); });
+    return absl::OkStatus();
+}
+
+void PlatformStandin::stop()
+{
+    {
+        absl::MutexLock lock(&m_mutex);
+        m_isStopping = true;
+        m_changed.Signal();
+    }
+    if (m_timeThread.joinable())
+        m_timeThread.join();
+    m_storeServer.stop();
+    for (const std::unique_ptr<WorkerDoor>& door : m_doors)
+        door->server().stop();
+}
+
+void PlatformStandin::catchUp()
+{
+    m_timeline.runUntil(m_timelineStart + (absl::Now() - m_startedAt));
+}
+
+void PlatformStandin::keepTime()
+{
+    absl::MutexLock lock(&m_mutex);
+    while (!m_isStopping) {
+        catchUp();
+        m_changed.WaitWithTimeout(&m_mutex, std::min(longestNap, m_timeline.nextDue() - m_timeline.now()));
+    }
+}
+
+void PlatformStandin::handle(const ServedRequest& request, std::shared_ptr<Exchange> exchange)
+{
+    const absl::StatusOr<batch::StoreRequest> decoded = storeRequestOf(request);
+    if (!decoded.ok()) {
+        exchange->answer(malformedResponse(decoded.status()));
+        return;
+    }
+    absl::MutexLock lock(&m_mutex);
+    catchUp();
+    m_store.request("", *decoded, longestCall,
+        [decoded, exchange](const batch::StoreReply& reply) { exchange->answer(storeResponseOf(*decoded, reply)); });
+    m_changed.Signal();
+}
+
+void PlatformStandin::WorkerDoor::handle(const ServedRequest& request, std::shared_ptr<Exchange> exchange)
+{
+    const absl::StatusOr<batch::WorkerCall> call = workerCallOf(m_name, request);
+    if (!call.ok()) {
+        exchange->answer(malformedResponse(call.status()));
+        return;
+    }
+    absl::MutexLock lock(&m_platform.m_mutex);
+    m_platform.catchUp();
+    m_platform.m_fleet.call(
+        *call, [exchange](const batch::WorkerReply& reply) { exchange->answer(workerResponseOf(reply)); });
+    m_platform.m_changed.Signal();
+}
+
+void PlatformStandin::setRunTime(const std::string& payload, absl::Duration time)
+{
+    absl::MutexLock lock(&m_mutex);
+    m_fleet.setRunTime(payload, time);
+}
+
+int PlatformStandin::startCount(const std::string& job)
+{
+    absl::MutexLock lock(&m_mutex);
+    return m_fleet.startCount(job);
+}
+
+std::vector<std::string> PlatformStandin::broken()
+{
+    absl::MutexLock lock(&m_mutex);
+    return m_fleet.broken();
+}
+
+} // namespace mangohall::platform
--- /dev/null
+++ b/tests/platform/standin_platform_main.cpp
@@ -0,0 +1,37 @@
+// The platform's store and some workers over loopback, for the quick start.
+#include <csignal>
+
+#include <iostream>
+
+#include "absl/strings/numbers.h"
+#include "platform/platform_standin_base.h"
+
+int main(int argc, char** argv)
+{
+    int port = 0;
+    int workers = 0;
+    constexpr int argumentCount = 3;
+    if (argc != argumentCount || !absl::SimpleAtoi(argv[1], &port) || !absl::SimpleAtoi(argv[2], &workers)) {
+        std::cerr << "Usage: standin-platform STORE-PORT WORKERS\n";
+        return 2;
+    }
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    mangohall::platform::PlatformStandin platform;
+    const absl::Status status = platform.start(static_cast<std::uint16_t>(port), workers);
+    if (!status.ok()) {
+        std::cerr << status << "\n";
+        return 1;
+    }
+    std::cout << "{\"port\": " << platform.storePort() << "}" << std::endl;
+    int taken = 0;
+    sigwait(&signals, &taken);
+    const std::vector<std::string> broken = platform.broken();
+    for (const std::string& rule : broken)
+        std::cerr << "broken rule: " << rule << "\n";
+    platform.stop();
+    return broken.empty() ? 0 : 1;
+}
