--- a/src/batch/fleet/worker_session_base.cpp
+++ b/src/batch/fleet/worker_session_base.cpp
@@ -190,6 +190,13 @@
     return absl::nullopt;
 }
 
+void WorkerSession::setDemand(const RunKey& run, const Resources& demand)
+{
+    const auto found = m_runs.find(run);
+    if (found != m_runs.end())
+        found->second.demand = demand;
+}
+
 bool WorkerSession::isStopWanted(const RunKey& run) const
 {
     const auto found = m_runs.find(run);
@@ -456,8 +463,9 @@
 {
     const auto found = m_runs.find(row.run);
     if (found == m_runs.end()) {
-        // Nobody here has asked for it. It takes room until it is stopped.
+        // Nobody here has asked for it. It takes room until it is stopped: all of it, unless somebody knows better.
         RunSlot slot;
+        slot.demand = m_entry.capacity;
         slot.stage = RunSlot::Stage::Running;
         slot.since = now;
         slot.confirmedAt = now;
--- a/src/batch/fleet/worker_session_base.h
+++ b/src/batch/fleet/worker_session_base.h
@@ -130,6 +130,8 @@
     // Wants a run stopped. A run that the worker was never told of is dropped at once.
     absl::optional<EndedRun> stop(const RunKey& run, absl::Time now);
     bool isStopWanted(const RunKey& run) const;
+    // Says what a run takes that was found on the worker.
+    void setDemand(const RunKey& run, const Resources& demand);
 
     // Ends up to and including this one are durable.
     void noteDurableEnd(std::int64_t number);
--- a/src/batch/owner/owner_part_cmd.cpp
+++ b/src/batch/owner/owner_part_cmd.cpp
@@ -383,8 +383,11 @@
         return;
     }
     WorkerSession* session = m_fleet.find(worker);
-    if (session->runs().contains(row.run))
-        stopRun(row.run, worker, now);
+    if (!session->runs().contains(row.run))
+        return;
+    if (entry != nullptr && entry->progress.find(task) != nullptr)
+        session->setDemand(row.run, countedDemand(entry->progress.stepSpec(task.step)));
+    stopRun(row.run, worker, now);
 }
 
 void OwnerPart::takeWritten(const WriteNews& news, absl::Time now)
--- a/tests/batch/batch_fleet_base.h
+++ b/tests/batch/batch_fleet_base.h
@@ -56,8 +56,8 @@
     // Runs of the task that are over and done.
     int doneCount(const TaskKey& task) const;
     int startCount(const std::string& job) const;
-    // What no worker may ever see: a task twice at a time, a start after a done end that was noted then or later, a worker
-    // over its capacity.
+    // What no worker may ever see: a task twice at a time, a start after a done end that was noted then or later, a
+    // worker over its capacity.
     std::vector<std::string> broken() const;
     // Ends of gang members that waited for the others in vain.
     int aloneCount() const;
--- a/tests/batch/batch_fuzz_test.cpp
+++ b/tests/batch/batch_fuzz_test.cpp
@@ -1,5 +1,5 @@
-// Random histories at fixed seeds. MANGOHALL_FUZZ_SEED and MANGOHALL_FUZZ_RUNS play others; MANGOHALL_FUZZ_TRACE, if set,
-// writes what the nodes decide.
+// Random histories at fixed seeds. MANGOHALL_FUZZ_SEED and MANGOHALL_FUZZ_RUNS play others; MANGOHALL_FUZZ_TRACE, if
+// set, writes what the nodes decide.
 #include <cstdlib>
 
 #include "absl/strings/numbers.h"
