--- a/src/batch/desk/desk_part_cmd.cpp
+++ b/src/batch/desk/desk_part_cmd.cpp
@@ -113,6 +113,8 @@
     OpenCall call;
     call.caller = event.caller;
     call.takenAt = now;
+    // For the log, also of calls that no queue is found for.
+    call.job = JobId(absl::string_view(request.path).substr(request.path.rfind('/') + 1));
     call.deadline = std::max(request.deadline - answerReserve, now + readRetryPeriod);
     call.stage = request.verb == CallerVerb::Submit ? OpenCall::Stage::Submitting
         : request.verb == CallerVerb::Cancel        ? OpenCall::Stage::Cancelling
