--- a/tests/batch/batch_fleet_base.cpp
+++ b/tests/batch/batch_fleet_base.cpp
@@ -111,7 +111,7 @@
     WorkerReply reply;
     reply.clock = clockOf(worker);
     reply.bornMs = worker.entry.bornMs;
-    if (call.epoch < worker.epoch) {
+    if (call.epoch < worker.epoch && !m_obeysAnyEpoch) {
         reply.refusal = WorkerRefusal::Fenced;
         return reply;
     }
@@ -145,7 +145,7 @@
     if (worker.running.contains(start.run))
         return;
     const auto barred = worker.barred.find(start.run.task);
-    if (barred != worker.barred.end() && start.run.attempt <= barred->second) {
+    if (!m_forgetsStops && barred != worker.barred.end() && start.run.attempt <= barred->second) {
         reply.refusal = WorkerRefusal::AlreadyEnded;
         return;
     }
--- a/tests/batch/batch_fleet_base.h
+++ b/tests/batch/batch_fleet_base.h
@@ -51,6 +51,9 @@
     void drain(const std::string& name, absl::Duration after);
     // The share of starts and stops without an answer that are carried out seconds later.
     void setLateOrders(double share) { m_lateOrders = share; }
+    // Break the workers' own rules: to do nothing for a smaller epoch, and to bar a run that was stopped.
+    void setObeysAnyEpoch(bool obeysAnyEpoch) { m_obeysAnyEpoch = obeysAnyEpoch; }
+    void setForgetsStops(bool forgetsStops) { m_forgetsStops = forgetsStops; }
 
     const std::vector<SeenRun>& seen() const { return m_seen; }
     // Runs of the task that are over and done.
@@ -118,6 +121,8 @@
     std::map<std::string, absl::Duration> m_runTimes;
     std::set<std::string> m_failing;
     double m_lateOrders = 0;
+    bool m_obeysAnyEpoch = false;
+    bool m_forgetsStops = false;
     std::vector<SeenRun> m_seen;
     std::vector<std::string> m_broken;
     int m_looks = 0;
--- a/tests/batch/batch_fuzz_base.h
+++ b/tests/batch/batch_fuzz_base.h
@@ -25,6 +25,8 @@
     // Plays the history, heals everything and waits for the jobs. Returns every broken promise.
     std::vector<std::string> run();
 
+    BatchCluster& cluster() { return m_cluster; }
+
 private:
     struct FuzzJob {
         std::string id;
--- a/tests/batch/batch_fuzz_test.cpp
+++ b/tests/batch/batch_fuzz_test.cpp
@@ -32,5 +32,35 @@
     }
 }
 
+// Whether the random histories find anything once the rule is broken.
+template <typename BreakRule> bool isFound(BreakRule breakRule)
+{
+    constexpr int mostRuns = 300;
+    for (int seed = 1; seed <= mostRuns; ++seed) {
+        FuzzOptions options;
+        options.seed = static_cast<std::uint64_t>(seed);
+        BatchFuzz fuzz(options);
+        breakRule(fuzz.cluster());
+        if (!fuzz.run().empty())
+            return true;
+    }
+    return false;
+}
+
+TEST(BatchFuzzPlant, AStoreThatTakesStaleCommitsIsSeen)
+{
+    EXPECT_TRUE(isFound([](BatchCluster& cluster) { cluster.store().setAcceptsStale(true); }));
+}
+
+TEST(BatchFuzzPlant, WorkersThatObeyAnyEpochAreSeen)
+{
+    EXPECT_TRUE(isFound([](BatchCluster& cluster) { cluster.fleet().setObeysAnyEpoch(true); }));
+}
+
+TEST(BatchFuzzPlant, WorkersThatForgetStopsAreSeen)
+{
+    EXPECT_TRUE(isFound([](BatchCluster& cluster) { cluster.fleet().setForgetsStops(true); }));
+}
+
 } // namespace
 } // namespace mangohall::batch
--- a/tests/batch/batch_store_base.cpp
+++ b/tests/batch/batch_store_base.cpp
@@ -104,7 +104,7 @@
         holds = holds && revision == expected.revision;
         reply.records.push_back(present == nullptr ? Record { expected.key, 0, {} } : *present);
     }
-    if (!holds) {
+    if (!holds && !m_acceptsStale) {
         reply.status = makeError(ErrorKind::RevisionConflict, "an expected revision has changed");
         return reply;
     }
--- a/tests/batch/batch_store_base.h
+++ b/tests/batch/batch_store_base.h
@@ -41,6 +41,8 @@
     // The share of commits that are not answered, and carried out seconds later if they still hold.
     void setLateCommits(double share) { m_lateCommits = share; }
     void setDelay(absl::Duration delay) { m_delay = delay; }
+    // Takes every commit, whatever it expects. No store may do so.
+    void setAcceptsStale(bool acceptsStale) { m_acceptsStale = acceptsStale; }
     // Forgets the history: watches behind it are told so.
     void compact() { m_compactedAt = m_revision; }
     // The next commit with a write to the collection is carried out, and then the action runs before its answer.
@@ -81,6 +83,7 @@
     std::set<std::string> m_refused;
     double m_lostAnswers = 0;
     double m_lateCommits = 0;
+    bool m_acceptsStale = false;
     Revision m_revision = 1;
     Revision m_compactedAt = 0;
     int m_commits = 0;
