Change: room of runs that are about to end counts as coming free; Codechange: shorter steps of the owner

Taken: a run that by its percent ends within 0.6 s is treated like one that is being stopped. The attempt of a gang is a rule of JobProgress now, and the adoption and placing of runs are steps of their own.

--- a/src/batch/desk/record_writer_base.cpp
+++ b/src/batch/desk/record_writer_base.cpp
@@ -74,7 +74,7 @@
     return batch;
 }
 
-void RecordWriter::commit(std::vector<Item> batch, Outbox& outbox)
+void RecordWriter::commit(std::vector<Item>&& batch, Outbox& outbox)
 {
     CommitRecords request;
     for (const Item& item : batch) {
@@ -113,6 +113,7 @@
         return {};
     }
     std::vector<CreateResult> results;
+    results.reserve(batch.size());
     for (const Item& item : batch)
         results.push_back(resultOf(item.record, CreateResult::Outcome::Created));
     return results;
--- a/src/batch/desk/record_writer_base.h
+++ b/src/batch/desk/record_writer_base.h
@@ -56,7 +56,7 @@
 
     std::vector<CreateResult> giveUpLate(absl::Time now);
     std::vector<Item> takeBatch(absl::Time now);
-    void commit(std::vector<Item> batch, Outbox& outbox);
+    void commit(std::vector<Item>&& batch, Outbox& outbox);
     std::vector<CreateResult> takeConflict(std::vector<Item> batch, const StoreReply& reply);
     std::vector<CreateResult> takeRefusal(std::vector<Item> batch, absl::Time now);
     void takeLostAnswer(std::vector<Item> batch, absl::Time now);
--- a/src/batch/fleet/worker_session_base.cpp
+++ b/src/batch/fleet/worker_session_base.cpp
@@ -513,6 +513,16 @@
     }
 }
 
+absl::Duration WorkerSession::remainingOf(const RunSlot& slot, absl::Time now)
+{
+    constexpr std::int32_t leastPercent = 20;
+    constexpr std::int32_t wholePercent = 100;
+    if (slot.stage != RunSlot::Stage::Running || slot.percent < leastPercent || slot.movedAt == absl::InfiniteFuture())
+        return absl::InfiniteDuration();
+    const absl::Duration untilThen = (slot.movedAt - slot.since) * (wholePercent - slot.percent) / slot.percent;
+    return untilThen - (now - slot.movedAt);
+}
+
 std::vector<RunKey> WorkerSession::standingRuns(absl::Time now) const
 {
     constexpr std::int32_t wholePercent = 100;
--- a/src/batch/fleet/worker_session_base.h
+++ b/src/batch/fleet/worker_session_base.h
@@ -143,6 +143,9 @@
 
     SessionNews takeReply(const SessionCall& about, const WorkerReply& reply, absl::Time now);
 
+    // How long a run goes on, by how far it has come so far; infinite if that cannot be told.
+    static absl::Duration remainingOf(const RunSlot& slot, absl::Time now);
+
     // Runs that have not moved for so long that something must be wrong with them or the worker.
     std::vector<RunKey> standingRuns(absl::Time now) const;
 
--- a/src/batch/job/job_check_func.cpp
+++ b/src/batch/job/job_check_func.cpp
@@ -36,7 +36,7 @@
         return makeError(ErrorKind::InvalidValue, "a job needs a step");
     std::int64_t tasks = 0;
     for (std::size_t step = 0; step < spec.steps.size(); ++step) {
-        if (const absl::Status status = checkStep(spec.steps[step], step); !status.ok())
+        if (absl::Status status = checkStep(spec.steps[step], step); !status.ok())
             return status;
         tasks += spec.steps[step].taskCount;
     }
--- a/src/batch/job/job_progress_base.cpp
+++ b/src/batch/job/job_progress_base.cpp
@@ -44,15 +44,6 @@
     return m_record.phase != JobPhase::Pending && m_record.phase != JobPhase::Active;
 }
 
-bool JobProgress::hasPlacedTasks() const
-{
-    for (const OccurrenceProgress& occurrence : m_record.occurrences) {
-        if (std::any_of(occurrence.steps.begin(), occurrence.steps.end(), isAnyPlaced))
-            return true;
-    }
-    return false;
-}
-
 std::int32_t JobProgress::occurrenceCount() const
 {
     return std::max(1, m_job.spec.repeatCount);
@@ -155,6 +146,11 @@
     return &occurrence->steps[step];
 }
 
+const StepProgress* JobProgress::findStep(const TaskRef& task) const
+{
+    return const_cast<JobProgress*>(this)->findStep(task);
+}
+
 TaskProgress* JobProgress::findTask(const TaskRef& task)
 {
     StepProgress* step = findStep(task);
@@ -169,18 +165,35 @@
     return const_cast<JobProgress*>(this)->findTask(task);
 }
 
-std::int32_t JobProgress::nextAttempt(
-    std::int32_t occurrence, std::int32_t step, absl::Span<const std::int32_t> indices) const
+std::int32_t JobProgress::nextAttempt(const TaskRef& task) const
 {
-    std::int32_t last = 0;
-    for (const std::int32_t index : indices) {
-        const TaskProgress* task = find({ occurrence, step, index });
-        if (task != nullptr)
-            last = std::max(last, task->attempt);
+    const TaskProgress* found = find(task);
+    if (found == nullptr)
+        return 1;
+    std::int32_t last = found->attempt;
+    if (stepSpec(task.step).isGang) {
+        for (const TaskProgress& member : findStep(task)->tasks)
+            last = std::max(last, member.attempt);
     }
     return last + 1;
 }
 
+std::vector<TaskRef> JobProgress::placedTasks() const
+{
+    std::vector<TaskRef> placed;
+    for (const OccurrenceProgress& occurrence : m_record.occurrences) {
+        for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
+            const std::vector<TaskProgress>& tasks = occurrence.steps[step].tasks;
+            for (std::size_t index = 0; index < tasks.size(); ++index) {
+                if (tasks[index].phase == TaskProgress::Phase::Placed)
+                    placed.push_back(
+                        { occurrence.number, static_cast<std::int32_t>(step), static_cast<std::int32_t>(index) });
+            }
+        }
+    }
+    return placed;
+}
+
 void JobProgress::place(const TaskRef& task, std::int32_t attempt, const WorkerName& worker, std::int64_t workerBornMs)
 {
     TaskProgress* found = findTask(task);
--- a/src/batch/job/job_progress_base.h
+++ b/src/batch/job/job_progress_base.h
@@ -8,7 +8,6 @@
 #include "absl/strings/string_view.h"
 #include "absl/time/time.h"
 #include "absl/types/optional.h"
-#include "absl/types/span.h"
 #include "batch/job/job_type.h"
 #include "batch/job/progress_record_type.h"
 
@@ -34,8 +33,7 @@
     const ProgressRecord& record() const { return m_record; }
     JobPhase phase() const { return m_record.phase; }
     bool isFinal() const;
-    // Whether any task may be running somewhere.
-    bool hasPlacedTasks() const;
+    bool hasPlacedTasks() const { return !placedTasks().empty(); }
 
     // Opens the occurrences that are due. True if one was opened.
     bool openDue(absl::Time now);
@@ -49,8 +47,11 @@
     // The task, or nothing if the job has none of that name.
     const TaskProgress* find(const TaskRef& task) const;
 
-    // The number that the next start of the tasks gets. All tasks of a gang share it.
-    std::int32_t nextAttempt(std::int32_t occurrence, std::int32_t step, absl::Span<const std::int32_t> indices) const;
+    // The number that the next start of the task gets. All tasks of a gang share it.
+    std::int32_t nextAttempt(const TaskRef& task) const;
+
+    // The tasks that may be running somewhere.
+    std::vector<TaskRef> placedTasks() const;
 
     // Notes that an attempt of a waiting task is placed on the worker.
     void place(const TaskRef& task, std::int32_t attempt, const WorkerName& worker, std::int64_t workerBornMs);
@@ -76,6 +77,7 @@
     const OccurrenceProgress* findOccurrence(std::int32_t number) const;
     TaskProgress* findTask(const TaskRef& task);
     StepProgress* findStep(const TaskRef& task);
+    const StepProgress* findStep(const TaskRef& task) const;
     void openOccurrence(std::int32_t number);
     absl::Time dueOf(std::int32_t occurrence) const;
     std::int32_t occurrenceCount() const;
--- a/src/batch/owner/demand_func.cpp
+++ b/src/batch/owner/demand_func.cpp
@@ -15,6 +15,8 @@
 constexpr double millisPerCore = 1000;
 // The work that a task with checkpoints loses at most.
 constexpr absl::Duration checkpointPeriod = absl::Seconds(2);
+// What stopping a run takes.
+constexpr absl::Duration stopTime = absl::Milliseconds(600);
 constexpr std::int32_t urgentPriority = 0;
 
 double stopCostOf(const StepSpec& spec, const RunSlot& slot, absl::Time now)
@@ -56,8 +58,15 @@
     room.free = session.freeRoom();
     room.freeAfterStops = session.roomAfterStops();
     room.suspicion = session.health().suspicion();
-    for (const auto& [run, slot] : session.runs())
+    for (const auto& [run, slot] : session.runs()) {
         room.occupants.push_back(occupantOf(run, slot, book, now));
+        // To wait for a run that is about to end takes no longer than to stop another.
+        Occupant& occupant = room.occupants.back();
+        if (occupant.isStopping || WorkerSession::remainingOf(slot, now) > stopTime)
+            continue;
+        occupant.isStopping = true;
+        room.freeAfterStops += occupant.demand;
+    }
     return room;
 }
 
--- a/src/batch/owner/owner_part_base.h
+++ b/src/batch/owner/owner_part_base.h
@@ -65,6 +65,7 @@
     absl::Time nextAllocation() const ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void allocate(absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void place(absl::Span<const Placement> placements, absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    void placeRun(const RunKey& run, const WorkerName& worker, absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void advance(absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void advanceDrain() ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     absl::Time nextDue(absl::Time now) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
--- a/src/batch/owner/owner_part_cmd.cpp
+++ b/src/batch/owner/owner_part_cmd.cpp
@@ -170,23 +170,11 @@
 
 void OwnerPart::adoptRuns(JobEntry& entry, absl::Time now)
 {
-    const JobId& job = entry.progress.job().id;
-    // Copied, since ends change it.
-    const std::vector<OccurrenceProgress> occurrences = entry.progress.record().occurrences;
-    for (const OccurrenceProgress& occurrence : occurrences) {
-        for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
-            const std::vector<TaskProgress>& tasks = occurrence.steps[step].tasks;
-            for (std::size_t index = 0; index < tasks.size(); ++index) {
-                const TaskProgress& task = tasks[index];
-                if (task.phase != TaskProgress::Phase::Placed)
-                    continue;
-                const TaskRef ref { occurrence.number, static_cast<std::int32_t>(step),
-                    static_cast<std::int32_t>(index) };
-                const RunKey run { { job, ref }, task.attempt };
-                WorkerSession& session = m_fleet.findOrRemember(task.worker, task.workerBornMs);
-                session.adopt(run, countedDemand(entry.progress.stepSpec(ref.step)), now);
-            }
-        }
+    for (const TaskRef& task : entry.progress.placedTasks()) {
+        const TaskProgress& placed = *entry.progress.find(task);
+        const RunKey run { { entry.progress.job().id, task }, placed.attempt };
+        WorkerSession& session = m_fleet.findOrRemember(placed.worker, placed.workerBornMs);
+        session.adopt(run, countedDemand(entry.progress.stepSpec(task.step)), now);
     }
     if (entry.progress.isFinal())
         stopRunsOf(entry, now);
@@ -460,32 +448,26 @@
 
 void OwnerPart::place(absl::Span<const Placement> placements, absl::Time now)
 {
-    // Members of a gang share the number of their attempt, whatever order they are placed in.
-    absl::btree_map<std::tuple<JobId, std::int32_t, std::int32_t>, std::int32_t> gangAttempts;
-    for (const Placement& placement : placements) {
-        const TaskRef& task = placement.task.task;
-        JobEntry& entry = *m_book.find(placement.task.job);
-        const StepSpec& spec = entry.progress.stepSpec(task.step);
-        std::int32_t attempt = entry.progress.nextAttempt(task.occurrence, task.step, { task.index });
-        if (spec.isGang) {
-            std::vector<std::int32_t> all;
-            for (std::int32_t index = 0; index < spec.taskCount; ++index)
-                all.push_back(index);
-            const auto key = std::make_tuple(placement.task.job, task.occurrence, task.step);
-            const auto known = gangAttempts.find(key);
-            attempt = known != gangAttempts.end()
-                ? known->second
-                : gangAttempts.emplace(key, entry.progress.nextAttempt(task.occurrence, task.step, all)).first->second;
-        }
-        WorkerSession& session = *m_fleet.find(placement.worker);
-        const RunKey run { placement.task, attempt };
-        session.reserve(run, countedDemand(spec), now);
-        entry.progress.place(task, attempt, placement.worker, session.entry().bornMs);
-        entry.pending.placed.push_back({ run, placement.worker });
-        entry.readySince.erase({ task.occurrence, task.step });
-        m_book.markDirty(entry);
-        logRun(DecisionEffect::Kind::RunPlaced, run, placement.worker, "");
-    }
+    // Before any is placed, so that the members of a gang get the same number.
+    std::vector<std::int32_t> attempts;
+    attempts.reserve(placements.size());
+    for (const Placement& placement : placements)
+        attempts.push_back(m_book.find(placement.task.job)->progress.nextAttempt(placement.task.task));
+    for (std::size_t i = 0; i < placements.size(); ++i)
+        placeRun({ placements[i].task, attempts[i] }, placements[i].worker, now);
+}
+
+void OwnerPart::placeRun(const RunKey& run, const WorkerName& worker, absl::Time now)
+{
+    const TaskRef& task = run.task.task;
+    JobEntry& entry = *m_book.find(run.task.job);
+    WorkerSession& session = *m_fleet.find(worker);
+    session.reserve(run, countedDemand(entry.progress.stepSpec(task.step)), now);
+    entry.progress.place(task, run.attempt, worker, session.entry().bornMs);
+    entry.pending.placed.push_back({ run, worker });
+    entry.readySince.erase({ task.occurrence, task.step });
+    m_book.markDirty(entry);
+    logRun(DecisionEffect::Kind::RunPlaced, run, worker, "");
 }
 
 void OwnerPart::advance(absl::Time now)
--- a/src/batch/policy/priority_policy_base.cpp
+++ b/src/batch/policy/priority_policy_base.cpp
@@ -53,6 +53,7 @@
         return std::tie(left.freeAccelerators, left.rack) < std::tie(right.freeAccelerators, right.rack);
     });
     std::vector<RackName> names;
+    names.reserve(racks.size());
     for (const RackRoom& rack : racks)
         names.push_back(rack.rack);
     return names;
@@ -220,6 +221,7 @@
     std::vector<WorkerRoom>& rooms, absl::Span<const StepDemand> demands, absl::Time now) const
 {
     std::vector<const StepDemand*> order;
+    order.reserve(demands.size());
     for (const StepDemand& demand : demands)
         order.push_back(&demand);
     std::sort(order.begin(), order.end(),
--- a/tests/batch/job_progress_test.cpp
+++ b/tests/batch/job_progress_test.cpp
@@ -84,7 +84,7 @@
     EXPECT_TRUE(progress.readySteps().empty());
     progress.noteEnd({ 0, 0, 1 }, 1, RunEnd::Stopped, "", start);
     ASSERT_EQ(progress.readySteps().size(), 1U);
-    EXPECT_EQ(progress.nextAttempt(0, 0, { 0, 1 }), 2);
+    EXPECT_EQ(progress.nextAttempt({ 0, 0, 1 }), 2);
     // All members resume from the same checkpoint.
     EXPECT_EQ(progress.find({ 0, 0, 1 })->checkpoint, "saved");
 }
--- a/tests/batch/worker_session_test.cpp
+++ b/tests/batch/worker_session_test.cpp
@@ -231,6 +231,21 @@
     }
 }
 
+// Urgent work does not evict where room is about to come free anyway.
+TEST_F(WorkerSessionTest, TellsHowLongARunGoesOn)
+{
+    settle();
+    m_session.takeReply(startRun(runOf(0)), answerOf(5100), m_now);
+    EXPECT_EQ(WorkerSession::remainingOf(m_session.runs().at(runOf(0)), m_now), absl::InfiniteDuration());
+    m_now += absl::Seconds(4);
+    WorkerReply reply = answerOf(9100);
+    reply.running = { { runOf(0), "", 80 } };
+    m_session.takeReply(due(SessionCall::Kind::Look).about, reply, m_now);
+    EXPECT_EQ(WorkerSession::remainingOf(m_session.runs().at(runOf(0)), m_now), absl::Seconds(1));
+    m_now += absl::Milliseconds(400);
+    EXPECT_EQ(WorkerSession::remainingOf(m_session.runs().at(runOf(0)), m_now), absl::Milliseconds(600));
+}
+
 TEST_F(WorkerSessionTest, KeepsRoomUntilAStoppedRunIsListedAsEnded)
 {
     settle();
