Fix: the owner was too slow for 350 workers, lost its lease and passed the ownership round

For every urgent step without room the policy copied all rooms with all their runs once for each of 30 racks, which takes a machine with an eighth of a core longer than the lease lasts; and the ownership went to any node, however small. Taken: a plan for a rack copies the rooms of that rack alone; a node with less than half a core lets others claim first (test GivesTheOwnershipToTheNodeThatCarriesMost fails without). Renewals of their own part were weighed: one core share serves all parts, so that they would wait as well.

No test shows the time of a choice yet.

--- a/src/adapters/settings/settings_reader_base.cpp
+++ b/src/adapters/settings/settings_reader_base.cpp
@@ -92,6 +92,19 @@
     readNumber(field, range, target);
 }
 
+void SettingsReader::readShare(absl::string_view field, double& target)
+{
+    const nlohmann::json* const value = find(field);
+    if (value == nullptr)
+        return;
+    const double share = value->is_number() ? value->get<double>() : 0;
+    if (share <= 0 || share > 1) {
+        fail(field, "is no number above 0 and up to 1");
+        return;
+    }
+    target = share;
+}
+
 void SettingsReader::readDuration(absl::string_view field, IntegerRange rangeMs, absl::Duration& target)
 {
     const absl::optional<std::int64_t> value = readInteger(field, rangeMs);
--- a/src/adapters/settings/settings_reader_base.h
+++ b/src/adapters/settings/settings_reader_base.h
@@ -42,6 +42,8 @@
         if (value)
             target = static_cast<Number>(*value);
     }
+    // A number above 0 and up to 1.
+    void readShare(absl::string_view field, double& target);
     // Whole milliseconds; the field's name ends in Ms.
     void readDuration(absl::string_view field, IntegerRange rangeMs, absl::Duration& target);
 
--- a/src/batch/node/node_base.h
+++ b/src/batch/node/node_base.h
@@ -21,6 +21,8 @@
     // Past this age of the manifest no call is taken that needs a key.
     absl::Duration maxManifestAge = absl::Seconds(4);
     SessionSettings session;
+    // Share of a processor that the node may use. Nodes with more take the ownership first.
+    double processorShare = 1;
     // The latest that a node which stops keeps serving open connections.
     absl::Duration drainTime = absl::Seconds(3);
     std::uint64_t seed = 1;
--- a/src/batch/owner/owner_part_cmd.cpp
+++ b/src/batch/owner/owner_part_cmd.cpp
@@ -26,13 +26,23 @@
 // Waiting tasks are looked at again this often, since patience and objectives change with time alone.
 constexpr absl::Duration reallocationPeriod = absl::Milliseconds(500);
 
+// A node with less than this share of a processor lets others take the ownership first.
+constexpr double ampleShare = 0.5;
+constexpr absl::Duration longestClaimDelay = absl::Milliseconds(500);
+
+absl::Duration claimDelayOf(double processorShare)
+{
+    const double missing = std::max(0.0, 1 - processorShare / ampleShare);
+    return longestClaimDelay * missing;
+}
+
 } // namespace
 
 OwnerPart::OwnerPart(const NodeSettings& settings, std::unique_ptr<AllocationPolicy> policy)
     : m_settings(settings)
     , m_policy(std::move(policy))
     , m_random(settings.seed)
-    , m_ownership(settings.self, m_random)
+    , m_ownership(settings.self, claimDelayOf(settings.processorShare), m_random)
     , m_jobFollower(Collection::Jobs, jobWatchWait)
     , m_workerFollower(Collection::Workers, workerWatchWait)
     , m_fleet(settings.session)
--- a/src/batch/owner/ownership_base.cpp
+++ b/src/batch/owner/ownership_base.cpp
@@ -22,13 +22,19 @@
 
 } // namespace
 
-Ownership::Ownership(NodeName self, RandomSource& random)
+Ownership::Ownership(NodeName self, absl::Duration claimDelay, RandomSource& random)
     : m_self(std::move(self))
+    , m_claimDelay(claimDelay)
     , m_random(random)
     , m_follower(Collection::Holder, holderWatchWait)
 {
 }
 
+absl::Duration Ownership::claimPause()
+{
+    return m_claimDelay + claimSpread * m_random.uniform();
+}
+
 absl::Time Ownership::leaseEnd() const
 {
     return m_leaseConfirmedAt + leaseTime - leaseReserve;
@@ -104,9 +110,8 @@
 void Ownership::takeRecords(const CollectionNews& news, absl::Time now)
 {
     if (news.isWhole) {
-        m_isKnown = true;
-        if (m_holder)
-            m_nextTryAt = now + claimSpread * m_random.uniform();
+        if (m_holder || !std::exchange(m_isKnown, true))
+            m_nextTryAt = now + claimPause();
         m_holder = absl::nullopt;
     }
     for (const Record& record : news.records) {
@@ -129,7 +134,7 @@
     }
     m_holder = absl::nullopt;
     if (!m_isOwner)
-        m_nextTryAt = now + claimSpread * m_random.uniform();
+        m_nextTryAt = now + claimPause();
 }
 
 OwnershipNews Ownership::takeGrant(const StoreReply& reply, absl::Time now)
@@ -233,7 +238,7 @@
     // A lease that may have lapsed is not claimed with again.
     if (now + callTimeout >= leaseEnd())
         m_lease = 0;
-    m_nextTryAt = now + retryPeriod + claimSpread * m_random.uniform();
+    m_nextTryAt = now + retryPeriod + claimPause();
 }
 
 void Ownership::resign(Outbox& outbox)
--- a/src/batch/owner/ownership_base.h
+++ b/src/batch/owner/ownership_base.h
@@ -20,7 +20,8 @@
 // safety does not rest on the lease. Not safe to call from several threads.
 class Ownership {
 public:
-    Ownership(NodeName self, RandomSource& random);
+    // `claimDelay` is added before each claim: nodes that carry more have less of it.
+    Ownership(NodeName self, absl::Duration claimDelay, RandomSource& random);
 
     void advance(Outbox& outbox, absl::Time now);
     absl::Time nextDue() const;
@@ -63,7 +64,10 @@
     void setBack(absl::Time now);
     absl::Time leaseEnd() const;
 
+    absl::Duration claimPause();
+
     const NodeName m_self;
+    const absl::Duration m_claimDelay;
     RandomSource& m_random;
     CollectionFollower m_follower;
     bool m_isKnown = false;
--- a/src/batch/policy/priority_policy_base.cpp
+++ b/src/batch/policy/priority_policy_base.cpp
@@ -196,7 +196,7 @@
         absl::optional<RoomPlan> best;
         std::vector<WorkerRoom> bestRooms;
         for (const RackName& place : places) {
-            std::vector<WorkerRoom> trial = m_rooms;
+            std::vector<WorkerRoom> trial = roomsOn(place);
             absl::optional<RoomPlan> plan = RoomSearch(trial).makeRoom(demand, indices, place);
             if (!plan || (best && plan->cost >= best->cost))
                 continue;
@@ -205,10 +205,32 @@
         }
         if (!best)
             return;
-        m_rooms = std::move(bestRooms);
+        replace(std::move(bestRooms));
         m_allocation.evictions.insert(m_allocation.evictions.end(), best->evictions.begin(), best->evictions.end());
     }
 
+    // A copy of the rooms that a plan for the place may change; of all for an empty rack.
+    std::vector<WorkerRoom> roomsOn(const RackName& rack) const
+    {
+        std::vector<WorkerRoom> rooms;
+        for (const WorkerRoom& room : m_rooms) {
+            if (rack.empty() || room.rack == rack)
+                rooms.push_back(room);
+        }
+        return rooms;
+    }
+
+    // Takes over rooms that a plan has changed. Both lists are in the same order.
+    void replace(std::vector<WorkerRoom> changed)
+    {
+        auto target = m_rooms.begin();
+        for (WorkerRoom& room : changed) {
+            target = std::find_if(target, m_rooms.end(),
+                [&room](const WorkerRoom& candidate) { return candidate.worker == room.worker; });
+            *target = std::move(room);
+        }
+    }
+
     std::vector<WorkerRoom>& m_rooms;
     const absl::Time m_now;
     const bool m_isBusy;
--- a/tests/batch/batch_cluster_base.cpp
+++ b/tests/batch/batch_cluster_base.cpp
@@ -63,6 +63,7 @@
     NodeSettings settings;
     settings.self = NodeName(nameOf(node));
     settings.seed = ++m_starts;
+    settings.processorShare = m_shares.try_emplace(node, 1).first->second;
     NodeSlot& slot = m_nodes[node];
     slot = NodeSlot();
     slot.run = std::make_shared<Run>();
--- a/tests/batch/batch_cluster_base.h
+++ b/tests/batch/batch_cluster_base.h
@@ -42,6 +42,8 @@
     // The process is gone at once; `start` makes another one.
     void kill(int node);
     void start(int node);
+    // Of a processor, from the node's next start on.
+    void setProcessorShare(int node, double share) { m_shares[node] = share; }
     // The process stands still and sees nothing.
     void pause(int node, bool isPaused);
     void drain(int node);
@@ -87,6 +89,7 @@
     BatchStore m_store;
     BatchFleet m_fleet;
     Manifest m_manifest;
+    std::map<int, double> m_shares;
     std::map<int, NodeSlot> m_nodes;
     std::map<CallerId, CallerLog> m_logs;
     CallerId m_lastCaller = 0;
--- a/tests/batch/batch_recovery_test.cpp
+++ b/tests/batch/batch_recovery_test.cpp
@@ -114,6 +114,23 @@
     expectDoneOnce(cluster);
 }
 
+// An owner with too little of a processor renews its lease late, loses the ownership, and leaves it to the next such.
+TEST(BatchRecovery, GivesTheOwnershipToTheNodeThatCarriesMost)
+{
+    for (int largest = 0; largest < 3; ++largest) {
+        BatchCluster cluster;
+        for (int node = 0; node < 3; ++node) {
+            cluster.kill(node);
+            cluster.setProcessorShare(node, node == largest ? 0.5 : 0.12);
+        }
+        cluster.runFor(absl::Seconds(3));
+        for (int node = 0; node < 3; ++node)
+            cluster.start(node);
+        cluster.runFor(absl::Seconds(2));
+        EXPECT_EQ(cluster.owner(), largest);
+    }
+}
+
 TEST(BatchRecovery, EvictsNothingBeforeAllWorkersHaveAnsweredTheNewOwner)
 {
     BatchCluster cluster;
