Fix: guaranteed urgent work waited behind urgent work that no guarantee covers

Taken: covered work that has waited 0.9 s evicts work as urgent as itself that no guarantee covers, goes before newer work, late or not, and waits at most 1.9 s for its rack.

Tests: ReclaimsAGuaranteeFromUrgentWorkThatNoneCovers, ServesGuaranteedWorkThatHasWaitedBeforeNewWork.

--- a/src/batch/owner/demand_func.cpp
+++ b/src/batch/owner/demand_func.cpp
@@ -18,6 +18,8 @@
 // What stopping a run takes.
 constexpr absl::Duration stopTime = absl::Milliseconds(600);
 constexpr std::int32_t urgentPriority = 0;
+// How long guaranteed work waits before it evicts work as urgent as itself.
+constexpr absl::Duration reclaimPatience = absl::Milliseconds(900);
 
 double stopCostOf(const StepSpec& spec, const RunSlot& slot, absl::Time now)
 {
@@ -30,7 +32,9 @@
     return absl::ToDoubleSeconds(unsaved) * cores * members;
 }
 
-Occupant occupantOf(const RunKey& run, const RunSlot& slot, JobBook& book, absl::Time now)
+using JobNames = absl::flat_hash_set<std::string>;
+
+Occupant occupantOf(const RunKey& run, const RunSlot& slot, JobBook& book, const JobNames& covered, absl::Time now)
 {
     Occupant occupant;
     occupant.run = run;
@@ -43,11 +47,12 @@
     occupant.priority = entry->progress.job().terms.priority;
     occupant.mayBeEvicted = !spec.isLasting;
     occupant.isGang = spec.isGang;
+    occupant.isGuaranteed = covered.contains(run.task.job.text());
     occupant.stopCost = stopCostOf(spec, slot, now);
     return occupant;
 }
 
-WorkerRoom roomOf(const WorkerSession& session, JobBook& book, absl::Time now)
+WorkerRoom roomOf(const WorkerSession& session, JobBook& book, const JobNames& covered, absl::Time now)
 {
     const WorkerEntry& entry = session.entry();
     WorkerRoom room;
@@ -59,7 +64,7 @@
     room.freeAfterStops = session.roomAfterStops();
     room.suspicion = session.health().suspicion();
     for (const auto& [run, slot] : session.runs()) {
-        room.occupants.push_back(occupantOf(run, slot, book, now));
+        room.occupants.push_back(occupantOf(run, slot, book, covered, now));
         // To wait for a run that is about to end takes no longer than to stop another.
         Occupant& occupant = room.occupants.back();
         if (occupant.isStopping || WorkerSession::remainingOf(slot, now) > stopTime)
@@ -80,9 +85,9 @@
 }
 
 // The jobs of priority 0 that their organisations' guarantees cover, earliest first.
-absl::flat_hash_set<std::string> coveredJobs(absl::Span<JobEntry* const> entries, const RouteTable* routes)
+JobNames coveredJobs(absl::Span<JobEntry* const> entries, const RouteTable* routes)
 {
-    absl::flat_hash_set<std::string> covered;
+    JobNames covered;
     absl::flat_hash_map<std::string, std::int32_t> used;
     for (const JobEntry* entry : entries) {
         const Job& job = entry->progress.job();
@@ -136,12 +141,13 @@
 
 } // namespace
 
-std::vector<WorkerRoom> roomsOf(Fleet& fleet, JobBook& book, absl::Time now)
+std::vector<WorkerRoom> roomsOf(Fleet& fleet, JobBook& book, const RouteTable* routes, absl::Time now)
 {
+    const JobNames covered = coveredJobs(openEntries(book), routes);
     std::vector<WorkerRoom> rooms;
     for (const auto& [name, session] : fleet.sessions()) {
         if (session.takesWork(now) && !session.health().isSick(now))
-            rooms.push_back(roomOf(session, book, now));
+            rooms.push_back(roomOf(session, book, covered, now));
     }
     return rooms;
 }
@@ -149,12 +155,14 @@
 std::vector<StepDemand> demandsOf(JobBook& book, const RouteTable* routes, absl::Time now)
 {
     const std::vector<JobEntry*> entries = openEntries(book);
-    const absl::flat_hash_set<std::string> covered = coveredJobs(entries, routes);
+    const JobNames covered = coveredJobs(entries, routes);
     std::vector<StepDemand> demands;
     for (JobEntry* entry : entries) {
         for (ReadyStep& ready : entry->progress.readySteps()) {
             demands.push_back(demandOf(*entry, std::move(ready), now));
-            demands.back().isGuaranteed = covered.contains(entry->progress.job().id.text());
+            StepDemand& demand = demands.back();
+            demand.isGuaranteed = covered.contains(entry->progress.job().id.text());
+            demand.mayReclaim = demand.isGuaranteed && now >= demand.readySince + reclaimPatience;
         }
     }
     return demands;
--- a/src/batch/owner/demand_func.h
+++ b/src/batch/owner/demand_func.h
@@ -12,7 +12,7 @@
 namespace mangohall::batch {
 
 // The workers that take work, with what runs there.
-std::vector<WorkerRoom> roomsOf(Fleet& fleet, JobBook& book, absl::Time now);
+std::vector<WorkerRoom> roomsOf(Fleet& fleet, JobBook& book, const RouteTable* routes, absl::Time now);
 
 // The tasks that may start, in order of the jobs' acceptance. The demands point into the book.
 std::vector<StepDemand> demandsOf(JobBook& book, const RouteTable* routes, absl::Time now);
--- a/src/batch/owner/owner_part_cmd.cpp
+++ b/src/batch/owner/owner_part_cmd.cpp
@@ -447,7 +447,7 @@
     m_hasUnplaced = !demands.empty();
     if (demands.empty())
         return;
-    std::vector<WorkerRoom> rooms = roomsOf(m_fleet, m_book, now);
+    std::vector<WorkerRoom> rooms = roomsOf(m_fleet, m_book, m_routes.get(), now);
     const Allocation allocation = m_policy->choose(rooms, demands, now);
     place(allocation.placements, now);
     for (const Eviction& eviction : allocation.evictions) {
--- a/src/batch/policy/allocation_type.h
+++ b/src/batch/policy/allocation_type.h
@@ -18,6 +18,8 @@
     std::int32_t priority = 0;
     bool isStopping = false;
     bool mayBeEvicted = false;
+    // Covered by its organisation's guarantee.
+    bool isGuaranteed = false;
     // The run is a member of a gang, which ends as a whole.
     bool isGang = false;
     // Core-seconds of work that are lost if it is stopped now; of a gang's member, those of the whole gang.
@@ -52,6 +54,8 @@
     std::int32_t priority = 0;
     // The organisation's guarantee covers it.
     bool isGuaranteed = false;
+    // It has waited so long that it may also evict work as urgent as itself that no guarantee covers.
+    bool mayReclaim = false;
     // Since when the tasks may start.
     absl::Time readySince;
     // By when the job has to be done to be in time.
--- a/src/batch/policy/priority_policy_base.cpp
+++ b/src/batch/policy/priority_policy_base.cpp
@@ -16,6 +16,8 @@
 constexpr absl::Duration longestPatience = absl::Seconds(15);
 // While much is free, nothing waits for long.
 constexpr absl::Duration idlePatience = absl::Milliseconds(2000);
+// A guarantee has to be honoured within 3.4 s, the time to stop others included.
+constexpr absl::Duration guaranteedPatience = absl::Milliseconds(1900);
 // From this share of accelerators in use on, a place near the data is worth waiting for.
 constexpr double busyShare = 0.55;
 
@@ -28,8 +30,9 @@
 auto rankOf(const StepDemand& demand, absl::Time now)
 {
     const bool isLate = demand.objective < now;
-    return std::make_tuple(
-        demand.priority, !demand.isGuaranteed, isLate, demand.objective, demand.readySince, demand.job);
+    // A guarantee holds for late work too, and soonest for what has waited.
+    return std::make_tuple(demand.priority, !demand.isGuaranteed, !demand.mayReclaim, isLate, demand.objective,
+        demand.readySince, demand.job);
 }
 
 struct RackRoom {
@@ -125,6 +128,8 @@
 private:
     bool isPatient(const StepDemand& demand) const
     {
+        if (demand.isGuaranteed)
+            return m_now < demand.readySince + guaranteedPatience;
         const absl::Duration busyPatience = std::min(demand.spec->estimate * patienceFactor, longestPatience);
         return m_now < demand.readySince + (m_isBusy ? std::max(busyPatience, idlePatience) : idlePatience);
     }
--- a/src/batch/policy/room_search_base.cpp
+++ b/src/batch/policy/room_search_base.cpp
@@ -118,13 +118,21 @@
     }
 }
 
+bool RoomSearch::isVictim(const Occupant& occupant, const StepDemand& demand)
+{
+    if (!occupant.mayBeEvicted || occupant.isStopping)
+        return false;
+    const bool isReclaimed = demand.mayReclaim && occupant.priority == demand.priority && !occupant.isGuaranteed;
+    return isReclaimed || occupant.priority > demand.priority;
+}
+
 absl::optional<RoomSearch::Victims> RoomSearch::findVictims(std::size_t room, const StepDemand& demand) const
 {
     const WorkerRoom& candidate = m_rooms[room];
     const Resources needed = countedDemand(*demand.spec);
     std::vector<const Occupant*> order;
     for (const Occupant& occupant : candidate.occupants) {
-        if (occupant.mayBeEvicted && !occupant.isStopping && occupant.priority > demand.priority)
+        if (isVictim(occupant, demand))
             order.push_back(&occupant);
     }
     std::sort(order.begin(), order.end(),
--- a/src/batch/policy/room_search_base.h
+++ b/src/batch/policy/room_search_base.h
@@ -48,6 +48,7 @@
         double cost = 0;
     };
 
+    static bool isVictim(const Occupant& occupant, const StepDemand& demand);
     bool isEligible(const WorkerRoom& room, const StepDemand& demand, const RackName& rack) const;
     bool isBelowStepLimit(const WorkerRoom& room, const StepDemand& demand) const;
     double misfit(const WorkerRoom& room, const StepDemand& demand) const;
--- a/tests/batch/priority_policy_test.cpp
+++ b/tests/batch/priority_policy_test.cpp
@@ -112,6 +112,40 @@
     EXPECT_EQ(allocation.evictions[1].run.task.job, JobId("b"));
 }
 
+// Load: an organisation comes back for its guarantee while others' urgent work fills the building.
+TEST(PriorityPolicy, ReclaimsAGuaranteeFromUrgentWorkThatNoneCovers)
+{
+    std::vector<WorkerRoom> rooms = makeRooms(1, 2);
+    occupy(rooms[0], "covered", 8, 1, 0);
+    rooms[0].occupants.front().isGuaranteed = true;
+    occupy(rooms[1], "borrower", 8, 100, 0);
+    const StepSpec spec = specOf(1, 8);
+    StepDemand demand = demandOf("back", spec, 0);
+    demand.isGuaranteed = true;
+    std::vector<WorkerRoom> early = rooms;
+    EXPECT_TRUE(PriorityPolicy().choose(early, { demand }, now).evictions.empty());
+    demand.mayReclaim = true;
+    const Allocation allocation = PriorityPolicy().choose(rooms, { demand }, now);
+    ASSERT_EQ(allocation.evictions.size(), 1U);
+    EXPECT_EQ(allocation.evictions.front().run.task.job, JobId("borrower"));
+}
+
+// Load: urgent jobs whose estimates are far too short, so that they are late soon, among new ones that are not.
+TEST(PriorityPolicy, ServesGuaranteedWorkThatHasWaitedBeforeNewWork)
+{
+    std::vector<WorkerRoom> rooms = makeRooms(1, 1);
+    const StepSpec spec = specOf(1, 8);
+    StepDemand waiting = demandOf("waiting", spec, 0);
+    waiting.isGuaranteed = true;
+    waiting.mayReclaim = true;
+    waiting.objective = now - absl::Seconds(1);
+    StepDemand fresh = demandOf("fresh", spec, 0);
+    fresh.isGuaranteed = true;
+    const Allocation allocation = PriorityPolicy().choose(rooms, { fresh, waiting }, now);
+    ASSERT_EQ(allocation.placements.size(), 1U);
+    EXPECT_EQ(allocation.placements.front().task.job, JobId("waiting"));
+}
+
 TEST(PriorityPolicy, DoesNotEvictAgainWhileRoomIsComingFree)
 {
     std::vector<WorkerRoom> rooms = makeRooms(1, 2);
