--- a/tests/cluster/timeline_base.h
+++ b/tests/cluster/timeline_base.h
@@ -27,10 +27,7 @@
     }
 
     // The time of the next action; the infinite future if there is none.
-    absl::Time nextDue() const
-    {
-        return m_actions.empty() ? absl::InfiniteFuture() : m_actions.begin()->first.at;
-    }
+    absl::Time nextDue() const { return m_actions.empty() ? absl::InfiniteFuture() : m_actions.begin()->first.at; }
 
     // Runs everything due up to the time and leaves the clock there.
     void runUntil(absl::Time end)
