--- a/tests/batch/batch_fuzz_base.cpp
+++ b/tests/batch/batch_fuzz_base.cpp
@@ -14,8 +14,6 @@
 constexpr int workerCount = 8;
 // After everything is healed: leases lapse, late orders arrive, and the jobs run.
 constexpr absl::Duration timeToEnd = absl::Seconds(120);
-// Within which a cancelled job starts nothing any more.
-constexpr absl::Duration cancelBound = absl::Seconds(3);
 
 std::string workerName(int worker)
 {
