--- a/tests/batch/worker_session_test.cpp
+++ b/tests/batch/worker_session_test.cpp
@@ -55,7 +55,7 @@
         for (auto call = m_out.begin(); call != m_out.end(); ++call) {
             if (call->about.kind != kind)
                 continue;
-            const DueCall found = *call;
+            DueCall found = *call;
             m_out.erase(call);
             return found;
         }
