--- a/tests/platform/platform_standin_base.cpp
+++ b/tests/platform/platform_standin_base.cpp
@@ -60,13 +60,13 @@
 
 absl::Status PlatformStandin::start(std::uint16_t storePort, int workers)
 {
-    if (const absl::Status status = m_storeServer.start(loopback, storePort); !status.ok())
+    if (absl::Status status = m_storeServer.start(loopback, storePort); !status.ok())
         return status;
     for (int worker = 0; worker < workers; ++worker) {
         const std::string name = absl::StrCat("worker-", worker);
         m_doors.push_back(std::make_unique<WorkerDoor>(*this, name));
         HttpServer& server = m_doors.back()->server();
-        if (const absl::Status status = server.start(loopback, 0); !status.ok())
+        if (absl::Status status = server.start(loopback, 0); !status.ok())
             return status;
         absl::MutexLock lock(&m_mutex);
         m_fleet.add(name, absl::StrCat("rack-", worker * 2 / workers), { 128000, std::int64_t { 1 } << 38, 8 },
