Codechange: the allowance on top of a job's stretched run time has a name of its own

Cause: it carried the platform's name outside platform/, which misleads besides: it bounds no answer's latency. The record's field is renamed with it; no deployment keeps records from before.

--- a/src/adapters/json/batch_record_json_func.cpp
+++ b/src/adapters/json/batch_record_json_func.cpp
@@ -105,7 +105,7 @@
         { "priority", job.terms.priority },
         { "maxAttempts", job.terms.maxAttempts },
         { "stretchFactor", job.terms.stretchFactor },
-        { "targetLatencyMs", absl::ToInt64Milliseconds(job.terms.targetLatency) },
+        { "latencyAllowanceMs", absl::ToInt64Milliseconds(job.terms.latencyAllowance) },
         { "acceptedMs", toMillis(job.acceptedAt) },
         { "payload", job.spec.payload },
         { "steps", json::array() },
@@ -130,7 +130,7 @@
     job.terms.priority = reader.count("priority");
     job.terms.maxAttempts = reader.count("maxAttempts", 1);
     job.terms.stretchFactor = reader.number("stretchFactor", 1);
-    job.terms.targetLatency = reader.milliseconds("targetLatencyMs");
+    job.terms.latencyAllowance = reader.milliseconds("latencyAllowanceMs");
     job.acceptedAt = absl::FromUnixMillis(reader.integer("acceptedMs"));
     job.spec.payload = reader.text("payload");
     job.spec.repeatCount = reader.count("repeatCount");
--- a/src/batch/job/job_type.h
+++ b/src/batch/job/job_type.h
@@ -76,7 +76,7 @@
     std::int32_t maxAttempts = 1;
     // A job is in time within its longest chain of steps times this factor, and the latency on top.
     double stretchFactor = 1;
-    absl::Duration targetLatency;
+    absl::Duration latencyAllowance;
 
     friend bool operator==(const QueueTerms&, const QueueTerms&) = default;
 };
--- a/src/batch/owner/demand_func.cpp
+++ b/src/batch/owner/demand_func.cpp
@@ -120,7 +120,7 @@
     absl::Time begin = job.acceptedAt;
     if (job.spec.firstDue != absl::InfinitePast())
         begin = std::max(begin, job.spec.firstDue + job.spec.period * occurrence);
-    return begin + progress.chainEstimate() * job.terms.stretchFactor + job.terms.targetLatency;
+    return begin + progress.chainEstimate() * job.terms.stretchFactor + job.terms.latencyAllowance;
 }
 
 StepDemand demandOf(JobEntry& entry, ReadyStep ready, absl::Time now)
--- a/tests/platform/standin_json_func.cpp
+++ b/tests/platform/standin_json_func.cpp
@@ -27,7 +27,7 @@
             { { "name", queue.name.str() }, { "host", queue.host }, { "pathPrefix", queue.pathPrefix },
                 { "service", queue.service.str() }, { "priority", queue.terms.priority },
                 { "maxAttempts", queue.terms.maxAttempts }, { "stretchFactor", queue.terms.stretchFactor },
-                { "targetLatencyMs", absl::ToInt64Milliseconds(queue.terms.targetLatency) },
+                { "targetLatencyMs", absl::ToInt64Milliseconds(queue.terms.latencyAllowance) },
                 { "public", queue.isPublic } });
     for (const batch::OrganisationSpec& organisation : manifest.organisations)
         target["tenants"].push_back({ { "name", organisation.name.str() }, { "apiKeys", organisation.apiKeys },
