Change: the owner's work for an event follows what the event has changed

Due times of workers and of jobs' occurrences stand in an index, which only changed entries move in; rooms are found by rack; a plan of evictions copies the rooms only of racks that could hold the demand.

FleetTest.TakesNoLongerBesideQuietWorkers holds the time of an event to 4 times from 50 to 1,000 workers.

--- a/src/batch/fleet/worker_session_base.cpp
+++ b/src/batch/fleet/worker_session_base.cpp
@@ -282,7 +282,7 @@
     return calls;
 }
 
-absl::Time WorkerSession::nextDue(absl::Time /*now*/) const
+absl::Time WorkerSession::nextDue() const
 {
     absl::Time due = lookDueAt();
     for (const auto& [run, slot] : m_runs)
--- a/src/batch/fleet/worker_session_base.h
+++ b/src/batch/fleet/worker_session_base.h
@@ -139,7 +139,7 @@
     // The calls that have to be made now. Each counts as sent.
     std::vector<DueCall> takeDueCalls(absl::Time now);
     // When to ask again for due calls, unless something else happens.
-    absl::Time nextDue(absl::Time now) const;
+    absl::Time nextDue() const;
 
     SessionNews takeReply(const SessionCall& about, const WorkerReply& reply, absl::Time now);
 
--- a/src/batch/owner/demand_func.cpp
+++ b/src/batch/owner/demand_func.cpp
@@ -63,6 +63,7 @@
     room.free = session.freeRoom();
     room.freeAfterStops = session.roomAfterStops();
     room.suspicion = session.health().suspicion();
+    room.occupants.reserve(session.runs().size());
     for (const auto& [run, slot] : session.runs()) {
         room.occupants.push_back(occupantOf(run, slot, book, covered, now));
         // To wait for a run that is about to end takes no longer than to stop another.
@@ -139,12 +140,10 @@
     return demand;
 }
 
-} // namespace
-
-std::vector<WorkerRoom> roomsOf(Fleet& fleet, JobBook& book, const RouteTable* routes, absl::Time now)
+std::vector<WorkerRoom> roomsOf(const Fleet& fleet, JobBook& book, const JobNames& covered, absl::Time now)
 {
-    const JobNames covered = coveredJobs(openEntries(book), routes);
     std::vector<WorkerRoom> rooms;
+    rooms.reserve(fleet.sessions().size());
     for (const auto& [name, session] : fleet.sessions()) {
         if (session.takesWork(now) && !session.health().isSick(now))
             rooms.push_back(roomOf(session, book, covered, now));
@@ -152,10 +151,8 @@
     return rooms;
 }
 
-std::vector<StepDemand> demandsOf(JobBook& book, const RouteTable* routes, absl::Time now)
+std::vector<StepDemand> demandsOf(absl::Span<JobEntry* const> entries, const JobNames& covered, absl::Time now)
 {
-    const std::vector<JobEntry*> entries = openEntries(book);
-    const JobNames covered = coveredJobs(entries, routes);
     std::vector<StepDemand> demands;
     for (JobEntry* entry : entries) {
         for (ReadyStep& ready : entry->progress.readySteps()) {
@@ -168,4 +165,17 @@
     return demands;
 }
 
+} // namespace
+
+AllocationInput describeAllocation(const Fleet& fleet, JobBook& book, const RouteTable* routes, absl::Time now)
+{
+    const std::vector<JobEntry*> entries = openEntries(book);
+    const JobNames covered = coveredJobs(entries, routes);
+    AllocationInput input;
+    input.demands = demandsOf(entries, covered, now);
+    if (!input.demands.empty())
+        input.rooms = roomsOf(fleet, book, covered, now);
+    return input;
+}
+
 } // namespace mangohall::batch
--- a/src/batch/owner/demand_func.h
+++ b/src/batch/owner/demand_func.h
@@ -11,10 +11,13 @@
 
 namespace mangohall::batch {
 
-// The workers that take work, with what runs there.
-std::vector<WorkerRoom> roomsOf(Fleet& fleet, JobBook& book, const RouteTable* routes, absl::Time now);
+struct AllocationInput {
+    // The workers that take work, with what runs there. Left out if no task may start.
+    std::vector<WorkerRoom> rooms;
+    // The tasks that may start, in order of the jobs' acceptance. The demands point into the book.
+    std::vector<StepDemand> demands;
+};
 
-// The tasks that may start, in order of the jobs' acceptance. The demands point into the book.
-std::vector<StepDemand> demandsOf(JobBook& book, const RouteTable* routes, absl::Time now);
+AllocationInput describeAllocation(const Fleet& fleet, JobBook& book, const RouteTable* routes, absl::Time now);
 
 } // namespace mangohall::batch
--- a/src/batch/owner/fleet_base.cpp
+++ b/src/batch/owner/fleet_base.cpp
@@ -1,6 +1,5 @@
 #include "batch/owner/fleet_base.h"
 
-#include <algorithm>
 #include <utility>
 
 namespace mangohall::batch {
@@ -10,12 +9,19 @@
     m_epoch = epoch;
     m_sessions.clear();
     m_calls.clear();
+    m_changed.clear();
+    m_due.clear();
+    m_dueOf.clear();
+    m_unsettled.clear();
 }
 
 WorkerSession* Fleet::find(const WorkerName& worker)
 {
     const auto found = m_sessions.find(worker);
-    return found == m_sessions.end() ? nullptr : &found->second;
+    if (found == m_sessions.end())
+        return nullptr;
+    noteChange(worker);
+    return &found->second;
 }
 
 WorkerSession& Fleet::findOrRemember(const WorkerName& worker, std::int64_t bornMs)
@@ -27,17 +33,13 @@
     entry.bornMs = bornMs;
     WorkerSession& session = m_sessions.try_emplace(worker, entry, m_epoch, m_settings).first->second;
     session.noteUnlisted();
+    noteChange(worker);
     return session;
 }
 
-bool Fleet::isSettled() const
-{
-    return std::all_of(m_sessions.begin(), m_sessions.end(),
-        [](const auto& entry) { return entry.second.isSettled() || !entry.second.isListed(); });
-}
-
 std::vector<EndedRun> Fleet::takeEntry(const WorkerEntry& entry, absl::Time now)
 {
+    noteChange(entry.name);
     const auto [found, isNew] = m_sessions.try_emplace(entry.name, entry, m_epoch, m_settings);
     return isNew ? std::vector<EndedRun>() : found->second.update(entry, now);
 }
@@ -46,8 +48,10 @@
 {
     std::vector<FleetNews> news;
     if (isWhole) {
-        for (auto& [name, session] : m_sessions)
+        for (auto& [name, session] : m_sessions) {
             session.noteUnlisted();
+            noteChange(name);
+        }
     }
     for (const Record& record : records) {
         const auto* entry = std::get_if<WorkerEntry>(&record.value);
@@ -65,30 +69,62 @@
     return news;
 }
 
+void Fleet::collectDue(absl::Time now)
+{
+    for (auto due = m_due.begin(); due != m_due.end() && due->first <= now; ++due)
+        m_changed.insert(due->second);
+}
+
 void Fleet::advance(const StartSource& source, Outbox& outbox, absl::Time now)
 {
-    for (auto it = m_sessions.begin(); it != m_sessions.end();) {
-        WorkerSession& session = it->second;
-        if (session.isForgettable()) {
-            it = m_sessions.erase(it);
+    collectDue(now);
+    for (const WorkerName& worker : std::exchange(m_changed, {})) {
+        const auto found = m_sessions.find(worker);
+        if (found == m_sessions.end())
+            continue;
+        if (found->second.isForgettable()) {
+            m_sessions.erase(found);
+            m_unsettled.erase(worker);
+            setDue(worker, absl::InfiniteFuture());
             continue;
         }
-        for (DueCall& due : session.takeDueCalls(now)) {
-            if (due.about.kind == SessionCall::Kind::Start)
-                due.call.command = source.describeStart(due.about.run);
-            const CallId call = outbox.toWorker(std::move(due.call));
-            m_calls.emplace(call, OpenCall { it->first, due.about });
-        }
-        ++it;
+        makeCalls(worker, found->second, source, outbox, now);
     }
 }
 
-absl::Time Fleet::nextDue(absl::Time now) const
+void Fleet::makeCalls(
+    const WorkerName& worker, WorkerSession& session, const StartSource& source, Outbox& outbox, absl::Time now)
 {
-    absl::Time due = absl::InfiniteFuture();
-    for (const auto& [name, session] : m_sessions)
-        due = std::min(due, session.nextDue(now));
-    return due;
+    for (DueCall& due : session.takeDueCalls(now)) {
+        if (due.about.kind == SessionCall::Kind::Start)
+            due.call.command = source.describeStart(due.about.run);
+        const CallId call = outbox.toWorker(std::move(due.call));
+        m_calls.emplace(call, OpenCall { worker, due.about });
+    }
+    setDue(worker, session.nextDue());
+    if (session.isListed() && !session.isSettled())
+        m_unsettled.insert(worker);
+    else
+        m_unsettled.erase(worker);
+}
+
+void Fleet::setDue(const WorkerName& worker, absl::Time due)
+{
+    const auto [known, isNew] = m_dueOf.try_emplace(worker.str(), due);
+    if (!isNew && known->second == due)
+        return;
+    if (!isNew)
+        m_due.erase({ known->second, worker });
+    known->second = due;
+    if (due == absl::InfiniteFuture())
+        m_dueOf.erase(known);
+    else
+        m_due.emplace(due, worker);
+}
+
+absl::Time Fleet::nextDue() const
+{
+    return m_due.empty() ? absl::InfiniteFuture() : m_due.begin()->first;
 }
 
 FleetNews Fleet::takeReply(CallId call, const WorkerReply& reply, absl::Time now)
@@ -107,10 +143,14 @@
 
 std::vector<FleetNews> Fleet::takeLapsed(absl::Time now)
 {
+    collectDue(now);
     std::vector<FleetNews> news;
-    for (auto& [name, session] : m_sessions) {
-        FleetNews one { name, session.entry().bornMs, {} };
-        one.session.ended = session.takeLapsed(now);
+    for (const WorkerName& worker : m_changed) {
+        const auto found = m_sessions.find(worker);
+        if (found == m_sessions.end())
+            continue;
+        FleetNews one { worker, found->second.entry().bornMs, {} };
+        one.session.ended = found->second.takeLapsed(now);
         if (!one.session.ended.empty())
             news.push_back(std::move(one));
     }
--- a/src/batch/owner/fleet_base.h
+++ b/src/batch/owner/fleet_base.h
@@ -1,8 +1,11 @@
 #pragma once
 
+#include <string>
+#include <utility>
 #include <vector>
 
 #include "absl/container/btree_map.h"
+#include "absl/container/btree_set.h"
 #include "absl/container/flat_hash_map.h"
 #include "batch/fleet/worker_session_base.h"
 #include "batch/node/outbox_base.h"
@@ -38,19 +41,22 @@
     // Takes rows of the worker list. Returns what ended with processes that are gone.
     std::vector<FleetNews> takeRecords(absl::Span<const Record> records, bool isWhole, absl::Time now);
 
+    // The worker's session, to be changed, or nothing.
     WorkerSession* find(const WorkerName& worker);
-    absl::btree_map<WorkerName, WorkerSession>& sessions() { return m_sessions; }
-    // Whether every worker that is listed has answered under this epoch.
-    bool isSettled() const;
+    const absl::btree_map<WorkerName, WorkerSession>& sessions() const { return m_sessions; }
+    // Whether every worker that is listed had answered under this epoch as of the last `advance`.
+    bool isSettled() const { return m_unsettled.empty(); }
     // The session of a worker that may not be listed any more, where an earlier owner has placed runs.
     WorkerSession& findOrRemember(const WorkerName& worker, std::int64_t bornMs);
 
-    // Makes the calls that are due.
+    // Makes the calls that are due. Takes time for the workers that have something due or were changed, not for others.
     void advance(const StartSource& source, Outbox& outbox, absl::Time now);
-    absl::Time nextDue(absl::Time now) const;
+    // As of the last `advance`.
+    absl::Time nextDue() const;
 
     bool isMine(CallId call) const { return m_calls.contains(call); }
     FleetNews takeReply(CallId call, const WorkerReply& reply, absl::Time now);
+    // What has ended on workers that do not answer, as far as `advance` would look at them now.
     std::vector<FleetNews> takeLapsed(absl::Time now);
 
 private:
@@ -60,11 +66,22 @@
     };
 
     std::vector<EndedRun> takeEntry(const WorkerEntry& entry, absl::Time now);
+    void noteChange(const WorkerName& worker) { m_changed.insert(worker); }
+    void collectDue(absl::Time now);
+    void makeCalls(
+        const WorkerName& worker, WorkerSession& session, const StartSource& source, Outbox& outbox, absl::Time now);
+    void setDue(const WorkerName& worker, absl::Time due);
 
     const SessionSettings m_settings;
     Epoch m_epoch = 0;
     absl::btree_map<WorkerName, WorkerSession> m_sessions;
     absl::flat_hash_map<CallId, OpenCall> m_calls;
+    // Workers that the next `advance` looks at.
+    absl::btree_set<WorkerName> m_changed;
+    // When each of the others is looked at, by time and by worker.
+    absl::btree_set<std::pair<absl::Time, WorkerName>> m_due;
+    absl::flat_hash_map<std::string, absl::Time> m_dueOf;
+    absl::btree_set<WorkerName> m_unsettled;
 };
 
 } // namespace mangohall::batch
--- a/src/batch/owner/job_book_base.cpp
+++ b/src/batch/owner/job_book_base.cpp
@@ -11,6 +11,7 @@
     m_earlier.clear();
     m_cancelled.clear();
     m_dirty.clear();
+    m_due.clear();
 }
 
 bool JobBook::add(const Job& job)
@@ -24,6 +25,7 @@
         found->second.revision = earlier->second.revision;
         m_earlier.erase(earlier);
     }
+    setDue(found->second);
     return true;
 }
 
@@ -36,6 +38,7 @@
     }
     entry->progress.restore(std::move(record));
     entry->revision = revision;
+    setDue(*entry);
 }
 
 void JobBook::addCancellation(const JobId& job)
@@ -82,12 +85,31 @@
     return counts;
 }
 
+void JobBook::setDue(const JobEntry& entry)
+{
+    const absl::Time due = entry.progress.nextDue();
+    if (due != absl::InfiniteFuture())
+        m_due.emplace(due, entry.progress.job().id);
+}
+
+bool JobBook::openDue(absl::Time now)
+{
+    bool isOpened = false;
+    while (nextDue() <= now) {
+        const JobId job = m_due.begin()->second;
+        m_due.erase(m_due.begin());
+        JobEntry* entry = find(job);
+        if (entry == nullptr)
+            continue;
+        isOpened = entry->progress.openDue(now) || isOpened;
+        setDue(*entry);
+    }
+    return isOpened;
+}
+
 absl::Time JobBook::nextDue() const
 {
-    absl::Time due = absl::InfiniteFuture();
-    for (const auto& [id, entry] : m_entries)
-        due = std::min(due, entry.progress.nextDue());
-    return due;
+    return m_due.empty() ? absl::InfiniteFuture() : m_due.begin()->first;
 }
 
 std::vector<JobId> JobBook::endedBefore(absl::Time time, std::size_t count) const
--- a/src/batch/owner/job_book_base.h
+++ b/src/batch/owner/job_book_base.h
@@ -2,9 +2,11 @@
 
 #include <cstdint>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "absl/container/btree_map.h"
+#include "absl/container/btree_set.h"
 #include "absl/container/flat_hash_map.h"
 #include "absl/strings/string_view.h"
 #include "absl/time/time.h"
@@ -74,7 +76,9 @@
 
     // Jobs without times that have started no task, by queue.
     QueueCounts countWaiting() const;
-    // When the next occurrence of any job is due.
+    // Opens the occurrences that are due. True if one was opened.
+    bool openDue(absl::Time now);
+    // When the next occurrence of any job is due, at the earliest.
     absl::Time nextDue() const;
     // Jobs that ended before the time and run nothing any more.
     std::vector<JobId> endedBefore(absl::Time time, std::size_t count) const;
@@ -86,7 +90,11 @@
         Revision revision = 0;
     };
 
+    void setDue(const JobEntry& entry);
+
     absl::btree_map<JobId, JobEntry> m_entries;
+    // When jobs have to be looked at for an occurrence; also for jobs that have ended or changed since.
+    absl::btree_set<std::pair<absl::Time, JobId>> m_due;
     absl::flat_hash_map<std::string, EarlierProgress> m_earlier;
     absl::flat_hash_map<std::string, bool> m_cancelled;
     std::vector<JobId> m_dirty;
--- a/src/batch/owner/owner_part_base.h
+++ b/src/batch/owner/owner_part_base.h
@@ -61,7 +61,6 @@
     void stopStanding(const WorkerName& worker, absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void takeWritten(const WriteNews& news, absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void releaseRun(const PlacedRun& placed, absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
-    void openDue(absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     absl::Time nextAllocation() const ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void allocate(absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void place(absl::Span<const Placement> placements, absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
--- a/src/batch/owner/owner_part_cmd.cpp
+++ b/src/batch/owner/owner_part_cmd.cpp
@@ -418,16 +418,6 @@
         stopRun(placed.run, placed.worker, now);
 }
 
-void OwnerPart::openDue(absl::Time now)
-{
-    for (auto& [id, entry] : m_book.entries()) {
-        if (entry.progress.nextDue() > now)
-            continue;
-        entry.progress.openDue(now);
-        m_isAllocationDue = true;
-    }
-}
-
 absl::Time OwnerPart::nextAllocation() const
 {
     absl::Time due = absl::InfiniteFuture();
@@ -443,12 +433,11 @@
 {
     m_isAllocationDue = false;
     m_allocatedAt = now;
-    std::vector<StepDemand> demands = demandsOf(m_book, m_routes.get(), now);
-    m_hasUnplaced = !demands.empty();
-    if (demands.empty())
+    AllocationInput input = describeAllocation(m_fleet, m_book, m_routes.get(), now);
+    m_hasUnplaced = !input.demands.empty();
+    if (input.demands.empty())
         return;
-    std::vector<WorkerRoom> rooms = roomsOf(m_fleet, m_book, m_routes.get(), now);
-    const Allocation allocation = m_policy->choose(rooms, demands, now);
+    const Allocation allocation = m_policy->choose(input.rooms, input.demands, now);
     place(allocation.placements, now);
     for (const Eviction& eviction : allocation.evictions) {
         logRun(DecisionEffect::Kind::RunEvicted, eviction.run, eviction.worker, "");
@@ -489,7 +478,8 @@
         return;
     for (const FleetNews& lapsed : m_fleet.takeLapsed(now))
         takeFleetNews(lapsed, now);
-    openDue(now);
+    if (m_book.openDue(now))
+        m_isAllocationDue = true;
     if (nextAllocation() <= now && !m_isDraining)
         allocate(now);
     m_writer.advance(m_ownership.expectation(), m_outbox, now);
@@ -516,7 +506,7 @@
     due = std::min({ due, m_jobFollower.nextDue(), m_workerFollower.nextDue() });
     if (!m_loading.isDone)
         return std::max(std::min(due, std::max(m_loading.retryAt, now + loadRetryPeriod)), now);
-    due = std::min({ due, m_writer.nextDue(), m_fleet.nextDue(now), m_book.nextDue() });
+    due = std::min({ due, m_writer.nextDue(), m_fleet.nextDue(), m_book.nextDue() });
     return std::max(std::min(due, nextAllocation()), now);
 }
 
--- a/src/batch/policy/priority_policy_base.cpp
+++ b/src/batch/policy/priority_policy_base.cpp
@@ -4,6 +4,8 @@
 #include <tuple>
 #include <utility>
 
+#include "absl/container/flat_hash_map.h"
+#include "absl/strings/string_view.h"
 #include "batch/policy/room_search_base.h"
 
 namespace mangohall::batch {
@@ -43,15 +45,13 @@
 // The racks, fullest first, so that large rooms stay whole.
 std::vector<RackName> racksByRoom(absl::Span<const WorkerRoom> rooms)
 {
+    absl::flat_hash_map<absl::string_view, std::int32_t> freeAccelerators;
+    for (const WorkerRoom& room : rooms)
+        freeAccelerators[room.rack.text()] += room.free.accelerators;
     std::vector<RackRoom> racks;
-    for (const WorkerRoom& room : rooms) {
-        const auto found = std::find_if(
-            racks.begin(), racks.end(), [&room](const RackRoom& known) { return known.rack == room.rack; });
-        if (found == racks.end())
-            racks.push_back({ room.rack, room.free.accelerators });
-        else
-            found->freeAccelerators += room.free.accelerators;
-    }
+    racks.reserve(freeAccelerators.size());
+    for (const auto& [rack, free] : freeAccelerators)
+        racks.push_back({ RackName(rack), free });
     std::sort(racks.begin(), racks.end(), [](const RackRoom& left, const RackRoom& right) {
         return std::tie(left.freeAccelerators, left.rack) < std::tie(right.freeAccelerators, right.rack);
     });
@@ -111,6 +111,7 @@
         : m_rooms(rooms)
         , m_now(now)
         , m_isBusy(usedShare(rooms) > busyShare)
+        , m_search(rooms)
     {
         reserveForUrgent(rooms);
     }
@@ -173,7 +174,7 @@
     absl::optional<Placement> placeTask(const StepDemand& demand, std::int32_t index, absl::Span<const RackName> places)
     {
         for (const RackName& place : places) {
-            absl::optional<Placement> placement = RoomSearch(m_rooms).place(demand, index, place);
+            absl::optional<Placement> placement = m_search.place(demand, index, place);
             if (placement)
                 return placement;
         }
@@ -184,7 +185,7 @@
     {
         const std::vector<RackName> places = placesOf(demand);
         for (const RackName& place : places) {
-            const std::vector<Placement> placements = RoomSearch(m_rooms).placeAll(demand, place);
+            const std::vector<Placement> placements = m_search.placeAll(demand, place);
             if (placements.empty())
                 continue;
             m_allocation.placements.insert(m_allocation.placements.end(), placements.begin(), placements.end());
@@ -201,6 +202,9 @@
         absl::optional<RoomPlan> best;
         std::vector<WorkerRoom> bestRooms;
         for (const RackName& place : places) {
+            // The trial takes a copy of the rooms, which is worth it for few of them.
+            if (!m_search.mayHold(demand, indices.size(), place))
+                continue;
             std::vector<WorkerRoom> trial = roomsOn(place);
             absl::optional<RoomPlan> plan = RoomSearch(trial).makeRoom(demand, indices, place);
             if (!plan || (best && plan->cost >= best->cost))
@@ -239,6 +243,7 @@
     std::vector<WorkerRoom>& m_rooms;
     const absl::Time m_now;
     const bool m_isBusy;
+    RoomSearch m_search;
     Allocation m_allocation;
 };
 
--- a/src/batch/policy/room_search_base.cpp
+++ b/src/batch/policy/room_search_base.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <numeric>
 #include <utility>
 
 namespace mangohall::batch {
@@ -25,9 +26,26 @@
     return demand;
 }
 
-bool RoomSearch::isEligible(const WorkerRoom& room, const StepDemand& demand, const RackName& rack) const
+RoomSearch::RoomSearch(std::vector<WorkerRoom>& rooms)
+    : m_rooms(rooms)
+    , m_all(rooms.size())
 {
-    if (room.service != demand.service || (!rack.empty() && room.rack != rack))
+    std::iota(m_all.begin(), m_all.end(), std::size_t { 0 });
+    for (const std::size_t room : m_all)
+        m_byRack[rooms[room].rack.str()].push_back(room);
+}
+
+absl::Span<const std::size_t> RoomSearch::roomsOn(const RackName& rack) const
+{
+    if (rack.empty())
+        return m_all;
+    const auto found = m_byRack.find(rack.text());
+    return found == m_byRack.end() ? absl::Span<const std::size_t>() : absl::MakeConstSpan(found->second);
+}
+
+bool RoomSearch::isEligible(const WorkerRoom& room, const StepDemand& demand)
+{
+    if (room.service != demand.service)
         return false;
     if (room.isReserved && demand.priority != 0)
         return false;
@@ -75,8 +93,9 @@
     const Resources needed = countedDemand(*demand.spec);
     WorkerRoom* best = nullptr;
     double least = std::numeric_limits<double>::infinity();
-    for (WorkerRoom& room : m_rooms) {
-        if (!needed.fitsInto(room.free) || !isEligible(room, demand, rack) || !isBelowStepLimit(room, demand))
+    for (const std::size_t candidate : roomsOn(rack)) {
+        WorkerRoom& room = m_rooms[candidate];
+        if (!needed.fitsInto(room.free) || !isEligible(room, demand) || !isBelowStepLimit(room, demand))
             continue;
         const double misfitHere = misfit(room, demand);
         if (misfitHere < least) {
@@ -126,6 +145,33 @@
     return isReclaimed || occupant.priority > demand.priority;
 }
 
+std::size_t RoomSearch::mostTasks(const WorkerRoom& room, const StepDemand& demand) const
+{
+    const Resources needed = countedDemand(*demand.spec);
+    Resources freed = room.freeAfterStops;
+    for (const Occupant& occupant : room.occupants) {
+        if (isVictim(occupant, demand))
+            freed += occupant.demand;
+    }
+    std::size_t tasks = 0;
+    for (; needed.fitsInto(freed) && tasks < demand.indices.size(); ++tasks)
+        freed -= needed;
+    const auto limit = static_cast<std::size_t>(std::max(0, demand.spec->maxPerWorker));
+    return limit == 0 ? tasks : std::min(tasks, limit);
+}
+
+bool RoomSearch::mayHold(const StepDemand& demand, std::size_t count, const RackName& rack) const
+{
+    std::size_t tasks = 0;
+    for (const std::size_t candidate : roomsOn(rack)) {
+        if (tasks >= count)
+            break;
+        if (isEligible(m_rooms[candidate], demand))
+            tasks += mostTasks(m_rooms[candidate], demand);
+    }
+    return tasks >= count;
+}
+
 absl::optional<RoomSearch::Victims> RoomSearch::findVictims(std::size_t room, const StepDemand& demand) const
 {
     const WorkerRoom& candidate = m_rooms[room];
@@ -187,8 +233,8 @@
     RoomPlan plan;
     for (const std::int32_t index : indices) {
         absl::optional<Victims> best;
-        for (std::size_t room = 0; room < m_rooms.size(); ++room) {
-            if (!isEligible(m_rooms[room], demand, rack) || !isBelowStepLimit(m_rooms[room], demand))
+        for (const std::size_t room : roomsOn(rack)) {
+            if (!isEligible(m_rooms[room], demand) || !isBelowStepLimit(m_rooms[room], demand))
                 continue;
             absl::optional<Victims> victims = findVictims(room, demand);
             if (victims && (!best || victims->cost < best->cost))
--- a/src/batch/policy/room_search_base.h
+++ b/src/batch/policy/room_search_base.h
@@ -2,8 +2,10 @@
 #pragma once
 
 #include <cstddef>
+#include <string>
 #include <vector>
 
+#include "absl/container/flat_hash_map.h"
 #include "absl/types/optional.h"
 #include "absl/types/span.h"
 #include "batch/policy/allocation_type.h"
@@ -23,11 +25,12 @@
 // Takes room from the workers that it is given, task by task.
 class RoomSearch {
 public:
-    // The rooms have to outlive the search.
-    explicit RoomSearch(std::vector<WorkerRoom>& rooms)
-        : m_rooms(rooms)
-    {
-    }
+    // The rooms have to outlive the search, and to stay in their places and racks.
+    explicit RoomSearch(std::vector<WorkerRoom>& rooms);
+
+    // Whether so many of the demand's tasks could have room on the rack at once if all that may be evicted for them
+    // were. Changes nothing.
+    bool mayHold(const StepDemand& demand, std::size_t count, const RackName& rack) const;
 
     // Places one task on the worker that it fits best. An empty rack stands for any.
     absl::optional<Placement> place(const StepDemand& demand, std::int32_t index, const RackName& rack);
@@ -48,8 +51,11 @@
         double cost = 0;
     };
 
+    // The rooms of the rack; all for an empty one.
+    absl::Span<const std::size_t> roomsOn(const RackName& rack) const;
+    std::size_t mostTasks(const WorkerRoom& room, const StepDemand& demand) const;
     static bool isVictim(const Occupant& occupant, const StepDemand& demand);
-    bool isEligible(const WorkerRoom& room, const StepDemand& demand, const RackName& rack) const;
+    static bool isEligible(const WorkerRoom& room, const StepDemand& demand);
     bool isBelowStepLimit(const WorkerRoom& room, const StepDemand& demand) const;
     double misfit(const WorkerRoom& room, const StepDemand& demand) const;
     absl::optional<Victims> findVictims(std::size_t room, const StepDemand& demand) const;
@@ -59,6 +65,8 @@
     void undo(absl::Span<const Placement> placements, const StepDemand& demand);
 
     std::vector<WorkerRoom>& m_rooms;
+    std::vector<std::size_t> m_all;
+    absl::flat_hash_map<std::string, std::vector<std::size_t>> m_byRack;
 };
 
 } // namespace mangohall::batch
--- /dev/null
+++ b/tests/batch/fleet_test.cpp
@@ -0,0 +1,126 @@
+#include "batch/owner/fleet_base.h"
+
+#include <ctime>
+
+#include "absl/strings/str_cat.h"
+#include "gtest/gtest.h"
+
+namespace mangohall::batch {
+namespace {
+
+const absl::Time begin = absl::FromUnixSeconds(1700000000);
+
+class NoStarts : public StartSource {
+public:
+    StartRun describeStart(const RunKey& run) const override { return { run, "", "" }; }
+};
+
+std::vector<Record> workerRows(int count)
+{
+    std::vector<Record> rows;
+    for (int worker = 0; worker < count; ++worker) {
+        WorkerEntry entry;
+        entry.name = WorkerName(absl::StrCat("worker-", worker));
+        entry.address = "10.0.0.1:1";
+        entry.capacity = { 128000, 1 << 30, 8 };
+        entry.bornMs = 1;
+        Record row;
+        row.key = { Collection::Workers, entry.name.str() };
+        row.value = entry;
+        row.revision = 1;
+        rows.push_back(row);
+    }
+    return rows;
+}
+
+// The looks that the effects hold, in order.
+std::vector<CallId> callsIn(const Effects& effects)
+{
+    std::vector<CallId> calls;
+    for (const Effect& effect : effects) {
+        if (const auto* worker = std::get_if<WorkerEffect>(&effect))
+            calls.push_back(worker->call);
+    }
+    return calls;
+}
+
+class FleetTest : public testing::Test {
+protected:
+    // Workers that have answered once and run nothing.
+    void settle(int workers)
+    {
+        m_fleet.reset(1);
+        m_fleet.takeRecords(workerRows(workers), true, begin);
+        m_fleet.advance(m_source, m_outbox, begin);
+        EXPECT_FALSE(m_fleet.isSettled());
+        WorkerReply reply;
+        reply.bornMs = 1;
+        reply.clock = 1000;
+        for (const CallId call : callsIn(m_outbox.take()))
+            m_fleet.takeReply(call, reply, begin);
+        m_fleet.advance(m_source, m_outbox, begin);
+        m_outbox.take();
+    }
+
+    // Processor time of events that each change one worker.
+    double processorTimeOfEvents()
+    {
+        constexpr int events = 20000;
+        const std::clock_t start = std::clock();
+        for (int event = 0; event < events; ++event) {
+            m_fleet.find(WorkerName("worker-7"));
+            m_fleet.takeLapsed(begin);
+            m_fleet.advance(m_source, m_outbox, begin);
+            static_cast<void>(m_fleet.nextDue());
+        }
+        return static_cast<double>(std::clock() - start);
+    }
+
+    NoStarts m_source;
+    Outbox m_outbox;
+    Fleet m_fleet { SessionSettings() };
+};
+
+TEST_F(FleetTest, IsSettledOnceEveryListedWorkerHasAnswered)
+{
+    settle(3);
+    EXPECT_TRUE(m_fleet.isSettled());
+    m_fleet.takeRecords(workerRows(4), false, begin);
+    m_fleet.advance(m_source, m_outbox, begin);
+    EXPECT_FALSE(m_fleet.isSettled());
+}
+
+TEST_F(FleetTest, ForgetsAWorkerThatIsNotListedAndRunsNothing)
+{
+    settle(3);
+    m_fleet.takeRecords(workerRows(2), true, begin);
+    m_fleet.advance(m_source, m_outbox, begin);
+    EXPECT_EQ(m_fleet.sessions().size(), 2U);
+}
+
+TEST_F(FleetTest, LooksAgainAtAWorkerThatRunsSomething)
+{
+    settle(3);
+    EXPECT_EQ(m_fleet.nextDue(), absl::InfiniteFuture());
+    const RunKey run { { JobId("j"), { 0, 0, 0 } }, 1 };
+    WorkerSession* session = m_fleet.find(WorkerName("worker-1"));
+    session->reserve(run, { 1000, 1, 1 }, begin);
+    session->release(run, begin);
+    m_fleet.advance(m_source, m_outbox, begin);
+    EXPECT_EQ(callsIn(m_outbox.take()).size(), 2U);
+}
+
+// Load: a thousand workers of which one has something to tell.
+TEST_F(FleetTest, TakesNoLongerBesideQuietWorkers)
+{
+    // Searching takes a little longer among more workers; looking at each would take twenty times as long.
+    constexpr double mostRatio = 4;
+    settle(50);
+    processorTimeOfEvents();
+    const double few = processorTimeOfEvents();
+    settle(1000);
+    EXPECT_LT(processorTimeOfEvents(), few * mostRatio);
+}
+
+} // namespace
+} // namespace mangohall::batch
