Fix: three oracles of the fuzz are shown to see their fault

AWorkerThatStartsTwice: the dispatcher sends a start once by design and settles it by heartbeats, so no history ever repeats one; the planted worker now starts twice what it is told to start once. AStoreThatTakesStaleWrites: two operators hardly ever changed one thing within one round trip; the generator has a step for that now. ALostTaskThatIsDenied: the plant breaks another promise first, and the search ended there; it goes on until the wanted finding is made, up to 120 histories.

Ruled out: the oracles themselves. The wanted findings are the same as before.

--- a/tests/fuzz/broken_rule_base.h
+++ b/tests/fuzz/broken_rule_base.h
@@ -23,20 +23,14 @@
     }
 };
 
-// Starts a task again that it is told to start again, or to release again.
+// Starts a task twice that it is told to start once.
 class StartingTwiceConduct : public WorkerConduct {
 public:
     WorkerReport handle(WorkerState& worker, const WorkerCall& call) override
     {
         WorkerReport report = worker.handle(call);
-        const auto* release = std::get_if<ReleaseTask>(&call.command);
-        const auto* start = std::get_if<StartTask>(&call.command);
-        if (start != nullptr && !m_started.insert(start->task).second)
+        if (const auto* start = std::get_if<StartTask>(&call.command))
             startAgain(worker, call, *start);
-        if (start != nullptr)
-            m_commands[start->task] = *start;
-        if (release != nullptr && !m_released.insert(release->task).second && m_commands.contains(release->task))
-            startAgain(worker, call, m_commands.at(release->task));
         return report;
     }
 
@@ -52,10 +46,6 @@
         again.command = other;
         worker.handle(again);
     }
-
-    std::set<TaskId> m_started;
-    std::set<TaskId> m_released;
-    std::map<TaskId, StartTask> m_commands;
 };
 
 // Lets a task of a gang run before the gang is whole.
--- a/tests/fuzz/broken_rule_test.cpp
+++ b/tests/fuzz/broken_rule_test.cpp
@@ -1,5 +1,8 @@
 // Each rule that is broken on purpose is seen by the fuzz.
+#include <algorithm>
 #include <iostream>
+#include <string>
+#include <vector>
 
 #include "absl/strings/match.h"
 #include "absl/strings/str_join.h"
@@ -12,23 +15,29 @@
 
 using BreakRule = void (*)(Cluster&);
 
-// Runs the fuzz with a broken rule and returns what was found, empty if nothing.
-std::string findWith(BreakRule breakRule)
+constexpr int maxRuns = 120;
+
+// Plays random histories with a broken rule until one of the wanted findings is made, and returns what was found then;
+// empty if none was. A broken rule may break other promises earlier, which does not show that the wanted one is
+// watched.
+std::string findWith(BreakRule breakRule, const std::vector<absl::string_view>& wanted)
 {
     rc::detail::TestParams params;
     params.seed = 11;
-    params.maxSuccess = 60;
+    params.maxSuccess = maxRuns;
     params.maxSize = 60;
     params.disableShrinking = true;
-    const auto property = [breakRule] {
+    const auto property = [breakRule, &wanted] {
         const auto seed = *rc::gen::inRange<std::uint64_t>(1, 1000);
         const StepCommands steps = *genSteps();
         FuzzWorld world(seed);
         breakRule(world.cluster());
         rc::state::runAll(steps, FuzzModel(), world);
-        const Findings findings = world.finish();
-        if (!findings.empty())
-            RC_FAIL(absl::StrJoin(findings, "\n"));
+        const std::string found = absl::StrJoin(world.finish(), "\n");
+        const bool isWanted = std::any_of(
+            wanted.begin(), wanted.end(), [&found](absl::string_view text) { return absl::StrContains(found, text); });
+        if (isWanted)
+            RC_FAIL(found);
     };
     const rc::detail::TestResult result = rc::detail::checkTestable(property, rc::detail::TestMetadata(), params);
     rc::detail::FailureResult failure;
@@ -40,57 +49,57 @@
 
 TEST(BrokenRule, AWorkerThatObeysAnyEpochIsSeen)
 {
-    const std::string found
-        = findWith([](Cluster& cluster) { cluster.fleet().setConduct(std::make_shared<UnfencedConduct>()); });
-    EXPECT_TRUE(absl::StrContains(found, "obeyed epoch")) << found;
+    EXPECT_NE(findWith([](Cluster& cluster) { cluster.fleet().setConduct(std::make_shared<UnfencedConduct>()); },
+                  { "obeyed epoch" }),
+        "");
 }
 
 TEST(BrokenRule, AWorkerThatStartsTwiceIsSeen)
 {
-    const std::string found
-        = findWith([](Cluster& cluster) { cluster.fleet().setConduct(std::make_shared<StartingTwiceConduct>()); });
-    EXPECT_TRUE(absl::StrContains(found, "not idempotent")) << found;
+    EXPECT_NE(findWith([](Cluster& cluster) { cluster.fleet().setConduct(std::make_shared<StartingTwiceConduct>()); },
+                  { "not idempotent" }),
+        "");
 }
 
 TEST(BrokenRule, AGangReleasedEarlyIsSeen)
 {
-    const std::string found
-        = findWith([](Cluster& cluster) { cluster.fleet().setConduct(std::make_shared<EarlyReleaseConduct>()); });
-    EXPECT_TRUE(absl::StrContains(found, "tasks in their places")) << found;
+    EXPECT_NE(findWith([](Cluster& cluster) { cluster.fleet().setConduct(std::make_shared<EarlyReleaseConduct>()); },
+                  { "tasks in their places" }),
+        "");
 }
 
 TEST(BrokenRule, ALostTaskThatIsDeniedIsSeen)
 {
-    const std::string found
-        = findWith([](Cluster& cluster) { cluster.fleet().setConduct(std::make_shared<ForgetfulConduct>()); });
-    EXPECT_TRUE(absl::StrContains(found, "not idempotent") || absl::StrContains(found, "and a task ran")) << found;
+    EXPECT_NE(findWith([](Cluster& cluster) { cluster.fleet().setConduct(std::make_shared<ForgetfulConduct>()); },
+                  { "not idempotent", "and a task ran" }),
+        "");
 }
 
 TEST(BrokenRule, AStoreThatTakesStaleWritesIsSeen)
 {
-    const std::string found = findWith([](Cluster& cluster) { cluster.store().setAcceptsStale(true); });
-    EXPECT_TRUE(absl::StrContains(found, "and was accepted after")) << found;
+    EXPECT_NE(
+        findWith([](Cluster& cluster) { cluster.store().setAcceptsStale(true); }, { "and was accepted after" }), "");
 }
 
 TEST(BrokenRule, AnotherCallersAnswerIsSeen)
 {
-    const std::string found
-        = findWith([](Cluster& cluster) { cluster.setAnswerRoute(std::make_shared<SwappingRoute>()); });
-    EXPECT_TRUE(absl::StrContains(found, "was told of")) << found;
+    EXPECT_NE(findWith([](Cluster& cluster) { cluster.setAnswerRoute(std::make_shared<SwappingRoute>()); },
+                  { "was told of" }),
+        "");
 }
 
 TEST(BrokenRule, AnAnswerThatIsNotWholeIsSeen)
 {
-    const std::string found
-        = findWith([](Cluster& cluster) { cluster.setAnswerRoute(std::make_shared<CuttingRoute>()); });
-    EXPECT_TRUE(absl::StrContains(found, "not its own")) << found;
+    EXPECT_NE(
+        findWith([](Cluster& cluster) { cluster.setAnswerRoute(std::make_shared<CuttingRoute>()); }, { "not its own" }),
+        "");
 }
 
 TEST(BrokenRule, AConfigurationTurnedBackIsSeen)
 {
-    const std::string found
-        = findWith([](Cluster& cluster) { cluster.setAnswerRoute(std::make_shared<TurningBackRoute>()); });
-    EXPECT_TRUE(absl::StrContains(found, "read revision") || absl::StrContains(found, "accepted was")) << found;
+    EXPECT_NE(findWith([](Cluster& cluster) { cluster.setAnswerRoute(std::make_shared<TurningBackRoute>()); },
+                  { "read revision", "accepted was" }),
+        "");
 }
 
 } // namespace
--- a/tests/fuzz/fuzz_world_cmd.cpp
+++ b/tests/fuzz/fuzz_world_cmd.cpp
@@ -99,7 +99,10 @@
         put(step, false);
     else if (step.kind == StepKind::PutExpected)
         put(step, true);
-    else if (step.kind == StepKind::Delete)
+    else if (step.kind == StepKind::RacePuts) {
+        for (int entry = 0; entry < entryCount; ++entry)
+            put({ step.kind, step.subject, entry }, true);
+    } else if (step.kind == StepKind::Delete)
         m_cluster.ask(entry, DeleteRequest { ConfigKind::Organisation, organisationOf(step.subject), absl::nullopt });
     else if (step.kind == StepKind::Read)
         m_cluster.ask(entry, ReadRequest { ConfigKind::Organisation, "" });
--- a/tests/fuzz/step_gen_func.cpp
+++ b/tests/fuzz/step_gen_func.cpp
@@ -19,6 +19,7 @@
     { StepKind::Query, "query", 6 },
     { StepKind::Put, "put", 4 },
     { StepKind::PutExpected, "putExpected", 6 },
+    { StepKind::RacePuts, "racePuts", 4 },
     { StepKind::Delete, "delete", 2 },
     { StepKind::Read, "read", 6 },
     { StepKind::KillNode, "killNode", 4 },
--- a/tests/fuzz/step_type.h
+++ b/tests/fuzz/step_type.h
@@ -13,6 +13,8 @@
     Query,
     Put,
     PutExpected,
+    // Two operators change one thing at the same moment, through different entries.
+    RacePuts,
     Delete,
     Read,
     KillNode,
