Feature: runs that a leaving worker would cut off are moved

A draining worker says how long it stays at least. A run that will not be done by then is stopped at once if it has no checkpoints, since its work is lost either way, and as late as a stop allows if it has them. The owner's review of what a worker runs (standing still, cut off) stands in a file of its own.

Ruled out: waiting for the lease (a left worker is told from a silent one).

--- a/src/batch/fleet/worker_session_base.cpp
+++ b/src/batch/fleet/worker_session_base.cpp
@@ -39,7 +39,7 @@
 {
 }
 
-std::vector<EndedRun> WorkerSession::update(const WorkerEntry& entry, absl::Time /*now*/)
+std::vector<EndedRun> WorkerSession::update(const WorkerEntry& entry, absl::Time now)
 {
     std::vector<EndedRun> ended;
     noteProcess(entry.bornMs, ended);
@@ -47,6 +47,8 @@
     m_entry = entry;
     m_entry.bornMs = bornMs;
     m_isListed = true;
+    // A row may have been on its way for a while, so that a later one does not grant more time.
+    m_leavesAt = entry.isDraining ? std::min(m_leavesAt, now + entry.remaining) : absl::InfiniteFuture();
     return ended;
 }
 
--- a/src/batch/fleet/worker_session_base.h
+++ b/src/batch/fleet/worker_session_base.h
@@ -109,6 +109,8 @@
     // The worker is no longer listed.
     void noteUnlisted() { m_isListed = false; }
     bool isListed() const { return m_isListed; }
+    // By when a draining worker may be gone; the infinite future for one that stays.
+    absl::Time leavesAt() const { return m_leavesAt; }
     bool isForgettable() const { return !m_isListed && m_runs.empty(); }
 
     // Whether the worker has answered under this owner's epoch.
@@ -179,6 +181,7 @@
 
     WorkerEntry m_entry;
     WorkerHealth m_health;
+    absl::Time m_leavesAt = absl::InfiniteFuture();
     const Epoch m_epoch;
     const SessionSettings m_settings;
     bool m_isListed = true;
--- a/src/batch/owner/fleet_base.cpp
+++ b/src/batch/owner/fleet_base.cpp
@@ -40,8 +40,8 @@
 std::vector<EndedRun> Fleet::takeEntry(const WorkerEntry& entry, absl::Time now)
 {
     noteChange(entry.name);
-    const auto [found, isNew] = m_sessions.try_emplace(entry.name, entry, m_epoch, m_settings);
-    return isNew ? std::vector<EndedRun>() : found->second.update(entry, now);
+    WorkerSession& session = m_sessions.try_emplace(entry.name, entry, m_epoch, m_settings).first->second;
+    return session.update(entry, now);
 }
 
 std::vector<FleetNews> Fleet::takeRecords(absl::Span<const Record> records, bool isWhole, absl::Time now)
--- a/src/batch/owner/owner_part_base.h
+++ b/src/batch/owner/owner_part_base.h
@@ -58,7 +58,7 @@
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void noteHealth(const EndedRun& ended, const WorkerName& worker, absl::Time now)
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
-    void stopStanding(const WorkerName& worker, absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    void reviewWorker(const WorkerName& worker, absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void takeWritten(const WriteNews& news, absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void releaseRun(const PlacedRun& placed, absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     absl::Time nextAllocation() const ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
--- a/src/batch/owner/owner_part_cmd.cpp
+++ b/src/batch/owner/owner_part_cmd.cpp
@@ -6,6 +6,7 @@
 #include "absl/strings/str_cat.h"
 #include "batch/owner/demand_func.h"
 #include "batch/owner/run_name_func.h"
+#include "batch/owner/run_review_func.h"
 #include "batch/policy/room_search_base.h"
 #include "core/error_func.h"
 
@@ -21,8 +22,6 @@
 constexpr absl::Duration allocationPeriod = absl::Milliseconds(10);
 // How long a new owner waits for workers that do not answer.
 constexpr absl::Duration settlePatience = absl::Milliseconds(700);
-// Work that is given up for a start elsewhere.
-constexpr absl::Duration cheapRestart = absl::Milliseconds(1000);
 // Waiting tasks are looked at again this often, since patience and objectives change with time alone.
 constexpr absl::Duration reallocationPeriod = absl::Milliseconds(500);
 
@@ -303,25 +302,19 @@
     for (const RunningRow& row : news.session.running)
         takeRunning(row, news.worker, now);
     if (!news.session.running.empty())
-        stopStanding(news.worker, now);
+        reviewWorker(news.worker, now);
 }
 
-// A run that stands still is started elsewhere unless that loses more than its standing may.
-void OwnerPart::stopStanding(const WorkerName& worker, absl::Time now)
+void OwnerPart::reviewWorker(const WorkerName& worker, absl::Time now)
 {
     WorkerSession* session = m_fleet.find(worker);
-    for (const RunKey& run : session->standingRuns(now)) {
-        const JobEntry* entry = m_book.find(run.task.job);
-        if (entry == nullptr || entry->progress.find(run.task.task) == nullptr)
-            continue;
-        const StepSpec& spec = entry->progress.stepSpec(run.task.task.step);
+    const RunReview review = reviewRuns(*session, m_book, now);
+    for (const RunKey& run : review.standing) {
+        const StepSpec& spec = m_book.find(run.task.job)->progress.stepSpec(run.task.task.step);
         session->health().noteStandstill(run.task.job, spec.isGang, now);
-        const double doneShare = session->runs().at(run).percent / 100.0;
-        const bool isUrgent = entry->progress.job().terms.priority == 0 && !spec.isGang;
-        const bool isCheap = spec.estimate * doneShare < cheapRestart;
-        if (!spec.isLasting && (isUrgent || isCheap))
-            stopRun(run, worker, now);
     }
+    for (const RunKey& run : review.misplaced)
+        stopRun(run, worker, now);
 }
 
 void OwnerPart::noteHealth(const EndedRun& ended, const WorkerName& worker, absl::Time now)
--- a/tests/batch/batch_fleet_base.cpp
+++ b/tests/batch/batch_fleet_base.cpp
@@ -325,6 +325,7 @@
 {
     Worker& worker = m_workers.at(name);
     worker.entry.isDraining = true;
+    worker.entry.remaining = after;
     publish(worker);
     m_timeline.after(after, [this, name] {
         Worker& later = m_workers.at(name);
--- a/tests/batch/batch_worker_fault_test.cpp
+++ b/tests/batch/batch_worker_fault_test.cpp
@@ -1,4 +1,7 @@
 // Workers that are cut off, are born again, leave, or carry orders out late.
+#include <set>
+#include <string>
+
 #include "batch/batch_cluster_base.h"
 #include "gtest/gtest.h"
 
@@ -59,6 +62,42 @@
     EXPECT_EQ(cluster.phaseOf(path), JobPhase::Completed);
 }
 
+// Load: long runs on workers that leave before any of them is done.
+TEST(BatchWorkerFault, MovesRunsThatTheirLeavingWorkersWouldCutOff)
+{
+    BatchCluster cluster;
+    cluster.fleet().setRunTime("long", absl::Seconds(8));
+    cluster.submit(0, path, tasksOf("long", 4, 8, absl::Seconds(8)));
+    cluster.runFor(absl::Seconds(1));
+    ASSERT_EQ(cluster.fleet().seen().size(), 4U);
+    std::set<std::string> left;
+    for (int run = 0; run < 2; ++run) {
+        left.insert(cluster.fleet().seen()[run].worker);
+        cluster.fleet().drain(cluster.fleet().seen()[run].worker, absl::Seconds(5));
+    }
+    // Before the workers have left, both tasks run elsewhere.
+    cluster.runFor(absl::Seconds(3));
+    ASSERT_EQ(cluster.fleet().seen().size(), 6U);
+    for (std::size_t run = 4; run < 6; ++run)
+        EXPECT_FALSE(left.contains(cluster.fleet().seen()[run].worker));
+    cluster.runFor(absl::Seconds(10));
+    EXPECT_EQ(cluster.phaseOf(path), JobPhase::Completed);
+    EXPECT_TRUE(cluster.fleet().broken().empty());
+}
+
+TEST(BatchWorkerFault, LeavesRunsThatEndBeforeTheirWorkerDoes)
+{
+    BatchCluster cluster;
+    cluster.fleet().setRunTime("short", absl::Seconds(4));
+    cluster.submit(0, path, tasksOf("short", 4, 8, absl::Seconds(4)));
+    cluster.runFor(absl::Seconds(1));
+    for (int run = 0; run < 2; ++run)
+        cluster.fleet().drain(cluster.fleet().seen()[run].worker, absl::Seconds(5));
+    cluster.runFor(absl::Seconds(8));
+    EXPECT_EQ(cluster.fleet().startCount("00000000000000a1"), 4);
+    EXPECT_EQ(cluster.phaseOf(path), JobPhase::Completed);
+}
+
 // Orders without an answer are carried out seconds later, among evictions and changes of owner.
 TEST(BatchWorkerFault, RunsNothingTwiceThroughOrdersThatAreCarriedOutLate)
 {
--- /dev/null
+++ b/tests/batch/run_review_test.cpp
@@ -0,0 +1,123 @@
+#include "batch/owner/run_review_func.h"
+
+#include "gtest/gtest.h"
+
+namespace mangohall::batch {
+namespace {
+
+const absl::Time start = absl::FromUnixSeconds(1700000000);
+const JobId jobId("0000000000000001");
+const RunKey run { { jobId, { 0, 0, 0 } }, 1 };
+constexpr std::int64_t born = 1000;
+
+class RunReviewTest : public testing::Test {
+protected:
+    RunReviewTest()
+        : m_session(makeEntry(), 1, SessionSettings())
+    {
+    }
+
+    static WorkerEntry makeEntry()
+    {
+        WorkerEntry entry;
+        entry.name = WorkerName("w");
+        entry.capacity = { 1000, 1000, 8 };
+        entry.bornMs = born;
+        return entry;
+    }
+
+    // One task of ten seconds that runs on the worker and has come so far two seconds after its start.
+    void runTask(std::int32_t percent, bool isCheckpointing = false)
+    {
+        Job job;
+        job.id = jobId;
+        job.terms.priority = 2;
+        StepSpec step;
+        step.taskCount = 1;
+        step.demand = { 1, 1, 1 };
+        step.estimate = absl::Seconds(10);
+        step.isCheckpointing = isCheckpointing;
+        job.spec.steps = { step };
+        m_book.add(job);
+        m_book.openDue(start);
+        m_session.reserve(run, step.demand, start);
+        m_session.release(run, start);
+        WorkerReply reply;
+        reply.bornMs = born;
+        reply.clock = 1;
+        reply.running = { { run, "", percent } };
+        m_session.takeReply({ SessionCall::Kind::Look, RunKey(), start, born }, reply, m_now);
+    }
+
+    void drain(absl::Duration remaining)
+    {
+        WorkerEntry entry = makeEntry();
+        entry.isDraining = true;
+        entry.remaining = remaining;
+        m_session.update(entry, m_now);
+    }
+
+    std::vector<RunKey> misplaced() { return reviewRuns(m_session, m_book, m_now).misplaced; }
+
+    JobBook m_book;
+    WorkerSession m_session;
+    absl::Time m_now = start + absl::Seconds(2);
+};
+
+TEST_F(RunReviewTest, LeavesRunsOfAWorkerThatStays)
+{
+    runTask(10);
+    EXPECT_TRUE(misplaced().empty());
+}
+
+TEST_F(RunReviewTest, MovesARunWithoutCheckpointsAtOnce)
+{
+    runTask(10);
+    drain(absl::Seconds(5));
+    EXPECT_EQ(misplaced().size(), 1U);
+}
+
+TEST_F(RunReviewTest, LeavesARunThatIsDoneInTime)
+{
+    // It came half the way in two seconds.
+    runTask(50);
+    drain(absl::Seconds(3));
+    EXPECT_TRUE(misplaced().empty());
+}
+
+TEST_F(RunReviewTest, LetsARunWithCheckpointsWorkAsLongAsItCan)
+{
+    runTask(10, true);
+    drain(absl::Seconds(4));
+    EXPECT_TRUE(misplaced().empty());
+    m_now += absl::Seconds(3);
+    EXPECT_EQ(misplaced().size(), 1U);
+}
+
+TEST_F(RunReviewTest, TakesALaterRowForNoMoreTime)
+{
+    runTask(10, true);
+    drain(absl::Seconds(2));
+    drain(absl::Seconds(9));
+    m_now += absl::Milliseconds(500);
+    EXPECT_EQ(misplaced().size(), 1U);
+}
+
+TEST_F(RunReviewTest, MovesAShortWayThatStandsStill)
+{
+    runTask(5);
+    m_now += absl::Seconds(2);
+    EXPECT_EQ(misplaced().size(), 1U);
+}
+
+TEST_F(RunReviewTest, LeavesALongWayThatStandsStill)
+{
+    runTask(60);
+    m_now += absl::Seconds(2);
+    const RunReview review = reviewRuns(m_session, m_book, m_now);
+    EXPECT_EQ(review.standing.size(), 1U);
+    EXPECT_TRUE(review.misplaced.empty());
+}
+
+} // namespace
+} // namespace mangohall::batch
