Fix: the lease of a lost ownership is ended

Ruled out: the pause before a claim (120 ms at most), the watch on the holder (watches were answered all the while).

OwnershipTest.EndsTheLeaseOfAnOwnershipThatItHasLost fails without it.

--- a/src/batch/owner/ownership_base.cpp
+++ b/src/batch/owner/ownership_base.cpp
@@ -45,6 +45,10 @@
     if (m_isResigning)
         return;
     m_follower.advance(outbox, now);
+    if (m_call == 0 && m_lostLease != 0) {
+        startStep(Step::Ending, EndLease { std::exchange(m_lostLease, 0) }, outbox, now);
+        return;
+    }
     if (m_call != 0 || now < m_nextTryAt || !m_isKnown)
         return;
     if (m_isOwner)
@@ -222,6 +226,7 @@
     if (!m_isOwner)
         return {};
     m_isOwner = false;
+    m_lostLease = std::exchange(m_lease, 0);
     // What stands there now is learned anew.
     m_holder = absl::nullopt;
     m_isKnown = false;
--- a/src/batch/owner/ownership_base.h
+++ b/src/batch/owner/ownership_base.h
@@ -80,6 +80,8 @@
     absl::Time m_sentAt = absl::InfinitePast();
     absl::Time m_nextTryAt = absl::InfinitePast();
     std::int64_t m_lease = 0;
+    // Of an ownership that was lost. A renewal that was held up may keep it alive in the store, and others waiting.
+    std::int64_t m_lostLease = 0;
     // When the call was sent that last confirmed the lease.
     absl::Time m_leaseConfirmedAt = absl::InfinitePast();
     bool m_isOwner = false;
