--- a/src/batch/owner/owner_part_base.h
+++ b/src/batch/owner/owner_part_base.h
@@ -90,6 +90,8 @@
     // Something has changed that may let a task start.
     bool m_isAllocationDue ABSL_GUARDED_BY(m_mutex) = false;
     absl::Time m_allocatedAt ABSL_GUARDED_BY(m_mutex) = absl::InfinitePast();
+    // From one choice to the next, by what the last one had to look at.
+    absl::Duration m_allocationPause ABSL_GUARDED_BY(m_mutex);
     bool m_hasUnplaced ABSL_GUARDED_BY(m_mutex) = false;
     bool m_isDraining ABSL_GUARDED_BY(m_mutex) = false;
     bool m_isDrained ABSL_GUARDED_BY(m_mutex) = false;
--- a/src/batch/owner/owner_part_cmd.cpp
+++ b/src/batch/owner/owner_part_cmd.cpp
@@ -19,7 +19,13 @@
 constexpr absl::Duration listTimeout = absl::Seconds(2);
 constexpr absl::Duration loadRetryPeriod = absl::Milliseconds(150);
 // Events that come together are served by one choice.
-constexpr absl::Duration allocationPeriod = absl::Milliseconds(10);
+constexpr absl::Duration shortestAllocationPause = absl::Milliseconds(10);
+constexpr absl::Duration longestAllocationPause = absl::Milliseconds(150);
+// What a choice takes of a whole processor for each worker and each step that waits, and the share of the node's
+// processor that choices may take together. A node that does nothing but choose cannot renew its lease.
+constexpr absl::Duration choiceTimePerWorker = absl::Microseconds(3);
+constexpr absl::Duration choiceTimePerStep = absl::Microseconds(10);
+constexpr double choiceShare = 0.1;
 // How long a new owner waits for workers that do not answer.
 constexpr absl::Duration settlePatience = absl::Milliseconds(700);
 // Waiting tasks are looked at again this often, since patience and objectives change with time alone.
@@ -35,6 +41,13 @@
     return longestClaimDelay * missing;
 }
 
+absl::Duration allocationPauseOf(const AllocationInput& input, double processorShare)
+{
+    const absl::Duration choiceTime = choiceTimePerWorker * static_cast<std::int64_t>(input.rooms.size())
+        + choiceTimePerStep * static_cast<std::int64_t>(input.demands.size());
+    return std::clamp(choiceTime / (choiceShare * processorShare), shortestAllocationPause, longestAllocationPause);
+}
+
 } // namespace
 
 OwnerPart::OwnerPart(const NodeSettings& settings, std::unique_ptr<AllocationPolicy> policy)
@@ -415,7 +428,7 @@
 {
     absl::Time due = absl::InfiniteFuture();
     if (m_isAllocationDue)
-        due = m_allocatedAt + allocationPeriod;
+        due = m_allocatedAt + m_allocationPause;
     if (m_hasUnplaced)
         due = std::min(due, m_allocatedAt + reallocationPeriod);
     // A choice among the few workers that answered first would evict what need not be.
@@ -428,6 +441,7 @@
     m_allocatedAt = now;
     AllocationInput input = describeAllocation(m_fleet, m_book, m_routes.get(), now);
     m_hasUnplaced = !input.demands.empty();
+    m_allocationPause = allocationPauseOf(input, m_settings.processorShare);
     if (input.demands.empty())
         return;
     const Allocation allocation = m_policy->choose(input.rooms, input.demands, now);
