Codechange: one copy of JSON texts, phase names and the seeded random numbers; large files of the owner split

mangohall::SeededRandom stood in core and in adapters/runtime under one name, toJsonText and the parser in two files each, phaseName in the desk and in the records. owner_part_cmd.cpp (570 lines) is split into what the owner learns, what becomes of runs, and the log; worker_session_base.cpp (552) into state, calls and replies. No change of behaviour but that a job's end in the log always names its queue and age.

--- a/src/adapters/api/http_exchange_base.cpp
+++ b/src/adapters/api/http_exchange_base.cpp
@@ -9,6 +9,7 @@
 #include "adapters/api/route_func.h"
 #include "adapters/api/target_func.h"
 #include "adapters/json/job_json_func.h"
+#include "adapters/json/json_text_func.h"
 #include "core/error_func.h"
 
 namespace mangohall {
--- a/src/adapters/api/job_route_func.cpp
+++ b/src/adapters/api/job_route_func.cpp
@@ -6,6 +6,7 @@
 #include "adapters/api/target_func.h"
 #include "adapters/json/config_json_func.h"
 #include "adapters/json/job_json_func.h"
+#include "adapters/json/json_text_func.h"
 #include "core/error_func.h"
 #include "job/job_func.h"
 
--- a/src/adapters/json/answer_json_func.cpp
+++ b/src/adapters/json/answer_json_func.cpp
@@ -4,6 +4,7 @@
 
 #include "adapters/json/config_json_func.h"
 #include "adapters/json/job_json_func.h"
+#include "adapters/json/json_text_func.h"
 #include "core/error_func.h"
 
 namespace mangohall {
--- a/src/adapters/json/batch_record_json_func.cpp
+++ b/src/adapters/json/batch_record_json_func.cpp
@@ -3,7 +3,9 @@
 #include <utility>
 
 #include "adapters/json/field_reader_base.h"
+#include "adapters/json/json_text_func.h"
 #include "batch/job/job_check_func.h"
+#include "batch/job/phase_name_func.h"
 #include "core/error_func.h"
 
 namespace mangohall::batch {
@@ -12,19 +14,6 @@
 
 using nlohmann::json;
 
-struct PhaseRow {
-    JobPhase phase;
-    absl::string_view name;
-};
-
-constexpr PhaseRow phaseTable[] = {
-    { JobPhase::Pending, "pending" },
-    { JobPhase::Active, "active" },
-    { JobPhase::Completed, "completed" },
-    { JobPhase::Failed, "failed" },
-    { JobPhase::Aborted, "aborted" },
-};
-
 std::int64_t toMillis(absl::Time time)
 {
     return absl::ToUnixMillis(time);
@@ -204,15 +193,9 @@
 {
     FieldReader reader(source);
     ProgressRecord record;
-    const std::string phase = reader.text("phase");
-    bool isKnown = false;
-    for (const PhaseRow& row : phaseTable) {
-        if (row.name == phase) {
-            record.phase = row.phase;
-            isKnown = true;
-        }
-    }
-    if (!isKnown)
+    if (const absl::optional<JobPhase> phase = phaseOfName(reader.text("phase")))
+        record.phase = *phase;
+    else
         reader.fail("phase", "is none of the known ones");
     if (reader.has("endedMs"))
         record.endedAt = absl::FromUnixMillis(reader.integer("endedMs"));
@@ -307,23 +290,14 @@
 
 } // namespace
 
-absl::string_view phaseName(JobPhase phase)
-{
-    for (const PhaseRow& row : phaseTable) {
-        if (row.phase == phase)
-            return row.name;
-    }
-    return "";
-}
-
 std::string encodeRecord(const RecordValue& value)
 {
-    return toJsonText(std::visit(RecordEncoder(), value), false);
+    return toJsonText(std::visit(RecordEncoder(), value));
 }
 
 absl::StatusOr<RecordValue> decodeRecord(Collection collection, absl::string_view bytes)
 {
-    const absl::StatusOr<json> parsed = parseJsonText(bytes);
+    const absl::StatusOr<json> parsed = parseJson(bytes);
     if (!parsed.ok())
         return parsed.status();
     switch (collection) {
--- a/src/adapters/json/batch_record_json_func.h
+++ b/src/adapters/json/batch_record_json_func.h
@@ -15,6 +15,4 @@
 // Decodes a record of a collection that nodes write. MalformedBody for bytes that no node has written.
 absl::StatusOr<RecordValue> decodeRecord(Collection collection, absl::string_view bytes);
 
-absl::string_view phaseName(JobPhase phase);
-
 } // namespace mangohall::batch
--- a/src/adapters/json/config_json_func.cpp
+++ b/src/adapters/json/config_json_func.cpp
@@ -208,15 +208,4 @@
     return spec;
 }
 
-absl::StatusOr<nlohmann::json> parseJson(absl::string_view text)
-{
-    try {
-        return nlohmann::json::parse(text.begin(), text.end());
-    } catch (const nlohmann::json::parse_error& error) {
-        return makeError(ErrorKind::MalformedBody, absl::StrCat("not JSON at byte ", error.byte));
-    } catch (const nlohmann::json::exception& error) {
-        return makeError(ErrorKind::MalformedBody, absl::StrCat("not JSON: ", error.what()));
-    }
-}
-
 } // namespace mangohall
--- a/src/adapters/json/config_json_func.h
+++ b/src/adapters/json/config_json_func.h
@@ -20,7 +20,4 @@
 // Reads the fields of a spec. Errors: UnknownField, InvalidValue; the message has the path of the field.
 absl::StatusOr<ConfigSpec> configSpecFromJson(ConfigKind kind, absl::string_view name, const nlohmann::json& fields);
 
-// Parses text as JSON; MalformedBody with the place of the fault.
-absl::StatusOr<nlohmann::json> parseJson(absl::string_view text);
-
 } // namespace mangohall
--- a/src/adapters/json/field_reader_base.cpp
+++ b/src/adapters/json/field_reader_base.cpp
@@ -165,19 +165,4 @@
     return counts;
 }
 
-absl::StatusOr<nlohmann::json> parseJsonText(absl::string_view text)
-{
-    nlohmann::json parsed = nlohmann::json::parse(text.begin(), text.end(), nullptr, false);
-    if (parsed.is_discarded())
-        return makeError(ErrorKind::MalformedBody, "is not JSON");
-    return parsed;
-}
-
-std::string toJsonText(const nlohmann::json& json, bool isPretty)
-{
-    constexpr int noIndent = -1;
-    constexpr int indent = 2;
-    return json.dump(isPretty ? indent : noIndent, ' ', false, nlohmann::json::error_handler_t::replace);
-}
-
 } // namespace mangohall
--- a/src/adapters/json/field_reader_base.h
+++ b/src/adapters/json/field_reader_base.h
@@ -47,9 +47,4 @@
     absl::Status m_status;
 };
 
-// Parses a text. MalformedBody if it is no JSON.
-absl::StatusOr<nlohmann::json> parseJsonText(absl::string_view text);
-// The shortest text. Bytes that are no UTF-8 are replaced.
-std::string toJsonText(const nlohmann::json& json, bool isPretty);
-
 } // namespace mangohall
--- a/src/adapters/json/job_json_func.cpp
+++ b/src/adapters/json/job_json_func.cpp
@@ -174,9 +174,4 @@
     return object;
 }
 
-std::string toJsonText(const nlohmann::json& value)
-{
-    return value.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
-}
-
 } // namespace mangohall
--- a/src/adapters/json/job_json_func.h
+++ b/src/adapters/json/job_json_func.h
@@ -23,7 +23,4 @@
 // Whether the job of this status ran, as far as it is known. A job that has not ended is Unknown.
 Execution executionOf(const JobStatus& status);
 
-// JSON text of a value. Bytes that are not UTF-8 are replaced.
-std::string toJsonText(const nlohmann::json& value);
-
 } // namespace mangohall
--- a/src/adapters/platform/vm_list_json_func.cpp
+++ b/src/adapters/platform/vm_list_json_func.cpp
@@ -4,6 +4,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "adapters/json/config_json_func.h"
+#include "adapters/json/json_text_func.h"
 #include "adapters/json/object_reader_base.h"
 #include "core/error_func.h"
 
--- a/src/adapters/wire/store_codec_base.cpp
+++ b/src/adapters/wire/store_codec_base.cpp
@@ -5,6 +5,7 @@
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
 #include "adapters/json/config_json_func.h"
+#include "adapters/json/json_text_func.h"
 #include "adapters/json/object_reader_base.h"
 #include "adapters/wire/job_wire_func.h"
 #include "adapters/wire/membership_json_func.h"
--- a/src/batch/desk/desk_part_cmd.cpp
+++ b/src/batch/desk/desk_part_cmd.cpp
@@ -5,6 +5,7 @@
 
 #include "absl/strings/ascii.h"
 #include "absl/strings/str_cat.h"
+#include "batch/job/phase_name_func.h"
 #include "core/error_func.h"
 
 namespace mangohall::batch {
@@ -57,23 +58,6 @@
     return found == counts->waiting.end() ? 0 : found->second;
 }
 
-absl::string_view phaseName(JobPhase phase)
-{
-    switch (phase) {
-    case JobPhase::Pending:
-        return "pending";
-    case JobPhase::Active:
-        return "active";
-    case JobPhase::Completed:
-        return "completed";
-    case JobPhase::Failed:
-        return "failed";
-    case JobPhase::Aborted:
-        break;
-    }
-    return "aborted";
-}
-
 } // namespace
 
 DeskPart::DeskPart(const NodeSettings& settings)
--- a/src/batch/fleet/worker_session_base.h
+++ b/src/batch/fleet/worker_session_base.h
@@ -177,6 +177,7 @@
     DueCall makeRunCall(SessionCall::Kind kind, const RunKey& run, absl::Time now);
     WorkerCall makeCall(absl::Duration timeout) const;
     WorkerMillis leaseUntil(absl::Time now) const;
+    void noteLease(absl::Time now);
     absl::Time dueAt(const RunSlot& slot) const;
 
     WorkerEntry m_entry;
--- /dev/null
+++ b/src/batch/owner/owner_load_cmd.cpp
@@ -0,0 +1,164 @@
+// What the owner learns from the store: what an earlier owner has written, jobs, cancellations and workers.
+#include "batch/owner/owner_part_base.h"
+
+#include <utility>
+
+#include "batch/policy/room_search_base.h"
+#include "core/error_func.h"
+
+namespace mangohall::batch {
+
+namespace {
+
+constexpr absl::Duration listTimeout = absl::Seconds(2);
+
+} // namespace
+
+void OwnerPart::takeOwnership(const OwnershipNews& news, absl::Time now)
+{
+    if (!news.isTaken && !news.isLost)
+        return;
+    DecisionEffect decision;
+    decision.kind = news.isTaken ? DecisionEffect::Kind::OwnershipTaken : DecisionEffect::Kind::OwnershipLost;
+    decision.reason = news.reason;
+    decision.epoch = m_ownership.epoch();
+    m_outbox.log(std::move(decision));
+    m_book.clear();
+    m_fleet.reset(m_ownership.epoch());
+    m_writer.reset();
+    m_jobFollower.stop();
+    m_workerFollower.stop();
+    m_loading = Loading();
+    m_allocatedAt = now;
+}
+
+void OwnerPart::advanceLoading(absl::Time now)
+{
+    if (now < m_loading.retryAt)
+        return;
+    if (!m_loading.hasProgress && m_loading.progressCall == 0)
+        m_loading.progressCall = m_outbox.toStore(ReadCollection { Collection::Progress }, listTimeout);
+    if (!m_loading.hasCounts && m_loading.countsCall == 0)
+        m_loading.countsCall = m_outbox.toStore(ReadRecord { { Collection::QueueCounts, "" } }, listTimeout);
+    const bool isRead = m_loading.hasProgress && m_loading.hasCounts && m_loading.hasJobs && m_loading.hasWorkers;
+    if (isRead && !m_loading.isDone)
+        finishLoading(now);
+}
+
+void OwnerPart::takeProgress(const StoreReply& reply, absl::Time now)
+{
+    m_loading.progressCall = 0;
+    if (!reply.status.ok()) {
+        m_loading.retryAt = now + loadRetryPeriod;
+        return;
+    }
+    m_loading.hasProgress = true;
+    for (const Record& record : reply.records) {
+        if (const auto* progress = std::get_if<ProgressRecord>(&record.value))
+            m_book.addProgress(JobId(record.key.name), *progress, record.revision);
+        else
+            logUnreadable(record);
+    }
+}
+
+void OwnerPart::takeCounts(const StoreReply& reply, absl::Time now)
+{
+    m_loading.countsCall = 0;
+    const bool isAbsent = errorKindOf(reply.status) == ErrorKind::NotFound;
+    if (!reply.status.ok() && !isAbsent) {
+        m_loading.retryAt = now + loadRetryPeriod;
+        return;
+    }
+    m_loading.hasCounts = true;
+    if (isAbsent || reply.records.empty())
+        return;
+    const Record& record = reply.records.front();
+    const auto* counts = std::get_if<QueueCounts>(&record.value);
+    m_writer.noteCounts(counts == nullptr ? QueueCounts() : *counts, record.revision);
+}
+
+// Everything has been read. Runs that the store tells of take room until their workers have been looked at.
+void OwnerPart::finishLoading(absl::Time now)
+{
+    m_loading.isDone = true;
+    m_loading.doneAt = now;
+    for (auto& [id, entry] : m_book.entries())
+        adoptRuns(entry, now);
+    std::vector<JobId> cancelled;
+    for (const auto& [id, entry] : m_book.entries()) {
+        if (m_book.isCancelled(id))
+            cancelled.push_back(id);
+    }
+    for (const JobId& job : cancelled)
+        cancelJob(job, now);
+    m_isAllocationDue = true;
+}
+
+void OwnerPart::adoptRuns(JobEntry& entry, absl::Time now)
+{
+    for (const TaskRef& task : entry.progress.placedTasks()) {
+        const TaskProgress& placed = *entry.progress.find(task);
+        const RunKey run { { entry.progress.job().id, task }, placed.attempt };
+        WorkerSession& session = m_fleet.findOrRemember(placed.worker, placed.workerBornMs);
+        session.adopt(run, countedDemand(entry.progress.stepSpec(task.step)), now);
+    }
+    if (entry.progress.isFinal())
+        stopRunsOf(entry, now);
+}
+
+void OwnerPart::takeJobs(const CollectionNews& news, absl::Time now)
+{
+    for (const Record& record : news.records) {
+        const JobId id(record.key.name);
+        if (const auto* job = std::get_if<Job>(&record.value)) {
+            learnJob(*job, now);
+        } else if (std::holds_alternative<Cancellation>(record.value)) {
+            m_book.addCancellation(id);
+            if (m_loading.isDone)
+                cancelJob(id, now);
+        } else if (std::holds_alternative<UnreadableRecord>(record.value)) {
+            logUnreadable(record);
+        }
+    }
+    m_loading.hasJobs = m_loading.hasJobs || news.isWhole;
+}
+
+void OwnerPart::learnJob(const Job& job, absl::Time now)
+{
+    if (!m_book.add(job) || !m_loading.isDone)
+        return;
+    DecisionEffect decision;
+    decision.kind = DecisionEffect::Kind::JobLearned;
+    decision.job = job.id.str();
+    decision.queue = job.queue.str();
+    decision.organisation = job.organisation.str();
+    decision.age = now - job.acceptedAt;
+    m_outbox.log(std::move(decision));
+    m_isAllocationDue = true;
+    if (m_book.isCancelled(job.id))
+        cancelJob(job.id, now);
+}
+
+void OwnerPart::cancelJob(const JobId& job, absl::Time now)
+{
+    JobEntry* entry = m_book.find(job);
+    if (entry == nullptr || !entry->progress.cancel(now))
+        return;
+    m_book.markDirty(*entry);
+    stopRunsOf(*entry, now);
+    logJobEnd(*entry, now);
+}
+
+void OwnerPart::takeWorkers(const CollectionNews& news, absl::Time now)
+{
+    for (const Record& record : news.records) {
+        if (std::holds_alternative<UnreadableRecord>(record.value))
+            logUnreadable(record);
+    }
+    for (const FleetNews& one : m_fleet.takeRecords(news.records, news.isWhole, now))
+        takeFleetNews(one, now);
+    m_loading.hasWorkers = m_loading.hasWorkers || news.isWhole;
+    m_isAllocationDue = true;
+}
+
+} // namespace mangohall::batch
--- /dev/null
+++ b/src/batch/owner/owner_log_cmd.cpp
@@ -0,0 +1,57 @@
+// The decisions of the owner as the log shows them.
+#include "batch/owner/owner_part_base.h"
+
+#include <utility>
+
+#include "batch/job/phase_name_func.h"
+#include "batch/owner/run_name_func.h"
+
+namespace mangohall::batch {
+
+void OwnerPart::logRun(
+    DecisionEffect::Kind kind, const RunKey& run, const WorkerName& worker, absl::string_view outcome)
+{
+    DecisionEffect decision;
+    decision.kind = kind;
+    decision.job = run.task.job.str();
+    decision.run = runName(run);
+    decision.worker = worker.str();
+    decision.outcome = std::string(outcome);
+    decision.epoch = m_ownership.epoch();
+    m_outbox.log(std::move(decision));
+}
+
+void OwnerPart::logJobEnd(const JobEntry& entry, absl::Time now)
+{
+    const Job& job = entry.progress.job();
+    DecisionEffect decision;
+    decision.kind = DecisionEffect::Kind::JobEnded;
+    decision.job = job.id.str();
+    decision.queue = job.queue.str();
+    decision.outcome = std::string(phaseName(entry.progress.phase()));
+    decision.age = now - job.acceptedAt;
+    m_outbox.log(std::move(decision));
+}
+
+void OwnerPart::logWorker(const FleetNews& news)
+{
+    DecisionEffect decision;
+    decision.kind = news.session.isLost ? DecisionEffect::Kind::WorkerLost : DecisionEffect::Kind::WorkerFound;
+    decision.worker = news.worker.str();
+    decision.epoch = m_ownership.epoch();
+    decision.version = news.bornMs;
+    m_outbox.log(std::move(decision));
+}
+
+void OwnerPart::logUnreadable(const Record& record)
+{
+    DecisionEffect decision;
+    decision.kind = DecisionEffect::Kind::RecordUnreadable;
+    decision.run = record.key.name;
+    decision.version = record.revision;
+    if (const auto* unreadable = std::get_if<UnreadableRecord>(&record.value))
+        decision.reason = unreadable->reason;
+    m_outbox.log(std::move(decision));
+}
+
+} // namespace mangohall::batch
--- a/src/batch/owner/owner_part_base.h
+++ b/src/batch/owner/owner_part_base.h
@@ -24,6 +24,9 @@
     Effects handle(const Event& event, absl::Time now) override;
 
 private:
+    // Before a reading that has failed is tried again.
+    static constexpr absl::Duration loadRetryPeriod = absl::Milliseconds(150);
+
     // What has been read since the ownership was taken.
     struct Loading {
         bool hasJobs = false;
@@ -68,6 +71,7 @@
     void advance(absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void advanceDrain() ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     absl::Time nextDue(absl::Time now) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    void logJobEnd(const JobEntry& entry, absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void logRun(DecisionEffect::Kind kind, const RunKey& run, const WorkerName& worker, absl::string_view outcome)
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void logWorker(const FleetNews& news) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
--- a/src/programs/ctl/job_path_func.cpp
+++ b/src/programs/ctl/job_path_func.cpp
@@ -4,6 +4,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "adapters/json/job_json_func.h"
+#include "adapters/json/json_text_func.h"
 
 namespace mangohall {
 
--- a/src/programs/ctl/main.cpp
+++ b/src/programs/ctl/main.cpp
@@ -6,8 +6,8 @@
 
 #include "absl/time/clock.h"
 #include "adapters/http/curl_http_client_base.h"
-#include "adapters/runtime/seeded_random_base.h"
 #include "adapters/runtime/system_clock_base.h"
+#include "core/seeded_random_base.h"
 #include "programs/ctl/client_func.h"
 
 namespace {
--- a/src/programs/ctl/watch_follower_base.cpp
+++ b/src/programs/ctl/watch_follower_base.cpp
@@ -2,6 +2,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "adapters/json/job_json_func.h"
+#include "adapters/json/json_text_func.h"
 #include "core/error_func.h"
 #include "programs/ctl/json_field_func.h"
 #include "programs/ctl/present_func.h"
--- a/tests/adapters/json/config_json_test.cpp
+++ b/tests/adapters/json/config_json_test.cpp
@@ -1,5 +1,6 @@
 #include "adapters/json/config_json_func.h"
 
+#include "adapters/json/json_text_func.h"
 #include "core/error_func.h"
 #include "gtest/gtest.h"
 
--- a/tests/adapters/json/job_json_test.cpp
+++ b/tests/adapters/json/job_json_test.cpp
@@ -2,6 +2,7 @@
 #include "adapters/json/job_json_func.h"
 
 #include "adapters/json/config_json_func.h"
+#include "adapters/json/json_text_func.h"
 #include "core/error_func.h"
 #include "gtest/gtest.h"
 
--- a/tests/adapters/platform_worker/worker_json_test.cpp
+++ b/tests/adapters/platform_worker/worker_json_test.cpp
@@ -1,6 +1,7 @@
 #include "adapters/platform_worker/worker_json_func.h"
 
 #include "adapters/json/config_json_func.h"
+#include "adapters/json/json_text_func.h"
 #include "core/error_func.h"
 #include "gtest/gtest.h"
 
--- a/tests/adapters/runtime/node_runtime_test.cpp
+++ b/tests/adapters/runtime/node_runtime_test.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include "adapters/runtime/seeded_random_base.h"
+#include "core/seeded_random_base.h"
 #include "fakes/fake_node_base.h"
 #include "fakes/fake_ports_base.h"
 #include "fakes/manual_clock_base.h"
--- a/tests/platform/standin_json_func.cpp
+++ b/tests/platform/standin_json_func.cpp
@@ -8,6 +8,7 @@
 #include "absl/strings/strip.h"
 #include "adapters/json/batch_record_json_func.h"
 #include "adapters/json/field_reader_base.h"
+#include "adapters/json/json_text_func.h"
 #include "core/error_func.h"
 #include "platform/store_key_func.h"
 #include "platform/worker_message_func.h"
@@ -50,9 +51,9 @@
 std::string valueOf(const batch::RecordValue& value)
 {
     if (const auto* manifest = std::get_if<batch::Manifest>(&value))
-        return toJsonText(toJson(*manifest), false);
+        return toJsonText(toJson(*manifest));
     if (const auto* entry = std::get_if<batch::WorkerEntry>(&value))
-        return toJsonText(toJson(*entry), false);
+        return toJsonText(toJson(*entry));
     return batch::encodeRecord(value);
 }
 
@@ -207,7 +208,7 @@
         return watchOf(request);
     if (request.path != "/v1/kv-txn" && request.path != "/v1/kv-lease")
         return leaseCallOf(request);
-    const absl::StatusOr<json> body = parseJsonText(request.body);
+    const absl::StatusOr<json> body = parseJson(request.body);
     if (!body.ok())
         return body.status();
     if (request.path == "/v1/kv-txn")
@@ -232,13 +233,13 @@
                 body[field].push_back(itemOf(record));
         }
     }
-    response.body = toJsonText(body, false);
+    response.body = toJsonText(body);
     return response;
 }
 
 absl::StatusOr<batch::WorkerCall> workerCallOf(const std::string& worker, const ServedRequest& request)
 {
-    const absl::StatusOr<json> body = parseJsonText(request.body);
+    const absl::StatusOr<json> body = parseJson(request.body);
     if (!body.ok())
         return body.status();
     FieldReader reader(*body);
@@ -277,7 +278,7 @@
         response.status = 409;
         body["reason"] = std::string(reasonOf(reply.refusal));
     }
-    response.body = toJsonText(body, false);
+    response.body = toJsonText(body);
     return response;
 }
 
--- a/tests/standins/faulty_handler_base.cpp
+++ b/tests/standins/faulty_handler_base.cpp
@@ -8,6 +8,7 @@
 
 #include "absl/strings/match.h"
 #include "adapters/json/config_json_func.h"
+#include "adapters/json/json_text_func.h"
 
 namespace mangohall {
 
--- a/tests/standins/store_service_base.cpp
+++ b/tests/standins/store_service_base.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "adapters/json/config_json_func.h"
+#include "adapters/json/json_text_func.h"
 #include "core/error_func.h"
 #include "standins/faulty_handler_base.h"
 
--- a/tests/standins/vm_list_service_base.cpp
+++ b/tests/standins/vm_list_service_base.cpp
@@ -5,6 +5,7 @@
 #include "absl/strings/match.h"
 #include "absl/strings/strip.h"
 #include "adapters/json/config_json_func.h"
+#include "adapters/json/json_text_func.h"
 #include "adapters/json/object_reader_base.h"
 #include "adapters/platform/vm_list_json_func.h"
 #include "core/error_func.h"
--- a/tests/standins/worker/worker_building_base.cpp
+++ b/tests/standins/worker/worker_building_base.cpp
@@ -6,6 +6,7 @@
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
 #include "adapters/json/config_json_func.h"
+#include "adapters/json/json_text_func.h"
 #include "adapters/platform_worker/task_json_func.h"
 #include "core/error_func.h"
 
--- a/tests/standins/worker/worker_building_test.cpp
+++ b/tests/standins/worker/worker_building_test.cpp
@@ -4,6 +4,7 @@
 #include "absl/strings/str_cat.h"
 #include "adapters/http/curl_http_client_base.h"
 #include "adapters/json/config_json_func.h"
+#include "adapters/json/json_text_func.h"
 #include "adapters/platform_worker/http_worker_port_base.h"
 #include "standins/real_clock_base.h"
 #include "gtest/gtest.h"
--- a/tests/standins/worker/worker_task_base.cpp
+++ b/tests/standins/worker/worker_task_base.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "adapters/json/config_json_func.h"
+#include "adapters/json/json_text_func.h"
 #include "adapters/json/object_reader_base.h"
 
 namespace mangohall {
