Change: the watch on the worker list pauses after changes

Ruled out: the watches on jobs, manifest and holder (few changes).

A watch with changes is followed by the next one 150 ms later. Tried: 250 ms, with which the owner learns of draining workers too late for BatchWorkerFault.StartsNothingOnAWorkerThatDrains.

--- a/src/batch/owner/owner_part_cmd.cpp
+++ b/src/batch/owner/owner_part_cmd.cpp
@@ -13,6 +13,8 @@
 
 constexpr absl::Duration jobWatchWait = absl::Seconds(2);
 constexpr absl::Duration workerWatchWait = absl::Seconds(2);
+// Each worker renews its entry every second or so.
+constexpr absl::Duration workerWatchPause = absl::Milliseconds(150);
 // Events that come together are served by one choice.
 constexpr absl::Duration shortestAllocationPause = absl::Milliseconds(10);
 constexpr absl::Duration longestAllocationPause = absl::Milliseconds(150);
@@ -51,7 +53,7 @@
     , m_random(settings.seed)
     , m_ownership(settings.self, claimDelayOf(settings.processorShare), m_random)
     , m_jobFollower(Collection::Jobs, jobWatchWait)
-    , m_workerFollower(Collection::Workers, workerWatchWait)
+    , m_workerFollower(Collection::Workers, workerWatchWait, workerWatchPause)
     , m_fleet(settings.session)
     , m_writer(m_book)
 {
--- a/src/batch/store/collection_follower_base.cpp
+++ b/src/batch/store/collection_follower_base.cpp
@@ -88,6 +88,8 @@
     // A watch that has waited in vain proves that nothing had changed when it ended, and that was not before then.
     const bool hasWaited = reply.records.empty() && now >= m_sentAt + m_wait;
     m_confirmedAt = std::max(m_confirmedAt, hasWaited ? m_sentAt + m_wait : m_sentAt);
+    if (!reply.records.empty())
+        m_retryAt = now + m_pause;
     CollectionNews news;
     news.isConfirmed = true;
     news.records = reply.records;
--- a/src/batch/store/collection_follower_base.h
+++ b/src/batch/store/collection_follower_base.h
@@ -24,10 +24,12 @@
 // to call from several threads.
 class CollectionFollower {
 public:
-    // Every watch waits for `wait`.
-    CollectionFollower(Collection collection, absl::Duration wait)
+    // Every watch waits for `wait`. After changes the next one begins `pause` later, so that the changes of that time
+    // cost one call.
+    CollectionFollower(Collection collection, absl::Duration wait, absl::Duration pause = absl::ZeroDuration())
         : m_collection(collection)
         , m_wait(wait)
+        , m_pause(pause)
     {
     }
 
@@ -54,6 +56,7 @@
 
     const Collection m_collection;
     const absl::Duration m_wait;
+    const absl::Duration m_pause;
     CallId m_call = 0;
     bool m_isListing = false;
     bool m_hasRevision = false;
