Fix: a new owner looks at a few of its new workers at a time

Calls of callers were cut meanwhile. The pool of idle connections was smaller than the number of workers here too.

FleetTest.LooksAtAFewNewWorkersAtATime, FleetTest.GivesEveryNewWorkerItsTurnBesideSilentOnes.

--- a/src/batch/owner/fleet_base.cpp
+++ b/src/batch/owner/fleet_base.cpp
@@ -13,6 +13,7 @@
     m_due.clear();
     m_dueOf.clear();
     m_unsettled.clear();
+    m_firstLooks.clear();
 }
 
 WorkerSession* Fleet::find(const WorkerName& worker)
@@ -78,34 +79,46 @@
 void Fleet::advance(const StartSource& source, Outbox& outbox, absl::Time now)
 {
     collectDue(now);
+    for (const WorkerName& worker : m_firstLooks.takeTurns())
+        noteChange(worker);
     for (const WorkerName& worker : std::exchange(m_changed, {})) {
         const auto found = m_sessions.find(worker);
-        if (found == m_sessions.end())
-            continue;
-        if (found->second.isForgettable()) {
-            m_sessions.erase(found);
-            m_unsettled.erase(worker);
-            setDue(worker, absl::InfiniteFuture());
+        const bool isGone = found == m_sessions.end() || found->second.isForgettable();
+        if (!isGone) {
+            makeCalls(worker, found->second, source, outbox, now);
             continue;
         }
-        makeCalls(worker, found->second, source, outbox, now);
+        m_sessions.erase(worker);
+        m_unsettled.erase(worker);
+        m_firstLooks.forget(worker);
+        setDue(worker, absl::InfiniteFuture());
     }
 }
 
 void Fleet::makeCalls(
     const WorkerName& worker, WorkerSession& session, const StartSource& source, Outbox& outbox, absl::Time now)
 {
+    if (session.isListed() && !session.isSettled())
+        m_unsettled.insert(worker);
+    else
+        m_unsettled.erase(worker);
+    const bool isFirst = !session.isSettled();
+    const bool isDue = session.nextDue() <= now;
+    if (!isFirst || !isDue)
+        m_firstLooks.forgetTurn(worker);
+    if (isFirst && isDue && !m_firstLooks.admit(worker)) {
+        setDue(worker, absl::InfiniteFuture());
+        return;
+    }
     for (DueCall& due : session.takeDueCalls(now)) {
         if (due.about.kind == SessionCall::Kind::Start)
             due.call.command = source.describeStart(due.about.run);
+        if (due.about.kind == SessionCall::Kind::Look && isFirst)
+            m_firstLooks.noteLook(worker);
         const CallId call = outbox.toWorker(std::move(due.call));
         m_calls.emplace(call, OpenCall { worker, due.about });
     }
     setDue(worker, session.nextDue());
-    if (session.isListed() && !session.isSettled())
-        m_unsettled.insert(worker);
-    else
-        m_unsettled.erase(worker);
 }
 
 void Fleet::setDue(const WorkerName& worker, absl::Time due)
@@ -132,6 +145,8 @@
     const auto found = m_calls.find(call);
     const OpenCall open = std::move(found->second);
     m_calls.erase(found);
+    if (open.about.kind == SessionCall::Kind::Look)
+        m_firstLooks.noteReply(open.worker);
     FleetNews news { open.worker, 0, {} };
     WorkerSession* session = find(open.worker);
     if (session == nullptr)
--- a/src/batch/owner/fleet_base.h
+++ b/src/batch/owner/fleet_base.h
@@ -9,6 +9,7 @@
 #include "absl/container/flat_hash_map.h"
 #include "batch/fleet/worker_session_base.h"
 #include "batch/node/outbox_base.h"
+#include "batch/owner/first_look_queue_base.h"
 #include "batch/store/record_type.h"
 
 namespace mangohall::batch {
@@ -82,6 +83,8 @@
     absl::btree_set<std::pair<absl::Time, WorkerName>> m_due;
     absl::flat_hash_map<std::string, absl::Time> m_dueOf;
     absl::btree_set<WorkerName> m_unsettled;
+    // Of workers that have not answered under this epoch.
+    FirstLookQueue m_firstLooks;
 };
 
 } // namespace mangohall::batch
--- a/tests/batch/fleet_test.cpp
+++ b/tests/batch/fleet_test.cpp
@@ -56,10 +56,11 @@
         WorkerReply reply;
         reply.bornMs = 1;
         reply.clock = 1000;
-        for (const CallId call : callsIn(m_outbox.take()))
-            m_fleet.takeReply(call, reply, begin);
-        m_fleet.advance(m_source, m_outbox, begin);
-        m_outbox.take();
+        for (std::vector<CallId> calls = callsIn(m_outbox.take()); !calls.empty(); calls = callsIn(m_outbox.take())) {
+            for (const CallId call : calls)
+                m_fleet.takeReply(call, reply, begin);
+            m_fleet.advance(m_source, m_outbox, begin);
+        }
     }
 
     // Processor time of events that each change one worker.
@@ -110,6 +111,54 @@
     EXPECT_EQ(callsIn(m_outbox.take()).size(), 2U);
 }
 
+// Load: a new owner of three thousand workers.
+TEST_F(FleetTest, LooksAtAFewNewWorkersAtATime)
+{
+    constexpr std::size_t workers = 3000;
+    constexpr std::size_t mostAtATime = 64;
+    m_fleet.reset(1);
+    m_fleet.takeRecords(workerRows(workers), true, begin);
+    m_fleet.advance(m_source, m_outbox, begin);
+    std::vector<CallId> calls = callsIn(m_outbox.take());
+    EXPECT_EQ(calls.size(), mostAtATime);
+    WorkerReply reply;
+    reply.bornMs = 1;
+    reply.clock = 1000;
+    std::size_t answers = 0;
+    while (!calls.empty()) {
+        m_fleet.takeReply(calls.back(), reply, begin);
+        calls.pop_back();
+        ++answers;
+        m_fleet.advance(m_source, m_outbox, begin);
+        for (const CallId call : callsIn(m_outbox.take()))
+            calls.push_back(call);
+        EXPECT_LE(calls.size(), mostAtATime);
+    }
+    EXPECT_EQ(answers, workers);
+    EXPECT_TRUE(m_fleet.isSettled());
+}
+
+// Workers that do not answer must not keep the others waiting for ever.
+TEST_F(FleetTest, GivesEveryNewWorkerItsTurnBesideSilentOnes)
+{
+    constexpr int workers = 200;
+    m_fleet.reset(1);
+    m_fleet.takeRecords(workerRows(workers), true, begin);
+    WorkerReply silence;
+    silence.status = absl::UnavailableError("nothing came");
+    std::size_t looks = 0;
+    for (int second = 0; second < 5; ++second) {
+        m_fleet.advance(m_source, m_outbox, begin + absl::Seconds(second));
+        for (const CallId call : callsIn(m_outbox.take())) {
+            m_fleet.takeReply(call, silence, begin + absl::Seconds(second));
+            ++looks;
+        }
+    }
+    EXPECT_GE(looks, static_cast<std::size_t>(workers));
+    for (const auto& [name, session] : m_fleet.sessions())
+        EXPECT_GT(session.nextDue(), begin) << name.str() << " was never looked at";
+}
+
 // Load: a thousand workers of which one has something to tell.
 TEST_F(FleetTest, TakesNoLongerBesideQuietWorkers)
 {
