Fix: a request that was sent before its connection ended was told as not sent

Where the second connection is refused, the transfer ends with "could not connect", and the client took that for "nothing was sent"; the desk told the caller 503, and the commit had been carried out. The log shows it: the owner learned of the job 117 ms before the node refused it with "the store takes nothing from this node now".

Ruled out: the writer of records (it refuses only after the store has said so), a late commit (the store was sound).

Once a transfer has had a connection, its failure leaves the outcome unknown. CurlRefusedConnection.DoesNotKnowWhatBecameOfARequestThatWasSentBefore fails without it (OwnerUnreachable instead of OutcomeUnknown).

--- a/src/adapters/http/curl_transfer_base.cpp
+++ b/src/adapters/http/curl_transfer_base.cpp
@@ -67,8 +67,10 @@
     if (code == CURLE_OK || m_isClosedByTaker)
         return absl::OkStatus();
     const std::string message = absl::StrCat(m_host, ": ", curl_easy_strerror(code));
-    // Without a connection nothing of the request was sent.
-    if (code == CURLE_COULDNT_CONNECT || code == CURLE_COULDNT_RESOLVE_HOST)
+    // Without a connection nothing of the request was sent. The library tries anew by itself when a connection that it
+    // used again ends without a byte, and the failure is then that of the second one.
+    const bool isUnconnected = code == CURLE_COULDNT_CONNECT || code == CURLE_COULDNT_RESOLVE_HOST;
+    if (isUnconnected && !m_mayBeSent)
         return makeError(ErrorKind::OwnerUnreachable, message);
     return makeError(ErrorKind::OutcomeUnknown, message);
 }
@@ -164,6 +166,7 @@
 {
     // The connection may be one that an earlier transfer has opened.
     auto* transfer = static_cast<CurlTransfer*>(self);
+    transfer->m_mayBeSent = true;
     transfer->m_socket = transfer->m_sockets->findByLocalPort(transfer->m_host, static_cast<std::uint16_t>(localPort));
     return CURL_PREREQFUNC_OK;
 }
--- a/src/adapters/http/curl_transfer_base.h
+++ b/src/adapters/http/curl_transfer_base.h
@@ -65,6 +65,8 @@
     CurlSocketRegistry* m_sockets = nullptr;
     int m_socket = -1;
     bool m_isClosedByTaker = false;
+    // The request may have been sent, also over a connection that has ended since.
+    bool m_mayBeSent = false;
     HttpResponse m_response;
 };
 
--- a/tests/adapters/http/curl_refused_connection_test.cpp
+++ b/tests/adapters/http/curl_refused_connection_test.cpp
@@ -1,9 +1,12 @@
 // A connection that is refused.
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <string>
 #include <sys/socket.h>
+#include <thread>
 #include <unistd.h>
 
+#include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
 #include "adapters/http/curl_http_client_base.h"
 #include "adapters/http/response_waiter_base.h"
@@ -38,6 +41,70 @@
     sockaddr_in m_address {};
 };
 
+// Answers one request, takes in a second one on the same connection, and is gone.
+class DyingServer {
+public:
+    DyingServer()
+        : m_listener(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+    {
+        m_address.sin_family = AF_INET;
+        m_address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t size = sizeof(m_address);
+        auto* address = reinterpret_cast<sockaddr*>(&m_address);
+        if (::bind(m_listener, address, size) == 0 && ::listen(m_listener, 1) == 0)
+            ::getsockname(m_listener, address, &size);
+        m_thread = std::thread([this] { serve(); });
+    }
+    ~DyingServer() { m_thread.join(); }
+    DyingServer(const DyingServer&) = delete;
+    DyingServer& operator=(const DyingServer&) = delete;
+
+    std::uint16_t port() const { return ntohs(m_address.sin_port); }
+
+private:
+    void serve() const
+    {
+        constexpr absl::string_view answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+        const int connection = ::accept(m_listener, nullptr, nullptr);
+        readRequest(connection);
+        EXPECT_EQ(::write(connection, answer.data(), answer.size()), static_cast<ssize_t>(answer.size()));
+        readRequest(connection);
+        ::close(m_listener);
+        ::close(connection);
+    }
+
+    static void readRequest(int connection)
+    {
+        std::string text;
+        while (!absl::StrContains(text, "\r\n\r\n")) {
+            char byte = 0;
+            if (::read(connection, &byte, 1) != 1)
+                return;
+            text.push_back(byte);
+        }
+    }
+
+    int m_listener;
+    sockaddr_in m_address {};
+    std::thread m_thread;
+};
+
+TEST(CurlRefusedConnection, DoesNotKnowWhatBecameOfARequestThatWasSentBefore)
+{
+    const DyingServer server;
+    const RealClock clock;
+    CurlHttpClient client(clock, {});
+    HttpRequest request;
+    request.url = absl::StrCat("http://127.0.0.1:", server.port(), "/");
+    request.timeout = absl::Seconds(60);
+    ResponseWaiter first;
+    client.send(request, first.done());
+    ASSERT_TRUE(first.wait().ok());
+    ResponseWaiter second;
+    client.send(request, second.done());
+    EXPECT_EQ(errorKindOf(second.wait().status()), ErrorKind::OutcomeUnknown);
+}
+
 TEST(CurlRefusedConnection, TellsThatNothingWasSent)
 {
     const RefusingPort refusing;
