Fix: a leaving worker that is gone during a look is known to be gone again

Ruled out: the index of due workers (the looks went on), the pause of the watch (the worker was known to drain).

A failure of its own kind, PeerGone: the outcome is unknown, and nobody listens any more.

--- a/src/adapters/http/curl_transfer_base.cpp
+++ b/src/adapters/http/curl_transfer_base.cpp
@@ -67,12 +67,11 @@
     if (code == CURLE_OK || m_isClosedByTaker)
         return absl::OkStatus();
     const std::string message = absl::StrCat(m_host, ": ", curl_easy_strerror(code));
-    // Without a connection nothing of the request was sent. The library tries anew by itself when a connection that it
-    // used again ends without a byte, and the failure is then that of the second one.
-    const bool isUnconnected = code == CURLE_COULDNT_CONNECT || code == CURLE_COULDNT_RESOLVE_HOST;
-    if (isUnconnected && !m_mayBeSent)
-        return makeError(ErrorKind::OwnerUnreachable, message);
-    return makeError(ErrorKind::OutcomeUnknown, message);
+    if (code != CURLE_COULDNT_CONNECT && code != CURLE_COULDNT_RESOLVE_HOST)
+        return makeError(ErrorKind::OutcomeUnknown, message);
+    // Without a connection nothing of the request was sent. But the library tries anew by itself when a connection that
+    // it used again ends without a byte, and the failure is then that of the second one.
+    return makeError(m_mayBeSent ? ErrorKind::PeerGone : ErrorKind::OwnerUnreachable, message);
 }
 
 void CurlTransfer::setRequest()
--- a/src/adapters/http/http_client_port.h
+++ b/src/adapters/http/http_client_port.h
@@ -42,7 +42,7 @@
 
     // Returns at once. `done` is called once from the client's own thread; a status other than OK means that no whole
     // response arrived, and the request may or may not have taken effect; the kind OwnerUnreachable says that no
-    // connection was made, so that it has not.
+    // connection was made, so that it has not; PeerGone that there was one, and that nobody listens any more.
     virtual void send(const HttpRequest& request, Done done) = 0;
 
     // The same with a body that is taken piece by piece. The response given to `done` has an empty body.
--- a/src/batch/fleet/worker_session_reply_cmd.cpp
+++ b/src/batch/fleet/worker_session_reply_cmd.cpp
@@ -71,7 +71,8 @@
 
 void WorkerSession::noteSilence(const absl::Status& status, SessionNews& news)
 {
-    m_isUnreachable = errorKindOf(status) == ErrorKind::OwnerUnreachable;
+    const ErrorKind kind = errorKindOf(status);
+    m_isUnreachable = kind == ErrorKind::OwnerUnreachable || kind == ErrorKind::PeerGone;
     news.isLost = m_silences == 0;
     ++m_silences;
 }
--- a/src/core/error_type.h
+++ b/src/core/error_type.h
@@ -36,6 +36,8 @@
     StoreRefused,
     ManifestStale,
     OwnerUnreachable,
+    // The request may have been sent; its connection has ended, and nobody listens at the address any more.
+    PeerGone,
     Draining,
     WatchExpired,
     TimedOut,
--- a/src/core/table/error_table.h
+++ b/src/core/table/error_table.h
@@ -61,6 +61,7 @@
     { ErrorKind::StoreRefused, "storeRefused", 503, true, Execution::NotRun, absl::StatusCode::kUnavailable },
     // The manifest has not been read, or not been confirmed for too long.
     { ErrorKind::ManifestStale, "manifestStale", 503, true, Execution::NotRun, absl::StatusCode::kUnavailable },
+    { ErrorKind::PeerGone, "peerGone", 502, false, Execution::Unknown, absl::StatusCode::kUnknown },
     { ErrorKind::OwnerUnreachable, "ownerUnreachable", 503, true, Execution::Unknown, absl::StatusCode::kUnavailable },
     { ErrorKind::Draining, "draining", 503, true, Execution::NotRun, absl::StatusCode::kUnavailable },
     { ErrorKind::WatchExpired, "watchExpired", 410, true, Execution::NotRun, absl::StatusCode::kOutOfRange },
--- a/tests/batch/worker_session_test.cpp
+++ b/tests/batch/worker_session_test.cpp
@@ -63,6 +63,19 @@
         return {};
     }
 
+    // A worker that drains and is listed no more, with one run.
+    void drainWithARun()
+    {
+        settle();
+        const SessionCall begun = startRun(runOf(0));
+        m_session.takeReply(begun, answerOf(5100), m_now);
+        WorkerEntry draining = makeEntry();
+        draining.isDraining = true;
+        m_session.update(draining, m_now);
+        EXPECT_FALSE(m_session.takesWork(m_now));
+        m_session.noteUnlisted();
+    }
+
     bool isDue(SessionCall::Kind kind)
     {
         takeCalls();
@@ -174,18 +187,19 @@
 
 TEST_F(WorkerSessionTest, LosesRunsOfADrainedWorkerThatIsGoneAtOnce)
 {
-    settle();
-    const SessionCall begun = startRun(runOf(0));
-    m_session.takeReply(begun, answerOf(5100), m_now);
-    WorkerEntry draining = makeEntry();
-    draining.isDraining = true;
-    m_session.update(draining, m_now);
-    EXPECT_FALSE(m_session.takesWork(m_now));
-    m_session.noteUnlisted();
+    drainWithARun();
     m_session.takeReply(due(SessionCall::Kind::Look).about, noAnswer(ErrorKind::OwnerUnreachable), m_now);
     EXPECT_EQ(m_session.takeLapsed(m_now).size(), 1U);
 }
 
+// The look was out when the worker's process ended.
+TEST_F(WorkerSessionTest, LosesRunsOfADrainedWorkerThatIsGoneDuringALook)
+{
+    drainWithARun();
+    m_session.takeReply(due(SessionCall::Kind::Look).about, noAnswer(ErrorKind::PeerGone), m_now);
+    EXPECT_EQ(m_session.takeLapsed(m_now).size(), 1U);
+}
+
 TEST_F(WorkerSessionTest, EndsWhatAnotherProcessOfTheNameHad)
 {
     settle();
