Codechange: one index of what is due, for workers and for jobs

The fleet and the book of jobs each kept one by hand, the fleet as two containers, the book with entries that had to be recognised as stale. DueIndex replaces both. With it: a const find in the book in place of a const_cast, copies of a rack's rooms by the index that finds them, an unused function of the session gone, and one maker of a worker's entry in the tests.

--- a/src/batch/fleet/worker_session_base.cpp
+++ b/src/batch/fleet/worker_session_base.cpp
@@ -117,18 +117,6 @@
     return room;
 }
 
-std::int32_t WorkerSession::runsOfStep(const RunKey& like) const
-{
-    std::int32_t count = 0;
-    for (const auto& [run, slot] : m_runs) {
-        const TaskRef& task = run.task.task;
-        if (run.task.job == like.task.job && task.occurrence == like.task.task.occurrence
-            && task.step == like.task.task.step)
-            ++count;
-    }
-    return count;
-}
-
 void WorkerSession::reserve(const RunKey& run, const Resources& demand, absl::Time now)
 {
     RunSlot slot;
--- a/src/batch/fleet/worker_session_base.h
+++ b/src/batch/fleet/worker_session_base.h
@@ -121,7 +121,6 @@
     Resources freeRoom() const;
     // What is free once every run that is being stopped has ended.
     Resources roomAfterStops() const;
-    std::int32_t runsOfStep(const RunKey& like) const;
 
     // Keeps room for a run that is not durable yet.
     void reserve(const RunKey& run, const Resources& demand, absl::Time now);
--- a/src/batch/owner/demand_func.cpp
+++ b/src/batch/owner/demand_func.cpp
@@ -34,7 +34,8 @@
 
 using JobNames = absl::flat_hash_set<std::string>;
 
-Occupant occupantOf(const RunKey& run, const RunSlot& slot, JobBook& book, const JobNames& covered, absl::Time now)
+Occupant occupantOf(
+    const RunKey& run, const RunSlot& slot, const JobBook& book, const JobNames& covered, absl::Time now)
 {
     Occupant occupant;
     occupant.run = run;
@@ -52,7 +53,7 @@
     return occupant;
 }
 
-WorkerRoom roomOf(const WorkerSession& session, JobBook& book, const JobNames& covered, absl::Time now)
+WorkerRoom roomOf(const WorkerSession& session, const JobBook& book, const JobNames& covered, absl::Time now)
 {
     const WorkerEntry& entry = session.entry();
     WorkerRoom room;
@@ -140,7 +141,7 @@
     return demand;
 }
 
-std::vector<WorkerRoom> roomsOf(const Fleet& fleet, JobBook& book, const JobNames& covered, absl::Time now)
+std::vector<WorkerRoom> roomsOf(const Fleet& fleet, const JobBook& book, const JobNames& covered, absl::Time now)
 {
     std::vector<WorkerRoom> rooms;
     rooms.reserve(fleet.sessions().size());
--- a/src/batch/owner/fleet_base.cpp
+++ b/src/batch/owner/fleet_base.cpp
@@ -11,7 +11,6 @@
     m_calls.clear();
     m_changed.clear();
     m_due.clear();
-    m_dueOf.clear();
     m_unsettled.clear();
     m_firstLooks.clear();
 }
@@ -72,8 +71,8 @@
 
 void Fleet::collectDue(absl::Time now)
 {
-    for (auto due = m_due.begin(); due != m_due.end() && due->first <= now; ++due)
-        m_changed.insert(due->second);
+    for (const WorkerName& worker : m_due.dueBy(now))
+        noteChange(worker);
 }
 
 void Fleet::advance(const StartSource& source, Outbox& outbox, absl::Time now)
@@ -91,7 +90,7 @@
         m_sessions.erase(worker);
         m_unsettled.erase(worker);
         m_firstLooks.forget(worker);
-        setDue(worker, absl::InfiniteFuture());
+        m_due.set(worker, absl::InfiniteFuture());
     }
 }
 
@@ -107,7 +106,7 @@
     if (!isFirst || !isDue)
         m_firstLooks.forgetTurn(worker);
     if (isFirst && isDue && !m_firstLooks.admit(worker)) {
-        setDue(worker, absl::InfiniteFuture());
+        m_due.set(worker, absl::InfiniteFuture());
         return;
     }
     for (DueCall& due : session.takeDueCalls(now)) {
@@ -118,26 +117,7 @@
         const CallId call = outbox.toWorker(std::move(due.call));
         m_calls.emplace(call, OpenCall { worker, due.about });
     }
-    setDue(worker, session.nextDue());
-}
-
-void Fleet::setDue(const WorkerName& worker, absl::Time due)
-{
-    const auto [known, isNew] = m_dueOf.try_emplace(worker.str(), due);
-    if (!isNew && known->second == due)
-        return;
-    if (!isNew)
-        m_due.erase({ known->second, worker });
-    known->second = due;
-    if (due == absl::InfiniteFuture())
-        m_dueOf.erase(known);
-    else
-        m_due.emplace(due, worker);
-}
-
-absl::Time Fleet::nextDue() const
-{
-    return m_due.empty() ? absl::InfiniteFuture() : m_due.begin()->first;
+    m_due.set(worker, session.nextDue());
 }
 
 FleetNews Fleet::takeReply(CallId call, const WorkerReply& reply, absl::Time now)
--- a/src/batch/owner/fleet_base.h
+++ b/src/batch/owner/fleet_base.h
@@ -1,7 +1,5 @@
 #pragma once
 
-#include <string>
-#include <utility>
 #include <vector>
 
 #include "absl/container/btree_map.h"
@@ -9,6 +7,7 @@
 #include "absl/container/flat_hash_map.h"
 #include "batch/fleet/worker_session_base.h"
 #include "batch/node/outbox_base.h"
+#include "batch/owner/due_index_base.h"
 #include "batch/owner/first_look_queue_base.h"
 #include "batch/store/record_type.h"
 
@@ -53,7 +52,7 @@
     // Makes the calls that are due. Takes time for the workers that have something due or were changed, not for others.
     void advance(const StartSource& source, Outbox& outbox, absl::Time now);
     // As of the last `advance`.
-    absl::Time nextDue() const;
+    absl::Time nextDue() const { return m_due.next(); }
 
     bool isMine(CallId call) const { return m_calls.contains(call); }
     FleetNews takeReply(CallId call, const WorkerReply& reply, absl::Time now);
@@ -71,7 +70,6 @@
     void collectDue(absl::Time now);
     void makeCalls(
         const WorkerName& worker, WorkerSession& session, const StartSource& source, Outbox& outbox, absl::Time now);
-    void setDue(const WorkerName& worker, absl::Time due);
 
     const SessionSettings m_settings;
     Epoch m_epoch = 0;
@@ -79,9 +77,7 @@
     absl::flat_hash_map<CallId, OpenCall> m_calls;
     // Workers that the next `advance` looks at.
     absl::btree_set<WorkerName> m_changed;
-    // When each of the others is looked at, by time and by worker.
-    absl::btree_set<std::pair<absl::Time, WorkerName>> m_due;
-    absl::flat_hash_map<std::string, absl::Time> m_dueOf;
+    DueIndex<WorkerName> m_due;
     absl::btree_set<WorkerName> m_unsettled;
     // Of workers that have not answered under this epoch.
     FirstLookQueue m_firstLooks;
--- a/src/batch/owner/job_book_base.cpp
+++ b/src/batch/owner/job_book_base.cpp
@@ -25,7 +25,7 @@
         found->second.revision = earlier->second.revision;
         m_earlier.erase(earlier);
     }
-    setDue(found->second);
+    noteDue(found->second);
     return true;
 }
 
@@ -38,7 +38,7 @@
     }
     entry->progress.restore(std::move(record));
     entry->revision = revision;
-    setDue(*entry);
+    noteDue(*entry);
 }
 
 void JobBook::addCancellation(const JobId& job)
@@ -52,6 +52,12 @@
     return found == m_entries.end() ? nullptr : &found->second;
 }
 
+const JobEntry* JobBook::find(const JobId& job) const
+{
+    const auto found = m_entries.find(job);
+    return found == m_entries.end() ? nullptr : &found->second;
+}
+
 void JobBook::markDirty(JobEntry& entry)
 {
     if (entry.isDirty)
@@ -85,33 +91,22 @@
     return counts;
 }
 
-void JobBook::setDue(const JobEntry& entry)
+void JobBook::noteDue(const JobEntry& entry)
 {
-    const absl::Time due = entry.progress.nextDue();
-    if (due != absl::InfiniteFuture())
-        m_due.emplace(due, entry.progress.job().id);
+    m_due.set(entry.progress.job().id, entry.progress.nextDue());
 }
 
 bool JobBook::openDue(absl::Time now)
 {
     bool isOpened = false;
-    while (nextDue() <= now) {
-        const JobId job = m_due.begin()->second;
-        m_due.erase(m_due.begin());
-        JobEntry* entry = find(job);
-        if (entry == nullptr)
-            continue;
-        isOpened = entry->progress.openDue(now) || isOpened;
-        setDue(*entry);
+    for (const JobId& job : m_due.dueBy(now)) {
+        JobEntry& entry = *find(job);
+        isOpened = entry.progress.openDue(now) || isOpened;
+        noteDue(entry);
     }
     return isOpened;
 }
 
-absl::Time JobBook::nextDue() const
-{
-    return m_due.empty() ? absl::InfiniteFuture() : m_due.begin()->first;
-}
-
 std::vector<JobId> JobBook::endedBefore(absl::Time time, std::size_t count) const
 {
     std::vector<JobId> jobs;
@@ -128,6 +123,7 @@
 void JobBook::remove(const JobId& job)
 {
     m_entries.erase(job);
+    m_due.set(job, absl::InfiniteFuture());
     m_cancelled.erase(job.text());
 }
 
--- a/src/batch/owner/job_book_base.h
+++ b/src/batch/owner/job_book_base.h
@@ -6,12 +6,12 @@
 #include <vector>
 
 #include "absl/container/btree_map.h"
-#include "absl/container/btree_set.h"
 #include "absl/container/flat_hash_map.h"
 #include "absl/strings/string_view.h"
 #include "absl/time/time.h"
 #include "absl/types/span.h"
 #include "batch/job/job_progress_base.h"
+#include "batch/owner/due_index_base.h"
 #include "batch/store/record_type.h"
 
 namespace mangohall::batch {
@@ -65,6 +65,7 @@
     void addCancellation(const JobId& job);
 
     JobEntry* find(const JobId& job);
+    const JobEntry* find(const JobId& job) const;
     absl::btree_map<JobId, JobEntry>& entries() { return m_entries; }
 
     bool isCancelled(const JobId& job) const { return m_cancelled.contains(job.str()); }
@@ -79,7 +80,7 @@
     // Opens the occurrences that are due. True if one was opened.
     bool openDue(absl::Time now);
     // When the next occurrence of any job is due, at the earliest.
-    absl::Time nextDue() const;
+    absl::Time nextDue() const { return m_due.next(); }
     // Jobs that ended before the time and run nothing any more.
     std::vector<JobId> endedBefore(absl::Time time, std::size_t count) const;
     void remove(const JobId& job);
@@ -90,11 +91,11 @@
         Revision revision = 0;
     };
 
-    void setDue(const JobEntry& entry);
+    void noteDue(const JobEntry& entry);
 
     absl::btree_map<JobId, JobEntry> m_entries;
-    // When jobs have to be looked at for an occurrence; also for jobs that have ended or changed since.
-    absl::btree_set<std::pair<absl::Time, JobId>> m_due;
+    // When the next occurrence of each job is due.
+    DueIndex<JobId> m_due;
     absl::flat_hash_map<std::string, EarlierProgress> m_earlier;
     absl::flat_hash_map<std::string, bool> m_cancelled;
     std::vector<JobId> m_dirty;
--- a/src/batch/owner/owner_part_cmd.cpp
+++ b/src/batch/owner/owner_part_cmd.cpp
@@ -204,7 +204,7 @@
 {
     StartRun start { run, "", "" };
     // Only runs of known jobs are started.
-    const JobEntry* entry = const_cast<JobBook&>(m_book).find(run.task.job);
+    const JobEntry* entry = m_book.find(run.task.job);
     if (entry == nullptr)
         return start;
     start.payload = entry->progress.job().spec.payload;
--- a/src/batch/owner/run_review_func.cpp
+++ b/src/batch/owner/run_review_func.cpp
@@ -15,7 +15,7 @@
 constexpr double wholePercent = 100;
 
 // Nothing if the job is unknown.
-const StepSpec* specOf(const RunKey& run, JobBook& book)
+const StepSpec* specOf(const RunKey& run, const JobBook& book)
 {
     const JobEntry* entry = book.find(run.task.job);
     if (entry == nullptr || entry->progress.find(run.task.task) == nullptr)
@@ -23,13 +23,13 @@
     return &entry->progress.stepSpec(run.task.task.step);
 }
 
-bool isUrgent(const RunKey& run, JobBook& book)
+bool isUrgent(const RunKey& run, const JobBook& book)
 {
     return book.find(run.task.job)->progress.job().terms.priority == 0;
 }
 
 // A run that stands still is started elsewhere unless that loses more than its standing may.
-bool isStandingMisplaced(const RunKey& run, const RunSlot& slot, const StepSpec& spec, JobBook& book)
+bool isStandingMisplaced(const RunKey& run, const RunSlot& slot, const StepSpec& spec, const JobBook& book)
 {
     const bool isCheap = spec.estimate * (slot.percent / wholePercent) < cheapRestart;
     return !spec.isLasting && ((isUrgent(run, book) && !spec.isGang) || isCheap);
@@ -54,7 +54,7 @@
 
 } // namespace
 
-RunReview reviewRuns(const WorkerSession& session, JobBook& book, absl::Time now)
+RunReview reviewRuns(const WorkerSession& session, const JobBook& book, absl::Time now)
 {
     RunReview review;
     for (const RunKey& run : session.standingRuns(now)) {
--- a/src/batch/owner/run_review_func.h
+++ b/src/batch/owner/run_review_func.h
@@ -17,6 +17,6 @@
 };
 
 // Runs of unknown jobs and lasting tasks are in neither list of what to stop.
-RunReview reviewRuns(const WorkerSession& session, JobBook& book, absl::Time now);
+RunReview reviewRuns(const WorkerSession& session, const JobBook& book, absl::Time now);
 
 } // namespace mangohall::batch
--- a/src/batch/policy/priority_policy_base.cpp
+++ b/src/batch/policy/priority_policy_base.cpp
@@ -205,7 +205,7 @@
             // The trial takes a copy of the rooms, which is worth it for few of them.
             if (!m_search.mayHold(demand, indices.size(), place))
                 continue;
-            std::vector<WorkerRoom> trial = roomsOn(place);
+            std::vector<WorkerRoom> trial = m_search.copyOf(place);
             absl::optional<RoomPlan> plan = RoomSearch(trial).makeRoom(demand, indices, place);
             if (!plan || (best && plan->cost >= best->cost))
                 continue;
@@ -218,17 +218,6 @@
         m_allocation.evictions.insert(m_allocation.evictions.end(), best->evictions.begin(), best->evictions.end());
     }
 
-    // A copy of the rooms that a plan for the place may change; of all for an empty rack.
-    std::vector<WorkerRoom> roomsOn(const RackName& rack) const
-    {
-        std::vector<WorkerRoom> rooms;
-        for (const WorkerRoom& room : m_rooms) {
-            if (rack.empty() || room.rack == rack)
-                rooms.push_back(room);
-        }
-        return rooms;
-    }
-
     // Takes over rooms that a plan has changed. Both lists are in the same order.
     void replace(std::vector<WorkerRoom> changed)
     {
--- a/src/batch/policy/room_search_base.cpp
+++ b/src/batch/policy/room_search_base.cpp
@@ -43,6 +43,16 @@
     return found == m_byRack.end() ? absl::Span<const std::size_t>() : absl::MakeConstSpan(found->second);
 }
 
+std::vector<WorkerRoom> RoomSearch::copyOf(const RackName& rack) const
+{
+    const absl::Span<const std::size_t> places = roomsOn(rack);
+    std::vector<WorkerRoom> rooms;
+    rooms.reserve(places.size());
+    for (const std::size_t place : places)
+        rooms.push_back(m_rooms[place]);
+    return rooms;
+}
+
 bool RoomSearch::isEligible(const WorkerRoom& room, const StepDemand& demand)
 {
     if (room.service != demand.service)
--- a/src/batch/policy/room_search_base.h
+++ b/src/batch/policy/room_search_base.h
@@ -32,6 +32,9 @@
     // were. Changes nothing.
     bool mayHold(const StepDemand& demand, std::size_t count, const RackName& rack) const;
 
+    // A copy of the rooms of a rack, of all for an empty one, in their order.
+    std::vector<WorkerRoom> copyOf(const RackName& rack) const;
+
     // Places one task on the worker that it fits best. An empty rack stands for any.
     absl::optional<Placement> place(const StepDemand& demand, std::int32_t index, const RackName& rack);
 
--- a/tests/batch/fleet_test.cpp
+++ b/tests/batch/fleet_test.cpp
@@ -5,6 +5,7 @@
 #include <limits>
 
 #include "absl/strings/str_cat.h"
+#include "batch/worker_entry_func.h"
 #include "gtest/gtest.h"
 
 namespace mangohall::batch {
@@ -21,11 +22,7 @@
 {
     std::vector<Record> rows;
     for (int worker = 0; worker < count; ++worker) {
-        WorkerEntry entry;
-        entry.name = WorkerName(absl::StrCat("worker-", worker));
-        entry.address = "10.0.0.1:1";
-        entry.capacity = { 128000, 1 << 30, 8 };
-        entry.bornMs = 1;
+        const WorkerEntry entry = makeWorkerEntry(absl::StrCat("worker-", worker));
         Record row;
         row.key = { Collection::Workers, entry.name.str() };
         row.value = entry;
@@ -56,7 +53,7 @@
         m_fleet.advance(m_source, m_outbox, begin);
         EXPECT_FALSE(m_fleet.isSettled());
         WorkerReply reply;
-        reply.bornMs = 1;
+        reply.bornMs = 1000;
         reply.clock = 1000;
         for (std::vector<CallId> calls = callsIn(m_outbox.take()); !calls.empty(); calls = callsIn(m_outbox.take())) {
             for (const CallId call : calls)
@@ -130,7 +127,7 @@
     std::vector<CallId> calls = callsIn(m_outbox.take());
     EXPECT_EQ(calls.size(), mostAtATime);
     WorkerReply reply;
-    reply.bornMs = 1;
+    reply.bornMs = 1000;
     reply.clock = 1000;
     std::size_t answers = 0;
     while (!calls.empty()) {
--- a/tests/batch/run_review_test.cpp
+++ b/tests/batch/run_review_test.cpp
@@ -1,5 +1,6 @@
 #include "batch/owner/run_review_func.h"
 
+#include "batch/worker_entry_func.h"
 #include "gtest/gtest.h"
 
 namespace mangohall::batch {
@@ -13,19 +14,10 @@
 class RunReviewTest : public testing::Test {
 protected:
     RunReviewTest()
-        : m_session(makeEntry(), 1, SessionSettings())
+        : m_session(makeWorkerEntry("w"), 1, SessionSettings())
     {
     }
 
-    static WorkerEntry makeEntry()
-    {
-        WorkerEntry entry;
-        entry.name = WorkerName("w");
-        entry.capacity = { 1000, 1000, 8 };
-        entry.bornMs = born;
-        return entry;
-    }
-
     // One task of ten seconds that runs on the worker and has come so far two seconds after its start.
     void runTask(std::int32_t percent, bool isCheckpointing = false)
     {
@@ -51,7 +43,7 @@
 
     void drain(absl::Duration remaining)
     {
-        WorkerEntry entry = makeEntry();
+        WorkerEntry entry = makeWorkerEntry("w");
         entry.isDraining = true;
         entry.remaining = remaining;
         m_session.update(entry, m_now);
--- a/tests/batch/worker_session_test.cpp
+++ b/tests/batch/worker_session_test.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "batch/worker_entry_func.h"
 #include "core/error_func.h"
 #include "gtest/gtest.h"
 
@@ -34,20 +35,10 @@
 class WorkerSessionTest : public testing::Test {
 protected:
     WorkerSessionTest()
-        : m_session(makeEntry(), 1, SessionSettings())
+        : m_session(makeWorkerEntry("w"), 1, SessionSettings())
     {
     }
 
-    static WorkerEntry makeEntry()
-    {
-        WorkerEntry entry;
-        entry.name = WorkerName("w");
-        entry.address = "w";
-        entry.capacity = { 1000, 1000, 8 };
-        entry.bornMs = born;
-        return entry;
-    }
-
     // The oldest call of the kind that is out; fails the test if there is none.
     DueCall due(SessionCall::Kind kind)
     {
@@ -69,7 +60,7 @@
         settle();
         const SessionCall begun = startRun(runOf(0));
         m_session.takeReply(begun, answerOf(5100), m_now);
-        WorkerEntry draining = makeEntry();
+        WorkerEntry draining = makeWorkerEntry("w");
         draining.isDraining = true;
         m_session.update(draining, m_now);
         EXPECT_FALSE(m_session.takesWork(m_now));
@@ -205,7 +196,7 @@
     settle();
     const SessionCall begun = startRun(runOf(0));
     m_session.takeReply(begun, answerOf(5100), m_now);
-    WorkerEntry reborn = makeEntry();
+    WorkerEntry reborn = makeWorkerEntry("w");
     reborn.bornMs = born + 1;
     ASSERT_EQ(m_session.update(reborn, m_now).size(), 1U);
     EXPECT_FALSE(m_session.takesWork(m_now));
