Codechange: mangohallctl pauses by the runtime's clock

Its main file slept by itself, beside the clock that tests replace. Pause is a port now, as the clock is; SystemClock implements both, and the client's tests keep their counting fake.

--- a/src/adapters/runtime/system_clock_base.h
+++ b/src/adapters/runtime/system_clock_base.h
@@ -2,13 +2,15 @@
 
 #include "absl/time/clock.h"
 #include "ports/clock_port.h"
+#include "ports/pause_port.h"
 
 namespace mangohall {
 
 // The clock of the machine.
-class SystemClock : public Clock {
+class SystemClock : public Clock, public Pause {
 public:
     absl::Time now() const override { return absl::Now(); }
+    void pauseFor(absl::Duration duration) override { absl::SleepFor(duration); }
 };
 
 } // namespace mangohall
--- a/src/programs/ctl/client_func.h
+++ b/src/programs/ctl/client_func.h
@@ -6,6 +6,7 @@
 
 #include "absl/types/span.h"
 #include "adapters/http/http_client_port.h"
+#include "ports/pause_port.h"
 #include "ports/random_port.h"
 #include "programs/ctl/exit_code_type.h"
 #include "programs/ctl/retry_func.h"
--- a/src/programs/ctl/command_base.h
+++ b/src/programs/ctl/command_base.h
@@ -8,6 +8,7 @@
 #include <boost/program_options.hpp>
 
 #include "absl/strings/string_view.h"
+#include "ports/pause_port.h"
 #include "ports/random_port.h"
 #include "programs/ctl/entry_client_base.h"
 #include "programs/ctl/exit_code_type.h"
--- a/src/programs/ctl/retry_func.h
+++ b/src/programs/ctl/retry_func.h
@@ -5,18 +5,12 @@
 #include <string>
 
 #include "absl/time/time.h"
+#include "ports/pause_port.h"
 #include "ports/random_port.h"
 #include "programs/ctl/entry_client_base.h"
 
 namespace mangohall {
 
-// Waits between two attempts. Tests do not.
-class Pause {
-public:
-    virtual ~Pause() = default;
-    virtual void pauseFor(absl::Duration duration) = 0;
-};
-
 // Attempts at one request, the first included.
 inline constexpr int maxAttempts = 5;
 
