--- a/src/adapters/http/socket_poller_base.h
+++ b/src/adapters/http/socket_poller_base.h
@@ -24,8 +24,8 @@
     SocketPoller(const SocketPoller&) = delete;
     SocketPoller& operator=(const SocketPoller&) = delete;
 
-    // Watches the socket for what is asked, and for nothing else than before. False if the system has no memory left for
-    // it; such a socket is never told of.
+    // Watches the socket for what is asked, and for nothing else than before. False if the system has no memory left
+    // for it; such a socket is never told of.
     bool watch(int socket, bool isReadWanted, bool isWriteWanted);
     // A socket that is closed already needs no call.
     void forget(int socket);
