Feature: times of events and choices, and of guarantees, in the log and the metrics

No logic is changed. BatchRuntime takes the time that each event waited, was decided on and had effects; EventLoad counts it by part and kind and writes at most one line in 200 ms for a part that is behind. The owner tells how long each choice took and how many workers, steps and looks it went through, and when a guarantee covers a job and is enforced.

--- a/src/adapters/batch_runtime/batch_runtime_base.cpp
+++ b/src/adapters/batch_runtime/batch_runtime_base.cpp
@@ -32,12 +32,12 @@
 void BatchRuntime::post(CallerEvent event)
 {
     const PartIndex desk = m_node.deskFor(event.request.path);
-    m_threads.post(desk, std::move(event));
+    queue(desk, std::move(event));
 }
 
 void BatchRuntime::drain()
 {
-    m_threads.post(directoryPart, DrainEvent());
+    queue(directoryPart, DrainEvent());
 }
 
 bool BatchRuntime::waitUntilDrained(absl::Duration timeout)
@@ -48,14 +48,29 @@
 
 void BatchRuntime::wakePart(PartIndex part)
 {
-    m_threads.post(part, WakeEvent());
+    queue(part, WakeEvent());
 }
 
-void BatchRuntime::handlePart(PartIndex part, const Event& event)
+void BatchRuntime::queue(PartIndex part, Event event)
 {
-    const Effects effects = m_node.handle(part, event, m_clock.now());
+    m_threads.post(part, QueuedEvent { std::move(event), m_clock.now() });
+}
+
+void BatchRuntime::handlePart(PartIndex part, const QueuedEvent& queued)
+{
+    const absl::Time begun = m_clock.now();
+    const Effects effects = m_node.handle(part, queued.event, begun);
+    const absl::Time decided = m_clock.now();
     for (const Effect& effect : effects)
         std::visit([this, part](const auto& alternative) { execute(part, alternative); }, effect);
+    EventTiming timing;
+    timing.part = part;
+    timing.kind = queued.event.index();
+    timing.waited = begun - queued.queuedAt;
+    timing.handled = decided - begun;
+    timing.carriedOut = m_clock.now() - decided;
+    timing.queued = m_threads.queuedEvents();
+    m_ports.observer.observeEvent(timing);
 }
 
 void BatchRuntime::execute(PartIndex part, const WakeAtEffect& effect)
@@ -67,7 +82,7 @@
 {
     const CallId call = effect.call;
     m_ports.store.start(effect.request, effect.timeout, [this, part, call](StoreReply reply) {
-        m_threads.post(part, StoreEvent { call, std::move(reply) });
+        queue(part, StoreEvent { call, std::move(reply) });
     });
 }
 
@@ -75,7 +90,7 @@
 {
     const CallId call = effect.call;
     m_ports.worker.call(effect.request, [this, part, call](WorkerReply reply) {
-        m_threads.post(part, WorkerEvent { call, std::move(reply) });
+        queue(part, WorkerEvent { call, std::move(reply) });
     });
 }
 
@@ -86,7 +101,7 @@
 
 void BatchRuntime::execute(PartIndex /*part*/, const NotifyEffect& effect)
 {
-    m_threads.post(effect.part, effect.event);
+    queue(effect.part, effect.event);
 }
 
 void BatchRuntime::execute(PartIndex /*part*/, const ReadyEffect& effect)
--- a/src/adapters/batch_runtime/batch_runtime_base.h
+++ b/src/adapters/batch_runtime/batch_runtime_base.h
@@ -23,9 +23,15 @@
     ObserverPort& observer;
 };
 
+// An event with the time at which it was put in a part's queue.
+struct QueuedEvent {
+    Event event;
+    absl::Time queuedAt;
+};
+
 // Hands events to the parts of a node and carries out their effects. What calls back into the runtime has to be stopped
 // before it is destroyed.
-class BatchRuntime : public CallerSink, private PartHandler<Event> {
+class BatchRuntime : public CallerSink, private PartHandler<QueuedEvent> {
 public:
     BatchRuntime(Node& node, const Clock& clock, const RuntimePorts& ports, std::size_t threadCount);
     ~BatchRuntime() override;
@@ -45,8 +51,9 @@
     std::size_t queuedEvents() const { return m_threads.queuedEvents(); }
 
 private:
-    void handlePart(PartIndex part, const Event& event) override;
+    void handlePart(PartIndex part, const QueuedEvent& queued) override;
     void wakePart(PartIndex part) override;
+    void queue(PartIndex part, Event event);
 
     void execute(PartIndex part, const WakeAtEffect& effect);
     void execute(PartIndex part, const StoreEffect& effect);
@@ -60,7 +67,7 @@
     Node& m_node;
     const Clock& m_clock;
     const RuntimePorts m_ports;
-    PartThreads<Event> m_threads;
+    PartThreads<QueuedEvent> m_threads;
     absl::Mutex m_drainMutex;
     bool m_isDrained ABSL_GUARDED_BY(m_drainMutex) = false;
 };
--- a/src/adapters/observe/decision_log_base.cpp
+++ b/src/adapters/observe/decision_log_base.cpp
@@ -18,13 +18,13 @@
 constexpr double linesPerSecond = 400;
 constexpr double burstLines = 800;
 constexpr int bufferedLines = 512;
-constexpr unsigned latencyBins = 40;
-constexpr double leastSeconds = 0.0005;
-constexpr double mostSeconds = 120;
+// Quicker choices are counted and get no line.
+constexpr absl::Duration slowChoice = absl::Milliseconds(20);
 
-constexpr absl::string_view kindNames[] = { "submitted", "queried", "cancelled", "refused", "jobLearned", "jobEnded",
-    "runPlaced", "runEnded", "runEvicted", "runStopped", "workerFound", "workerLost", "ownershipTaken", "ownershipLost",
-    "manifestTaken", "storeLost", "storeRegained", "recordUnreadable" };
+constexpr absl::string_view kindNames[]
+    = { "submitted", "queried", "cancelled", "refused", "jobLearned", "jobEnded", "jobGuaranteed", "reclaimDue",
+          "choiceMade", "runPlaced", "runEnded", "runEvicted", "runStopped", "workerFound", "workerLost",
+          "ownershipTaken", "ownershipLost", "manifestTaken", "storeLost", "storeRegained", "recordUnreadable" };
 
 void setText(nlohmann::json& line, const char* field, const std::string& text)
 {
@@ -32,6 +32,16 @@
         line[field] = text;
 }
 
+void setChoice(nlohmann::json& line, const ChoiceLoad& choice)
+{
+    line["workers"] = choice.workers;
+    line["steps"] = choice.steps;
+    line["placed"] = choice.placed;
+    line["evicted"] = choice.evicted;
+    line["roomsTried"] = choice.roomsTried;
+    line["jobsAgeMs"] = absl::ToInt64Milliseconds(choice.jobsAge);
+}
+
 nlohmann::json toLine(const DecisionEffect& decision)
 {
     nlohmann::json line = { { "event", std::string(kindNames[static_cast<std::size_t>(decision.kind)]) } };
@@ -48,6 +58,8 @@
         line["version"] = decision.version;
     if (decision.age != absl::InfiniteDuration())
         line["ageMs"] = absl::ToInt64Milliseconds(decision.age);
+    if (decision.choice)
+        setChoice(line, *decision.choice);
     return line;
 }
 
@@ -82,19 +94,34 @@
     , m_refilledAt(clock.now())
 {
     static_assert(std::size(kindNames) == kindCount);
-    for (Shard& shard : m_shards) {
-        absl::MutexLock lock(&shard.mutex);
-        shard.series.seconds = LatencyHistogram(std::make_tuple(LatencyAxis(latencyBins, leastSeconds, mostSeconds)));
-    }
 }
 
 void DecisionLog::observe(const DecisionEffect& decision)
 {
     count(decision);
+    if (decision.choice && decision.age < slowChoice)
+        return;
     const absl::Time now = m_clock.now();
-    if (!takeLineAllowance(now))
+    if (takeLineAllowance(now))
+        write(toLine(decision), now);
+}
+
+void DecisionLog::observeEvent(const EventTiming& timing)
+{
+    const absl::Time now = m_clock.now();
+    const absl::optional<PartBehind> behind = m_eventLoad.add(timing, now);
+    if (!behind || !takeLineAllowance(now))
         return;
-    nlohmann::json line = toLine(decision);
+    write({ { "event", "partBehind" }, { "part", std::string(behind->part) }, { "kind", std::string(behind->event) },
+              { "waitedMs", absl::ToInt64Milliseconds(timing.waited) },
+              { "decisionMs", absl::ToInt64Milliseconds(timing.handled) },
+              { "effectsMs", absl::ToInt64Milliseconds(timing.carriedOut) }, { "queued", timing.queued },
+              { "events", behind->events } },
+        now);
+}
+
+void DecisionLog::write(nlohmann::json line, absl::Time now) const
+{
     line["node"] = m_self.str();
     line["timeMs"] = absl::ToUnixMillis(now);
     writeLine(line);
@@ -127,10 +154,7 @@
     ++shard.series.outcomes[decision.outcome];
     if (decision.age == absl::InfiniteDuration())
         return;
-    const double seconds = absl::ToDoubleSeconds(decision.age);
-    shard.series.seconds(seconds);
-    shard.series.totalSeconds += seconds;
-    ++shard.series.timed;
+    shard.series.durations.add(decision.age);
 }
 
 std::string DecisionLog::metricsText() const
@@ -143,20 +167,9 @@
         for (const auto& [outcome, times] : series.outcomes)
             absl::StrAppend(
                 &text, "mangohall_decisions{kind=\"", kindNames[kind], "\",outcome=\"", outcome, "\"} ", times, "\n");
-        if (series.timed == 0)
-            continue;
-        std::uint64_t below = series.seconds.at(-1);
-        for (int bin = 0; bin < static_cast<int>(latencyBins); ++bin) {
-            const std::uint64_t here = series.seconds.at(bin);
-            below += here;
-            if (here != 0)
-                absl::StrAppend(&text, "mangohall_decision_seconds_bucket{kind=\"", kindNames[kind], "\",le=\"",
-                    series.seconds.axis(0).bin(bin).upper(), "\"} ", below, "\n");
-        }
-        absl::StrAppend(&text, "mangohall_decision_seconds_bucket{kind=\"", kindNames[kind], "\",le=\"+Inf\"} ",
-            series.timed, "\n", "mangohall_decision_seconds_sum{kind=\"", kindNames[kind], "\"} ", series.totalSeconds,
-            "\n", "mangohall_decision_seconds_count{kind=\"", kindNames[kind], "\"} ", series.timed, "\n");
+        series.durations.appendTo(text, "mangohall_decision_seconds", absl::StrCat("kind=\"", kindNames[kind], "\""));
     }
+    m_eventLoad.appendTo(text);
     absl::MutexLock lock(&m_rateMutex);
     absl::StrAppend(&text, "mangohall_log_lines_dropped ", m_dropped, "\n");
     return text;
--- a/src/adapters/observe/decision_log_base.h
+++ b/src/adapters/observe/decision_log_base.h
@@ -6,15 +6,16 @@
 #include <cstdint>
 #include <map>
 #include <string>
-#include <tuple>
 
 #include "absl/base/thread_annotations.h"
 #include "absl/strings/string_view.h"
 #include "absl/synchronization/mutex.h"
 #include "absl/time/time.h"
+#include "adapters/observe/duration_histogram_base.h"
+#include "adapters/observe/event_load_base.h"
 #include "batch/ports/observer_port.h"
-#include "boost/histogram.hpp"
 #include "core/name_type.h"
+#include "nlohmann/json_fwd.hpp"
 #include "ports/clock_port.h"
 
 namespace mangohall::batch {
@@ -27,6 +28,7 @@
     DecisionLog(NodeName self, const Clock& clock);
 
     void observe(const DecisionEffect& decision) override;
+    void observeEvent(const EventTiming& timing) override;
 
     // Notes a change of the process itself: its start, stop or reload.
     void note(absl::string_view event, absl::string_view detail);
@@ -35,15 +37,9 @@
     std::string metricsText() const;
 
 private:
-    using LatencyAxis = boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>;
-    using LatencyHistogram
-        = boost::histogram::histogram<std::tuple<LatencyAxis>, boost::histogram::dense_storage<std::uint64_t>>;
-
     struct Series {
         std::map<std::string, std::uint64_t> outcomes;
-        LatencyHistogram seconds;
-        double totalSeconds = 0;
-        std::uint64_t timed = 0;
+        DurationHistogram durations;
     };
 
     // The series of one kind of decision, under a lock of its own.
@@ -52,14 +48,16 @@
         Series series ABSL_GUARDED_BY(mutex);
     };
 
-    static constexpr std::size_t kindCount = 18;
+    static constexpr std::size_t kindCount = 21;
 
+    void write(nlohmann::json line, absl::Time now) const;
     bool takeLineAllowance(absl::Time now);
     void count(const DecisionEffect& decision);
 
     const NodeName m_self;
     const Clock& m_clock;
     std::array<Shard, kindCount> m_shards;
+    EventLoad m_eventLoad;
     mutable absl::Mutex m_rateMutex;
     double m_allowance ABSL_GUARDED_BY(m_rateMutex);
     absl::Time m_refilledAt ABSL_GUARDED_BY(m_rateMutex);
--- a/src/batch/node/event_type.h
+++ b/src/batch/node/event_type.h
@@ -1,6 +1,7 @@
 // What comes into a node and what goes out. A node is driven by events alone and answers with effects.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -9,6 +10,7 @@
 
 #include "absl/status/statusor.h"
 #include "absl/time/time.h"
+#include "absl/types/optional.h"
 #include "batch/fleet/worker_type.h"
 #include "batch/routing/route_table_base.h"
 #include "batch/store/record_type.h"
@@ -127,6 +129,19 @@
 // The node has handed everything over and may exit.
 struct DrainedEffect { };
 
+// What one choice of who starts where went through.
+struct ChoiceLoad {
+    std::size_t workers = 0;
+    // Steps that waited for room.
+    std::size_t steps = 0;
+    std::size_t placed = 0;
+    std::size_t evicted = 0;
+    // How often a worker's room was looked at.
+    std::int64_t roomsTried = 0;
+    // Since the list of jobs was last known to be whole.
+    absl::Duration jobsAge;
+};
+
 // A decision or a change of belief, for logs and metrics. Empty fields are left out.
 struct DecisionEffect {
     enum class Kind {
@@ -136,6 +151,11 @@
         Refused,
         JobLearned,
         JobEnded,
+        // The job's organisation has a guarantee that covers it.
+        JobGuaranteed,
+        // The job has waited so long that its guarantee is enforced against work as urgent as itself.
+        ReclaimDue,
+        ChoiceMade,
         RunPlaced,
         RunEnded,
         RunEvicted,
@@ -161,6 +181,7 @@
     std::int64_t version = 0;
     // How old the input was that decided, or how long it took.
     absl::Duration age = absl::InfiniteDuration();
+    absl::optional<ChoiceLoad> choice;
 };
 
 using Effect = std::variant<WakeAtEffect, StoreEffect, WorkerEffect, AnswerEffect, NotifyEffect, ReadyEffect,
--- a/src/batch/node/node_base.cpp
+++ b/src/batch/node/node_base.cpp
@@ -11,10 +11,10 @@
 
 namespace mangohall::batch {
 
-Node::Node(const NodeSettings& settings)
+Node::Node(const NodeSettings& settings, const Clock& clock)
 {
     m_parts.push_back(std::make_unique<DirectoryPart>(settings));
-    m_parts.push_back(std::make_unique<OwnerPart>(settings, std::make_unique<PriorityPolicy>()));
+    m_parts.push_back(std::make_unique<OwnerPart>(settings, clock, std::make_unique<PriorityPolicy>()));
     for (std::size_t desk = 0; desk < std::max<std::size_t>(1, settings.deskCount); ++desk)
         m_parts.push_back(std::make_unique<DeskPart>(settings));
 }
--- a/src/batch/node/node_base.h
+++ b/src/batch/node/node_base.h
@@ -1,4 +1,4 @@
-// A node: all decisions of one process, without input, output or a clock.
+// A node: all decisions of one process, without input or output.
 #pragma once
 
 #include <cstddef>
@@ -10,6 +10,7 @@
 #include "absl/time/time.h"
 #include "batch/fleet/worker_session_base.h"
 #include "batch/node/node_part_base.h"
+#include "ports/clock_port.h"
 
 namespace mangohall::batch {
 
@@ -37,7 +38,8 @@
 // returns what is to be done; the caller does it after `handle` has returned and so outside every lock.
 class Node {
 public:
-    explicit Node(const NodeSettings& settings);
+    // The clock has to outlive the node. It only tells how long choices take; the time that decides comes with events.
+    Node(const NodeSettings& settings, const Clock& clock);
 
     std::size_t partCount() const { return m_parts.size(); }
 
--- a/src/batch/owner/job_book_base.h
+++ b/src/batch/owner/job_book_base.h
@@ -48,6 +48,9 @@
     bool isDirty = false;
     bool isWriting = false;
     PendingWork pending;
+    // Whether the log has told that a guarantee covers the job, and that it is enforced.
+    bool isGuaranteeTold = false;
+    bool isReclaimTold = false;
     // Since when each ready step has been ready, by occurrence and step.
     absl::btree_map<std::pair<std::int32_t, std::int32_t>, absl::Time> readySince;
 };
--- a/src/batch/owner/owner_log_cmd.cpp
+++ b/src/batch/owner/owner_log_cmd.cpp
@@ -33,6 +33,46 @@
     m_outbox.log(std::move(decision));
 }
 
+void OwnerPart::logChoice(
+    const Allocation& allocation, const AllocationInput& input, absl::Duration took, absl::Time now)
+{
+    ChoiceLoad load;
+    load.workers = input.rooms.size();
+    load.steps = input.demands.size();
+    load.placed = allocation.placements.size();
+    load.evicted = allocation.evictions.size();
+    load.roomsTried = allocation.roomsTried;
+    load.jobsAge = now - m_jobFollower.confirmedAt();
+    DecisionEffect decision;
+    decision.kind = DecisionEffect::Kind::ChoiceMade;
+    decision.epoch = m_ownership.epoch();
+    decision.age = took;
+    decision.choice = load;
+    m_outbox.log(std::move(decision));
+}
+
+// Each job once for each of the two.
+void OwnerPart::logGuarantees(const AllocationInput& input, absl::Time now)
+{
+    for (const StepDemand& demand : input.demands) {
+        JobEntry& entry = *m_book.find(demand.job);
+        const Job& job = entry.progress.job();
+        DecisionEffect decision;
+        decision.job = job.id.str();
+        decision.organisation = job.organisation.str();
+        decision.version = m_routes == nullptr ? 0 : m_routes->manifest().version;
+        decision.age = now - job.acceptedAt;
+        if (demand.isGuaranteed && !std::exchange(entry.isGuaranteeTold, true)) {
+            decision.kind = DecisionEffect::Kind::JobGuaranteed;
+            m_outbox.log(decision);
+        }
+        if (demand.mayReclaim && !std::exchange(entry.isReclaimTold, true)) {
+            decision.kind = DecisionEffect::Kind::ReclaimDue;
+            m_outbox.log(std::move(decision));
+        }
+    }
+}
+
 void OwnerPart::logWorker(const FleetNews& news)
 {
     DecisionEffect decision;
--- a/src/batch/owner/owner_part_base.h
+++ b/src/batch/owner/owner_part_base.h
@@ -6,6 +6,7 @@
 #include "absl/synchronization/mutex.h"
 #include "batch/node/node_base.h"
 #include "batch/node/outbox_base.h"
+#include "batch/owner/demand_func.h"
 #include "batch/owner/fleet_base.h"
 #include "batch/owner/job_book_base.h"
 #include "batch/owner/ownership_base.h"
@@ -19,7 +20,8 @@
 // where, keeps the workers' leases, and makes every placement and end durable before anybody acts on it.
 class OwnerPart : public NodePart, private StartSource {
 public:
-    OwnerPart(const NodeSettings& settings, std::unique_ptr<AllocationPolicy> policy);
+    // The clock has to outlive the part.
+    OwnerPart(const NodeSettings& settings, const Clock& clock, std::unique_ptr<AllocationPolicy> policy);
 
     Effects handle(const Event& event, absl::Time now) override;
 
@@ -74,11 +76,15 @@
     void logJobEnd(const JobEntry& entry, absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void logRun(DecisionEffect::Kind kind, const RunKey& run, const WorkerName& worker, absl::string_view outcome)
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    void logChoice(const Allocation& allocation, const AllocationInput& input, absl::Duration took, absl::Time now)
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    void logGuarantees(const AllocationInput& input, absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void logWorker(const FleetNews& news) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void logUnreadable(const Record& record) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     StartRun describeStart(const RunKey& run) const override ABSL_NO_THREAD_SAFETY_ANALYSIS;
 
     const NodeSettings m_settings;
+    const Clock& m_clock;
     const std::unique_ptr<AllocationPolicy> m_policy;
     absl::Mutex m_mutex;
     Outbox m_outbox ABSL_GUARDED_BY(m_mutex);
--- a/src/batch/owner/owner_part_cmd.cpp
+++ b/src/batch/owner/owner_part_cmd.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "batch/owner/demand_func.h"
 #include "batch/policy/room_search_base.h"
 #include "core/error_func.h"
 
@@ -47,8 +46,9 @@
 
 } // namespace
 
-OwnerPart::OwnerPart(const NodeSettings& settings, std::unique_ptr<AllocationPolicy> policy)
+OwnerPart::OwnerPart(const NodeSettings& settings, const Clock& clock, std::unique_ptr<AllocationPolicy> policy)
     : m_settings(settings)
+    , m_clock(clock)
     , m_policy(std::move(policy))
     , m_random(settings.seed)
     , m_ownership(settings.self, claimDelayOf(settings.processorShare), m_random)
@@ -122,12 +122,15 @@
 {
     m_isAllocationDue = false;
     m_allocatedAt = now;
+    const absl::Time begun = m_clock.now();
     AllocationInput input = describeAllocation(m_fleet, m_book, m_routes.get(), now);
+    logGuarantees(input, now);
     m_hasUnplaced = !input.demands.empty();
     m_allocationPause = allocationPauseOf(input, m_settings.processorShare);
     if (input.demands.empty())
         return;
     const Allocation allocation = m_policy->choose(input.rooms, input.demands, now);
+    logChoice(allocation, input, m_clock.now() - begun, now);
     place(allocation.placements, now);
     for (const Eviction& eviction : allocation.evictions) {
         logRun(DecisionEffect::Kind::RunEvicted, eviction.run, eviction.worker, "");
--- a/src/batch/policy/allocation_type.h
+++ b/src/batch/policy/allocation_type.h
@@ -75,6 +75,8 @@
 struct Allocation {
     std::vector<Placement> placements;
     std::vector<Eviction> evictions;
+    // How often a worker's room was looked at.
+    std::int64_t roomsTried = 0;
 };
 
 } // namespace mangohall::batch
--- a/src/batch/policy/priority_policy_base.cpp
+++ b/src/batch/policy/priority_policy_base.cpp
@@ -124,7 +124,11 @@
             serveTasks(demand);
     }
 
-    Allocation take() { return std::move(m_allocation); }
+    Allocation take()
+    {
+        m_allocation.roomsTried += m_search.roomsTried();
+        return std::move(m_allocation);
+    }
 
 private:
     bool isPatient(const StepDemand& demand) const
@@ -206,7 +210,9 @@
             if (!m_search.mayHold(demand, indices.size(), place))
                 continue;
             std::vector<WorkerRoom> trial = m_search.copyOf(place);
-            absl::optional<RoomPlan> plan = RoomSearch(trial).makeRoom(demand, indices, place);
+            RoomSearch search(trial);
+            absl::optional<RoomPlan> plan = search.makeRoom(demand, indices, place);
+            m_allocation.roomsTried += search.roomsTried();
             if (!plan || (best && plan->cost >= best->cost))
                 continue;
             best = std::move(plan);
@@ -271,6 +277,7 @@
             allocation.placements.push_back(*placement);
         }
     }
+    allocation.roomsTried = search.roomsTried();
     return allocation;
 }
 
--- a/src/batch/policy/room_search_base.cpp
+++ b/src/batch/policy/room_search_base.cpp
@@ -48,6 +48,7 @@
     const absl::Span<const std::size_t> places = roomsOn(rack);
     std::vector<WorkerRoom> rooms;
     rooms.reserve(places.size());
+    m_roomsTried += static_cast<std::int64_t>(places.size());
     for (const std::size_t place : places)
         rooms.push_back(m_rooms[place]);
     return rooms;
@@ -105,6 +106,7 @@
     double least = std::numeric_limits<double>::infinity();
     for (const std::size_t candidate : roomsOn(rack)) {
         WorkerRoom& room = m_rooms[candidate];
+        ++m_roomsTried;
         if (!needed.fitsInto(room.free) || !isEligible(room, demand) || !isBelowStepLimit(room, demand))
             continue;
         const double misfitHere = misfit(room, demand);
@@ -176,6 +178,7 @@
     for (const std::size_t candidate : roomsOn(rack)) {
         if (tasks >= count)
             break;
+        ++m_roomsTried;
         if (isEligible(m_rooms[candidate], demand))
             tasks += mostTasks(m_rooms[candidate], demand);
     }
@@ -230,6 +233,7 @@
         });
     };
     for (WorkerRoom& room : m_rooms) {
+        ++m_roomsTried;
         for (Occupant& occupant : room.occupants) {
             if (isVictim(occupant))
                 stop(room, occupant, plan);
@@ -244,6 +248,7 @@
     for (const std::int32_t index : indices) {
         absl::optional<Victims> best;
         for (const std::size_t room : roomsOn(rack)) {
+            ++m_roomsTried;
             if (!isEligible(m_rooms[room], demand) || !isBelowStepLimit(m_rooms[room], demand))
                 continue;
             absl::optional<Victims> victims = findVictims(room, demand);
--- a/src/batch/policy/room_search_base.h
+++ b/src/batch/policy/room_search_base.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -46,6 +47,9 @@
     absl::optional<RoomPlan> makeRoom(
         const StepDemand& demand, absl::Span<const std::int32_t> indices, const RackName& rack);
 
+    // How often a worker's room has been looked at.
+    std::int64_t roomsTried() const { return m_roomsTried; }
+
 private:
     // What is taken from one worker to make room there.
     struct Victims {
@@ -70,6 +74,7 @@
     std::vector<WorkerRoom>& m_rooms;
     std::vector<std::size_t> m_all;
     absl::flat_hash_map<std::string, std::vector<std::size_t>> m_byRack;
+    mutable std::int64_t m_roomsTried = 0;
 };
 
 } // namespace mangohall::batch
--- /dev/null
+++ b/tests/adapters/observe/event_load_test.cpp
@@ -0,0 +1,61 @@
+#include "adapters/observe/event_load_base.h"
+
+#include "batch/node/node_base.h"
+#include "gtest/gtest.h"
+
+namespace mangohall::batch {
+namespace {
+
+const absl::Time now = absl::FromUnixSeconds(1700000000);
+
+EventTiming timingOf(PartIndex part, const Event& event, absl::Duration waited, absl::Duration handled)
+{
+    EventTiming timing;
+    timing.part = part;
+    timing.kind = event.index();
+    timing.waited = waited;
+    timing.handled = handled;
+    return timing;
+}
+
+TEST(EventLoad, SaysNothingOfAPartThatKeepsUp)
+{
+    EventLoad load;
+    EXPECT_FALSE(
+        load.add(timingOf(ownerPart, WakeEvent(), absl::Milliseconds(20), absl::Milliseconds(20)), now).has_value());
+}
+
+// A part that is behind is told of with the numbers of the event that shows it, and not at each event.
+TEST(EventLoad, TellsOfAPartThatIsBehindOnceInAWhile)
+{
+    EventLoad load;
+    const EventTiming slow = timingOf(ownerPart, WorkerEvent(), absl::Milliseconds(400), absl::Milliseconds(3));
+    const absl::optional<PartBehind> first = load.add(slow, now);
+    ASSERT_TRUE(first);
+    EXPECT_EQ(first->part, "owner");
+    EXPECT_EQ(first->event, "worker");
+    EXPECT_EQ(first->timing.waited, absl::Milliseconds(400));
+    EXPECT_EQ(first->events, 1U);
+    EXPECT_FALSE(load.add(slow, now + absl::Milliseconds(50)));
+    // Another part is told of by itself.
+    EXPECT_TRUE(load.add(timingOf(firstDeskPart + 1, WakeEvent(), absl::Seconds(1), absl::ZeroDuration()), now));
+    const absl::optional<PartBehind> next = load.add(slow, now + absl::Milliseconds(250));
+    ASSERT_TRUE(next);
+    EXPECT_EQ(next->events, 2U);
+}
+
+TEST(EventLoad, CountsEveryEventByPartAndKind)
+{
+    EventLoad load;
+    load.add(timingOf(ownerPart, StoreEvent(), absl::Milliseconds(1), absl::Milliseconds(2)), now);
+    load.add(timingOf(ownerPart, StoreEvent(), absl::Milliseconds(1), absl::Milliseconds(2)), now);
+    std::string text;
+    load.appendTo(text);
+    EXPECT_NE(text.find("mangohall_event_wait_seconds_count{part=\"owner\",event=\"store\"} 2\n"), std::string::npos);
+    EXPECT_NE(
+        text.find("mangohall_event_decision_seconds_sum{part=\"owner\",event=\"store\"} 0.004\n"), std::string::npos);
+    EXPECT_EQ(text.find("part=\"desk\""), std::string::npos);
+}
+
+} // namespace
+} // namespace mangohall::batch
--- a/tests/batch/batch_cluster_base.cpp
+++ b/tests/batch/batch_cluster_base.cpp
@@ -67,7 +67,7 @@
     NodeSlot& slot = m_nodes[node];
     slot = NodeSlot();
     slot.run = std::make_shared<Run>();
-    slot.run->node = std::make_unique<Node>(settings);
+    slot.run->node = std::make_unique<Node>(settings, m_timeline.clock());
     slot.run->wakeAt.assign(slot.run->node->partCount(), absl::InfiniteFuture());
     for (PartIndex part = 0; part < slot.run->node->partCount(); ++part)
         wakeAt(node, part, m_timeline.now());
