--- a/src/batch/node/node_base.cpp
+++ b/src/batch/node/node_base.cpp
@@ -7,14 +7,13 @@
 #include "batch/desk/desk_part_base.h"
 #include "batch/node/directory_part_base.h"
 #include "batch/owner/owner_part_base.h"
-#include "batch/policy/priority_policy_base.h"
 
 namespace mangohall::batch {
 
-Node::Node(const NodeSettings& settings, const Clock& clock)
+Node::Node(const NodeSettings& settings, const Clock& clock, std::unique_ptr<AllocationPolicy> policy)
 {
     m_parts.push_back(std::make_unique<DirectoryPart>(settings));
-    m_parts.push_back(std::make_unique<OwnerPart>(settings, clock, std::make_unique<PriorityPolicy>()));
+    m_parts.push_back(std::make_unique<OwnerPart>(settings, clock, std::move(policy)));
     for (std::size_t desk = 0; desk < std::max<std::size_t>(1, settings.deskCount); ++desk)
         m_parts.push_back(std::make_unique<DeskPart>(settings));
 }
--- a/src/batch/node/node_base.h
+++ b/src/batch/node/node_base.h
@@ -10,6 +10,7 @@
 #include "absl/time/time.h"
 #include "batch/fleet/worker_session_base.h"
 #include "batch/node/node_part_base.h"
+#include "batch/policy/allocation_policy_base.h"
 #include "ports/clock_port.h"
 
 namespace mangohall::batch {
@@ -39,7 +40,7 @@
 class Node {
 public:
     // The clock has to outlive the node. It only tells how long choices take; the time that decides comes with events.
-    Node(const NodeSettings& settings, const Clock& clock);
+    Node(const NodeSettings& settings, const Clock& clock, std::unique_ptr<AllocationPolicy> policy);
 
     std::size_t partCount() const { return m_parts.size(); }
 
--- a/tests/batch/batch_cluster_base.cpp
+++ b/tests/batch/batch_cluster_base.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "batch/policy/priority_policy_base.h"
 #include "core/error_func.h"
 #include "gtest/gtest.h"
 
@@ -67,7 +68,10 @@
     NodeSlot& slot = m_nodes[node];
     slot = NodeSlot();
     slot.run = std::make_shared<Run>();
-    slot.run->node = std::make_unique<Node>(settings, m_timeline.clock());
+    Run& run = *slot.run;
+    run.processor = std::make_unique<Processor>(m_timeline, m_costs[node]);
+    run.node = std::make_unique<Node>(
+        settings, *run.processor, std::make_unique<CostlyPolicy>(std::make_unique<PriorityPolicy>(), *run.processor));
     slot.run->wakeAt.assign(slot.run->node->partCount(), absl::InfiniteFuture());
     for (PartIndex part = 0; part < slot.run->node->partCount(); ++part)
         wakeAt(node, part, m_timeline.now());
@@ -118,7 +122,41 @@
         slot.held.push_back({ part, event });
         return;
     }
-    for (const Effect& effect : run->node->handle(part, event, m_timeline.now())) {
+    if (run->isBusy)
+        run->queue.push_back({ part, event });
+    else
+        handle(node, part, event);
+}
+
+void BatchCluster::handle(int node, PartIndex part, const Event& event)
+{
+    const std::shared_ptr<Run> run = m_nodes.at(node).run;
+    const Effects effects = run->node->handle(part, event, m_timeline.now());
+    run->processor->spendEvent();
+    const absl::Duration spent = run->processor->takeSpent();
+    if (spent == absl::ZeroDuration()) {
+        finish(node, part, effects);
+        return;
+    }
+    run->isBusy = true;
+    m_timeline.after(spent, [this, node, part, effects, weak = std::weak_ptr<Run>(run)] {
+        const std::shared_ptr<Run> present = weak.lock();
+        if (!present || present != m_nodes.at(node).run)
+            return;
+        present->isBusy = false;
+        finish(node, part, effects);
+        if (present->isBusy || present->queue.empty())
+            return;
+        const Held next = std::move(present->queue.front());
+        present->queue.pop_front();
+        deliver(node, next.part, next.event);
+    });
+}
+
+void BatchCluster::finish(int node, PartIndex part, const Effects& effects)
+{
+    const std::shared_ptr<Run> run = m_nodes.at(node).run;
+    for (const Effect& effect : effects) {
         if (m_nodes.at(node).run == run)
             perform(node, part, effect);
     }
--- a/tests/batch/batch_cluster_base.h
+++ b/tests/batch/batch_cluster_base.h
@@ -1,6 +1,7 @@
 // Several whole nodes for batch jobs in one process, with their store, workers and callers.
 #pragma once
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <string>
@@ -9,6 +10,7 @@
 #include "batch/batch_fleet_base.h"
 #include "batch/batch_store_base.h"
 #include "batch/node/node_base.h"
+#include "batch/processor_base.h"
 
 namespace mangohall::batch {
 
@@ -44,6 +46,8 @@
     void start(int node);
     // Of a processor, from the node's next start on.
     void setProcessorShare(int node, double share) { m_shares[node] = share; }
+    // What the node's work costs of its own time, from its next start on. One event is handled after the other.
+    void setProcessorCost(int node, ProcessorCost cost) { m_costs[node] = cost; }
     // The process stands still and sees nothing.
     void pause(int node, bool isPaused);
     void drain(int node);
@@ -60,16 +64,19 @@
     Timeline& timeline() { return m_timeline; }
 
 private:
-    struct Run {
-        std::unique_ptr<Node> node;
-        std::vector<absl::Time> wakeAt;
-    };
-
     struct Held {
         PartIndex part = 0;
         Event event;
     };
 
+    struct Run {
+        std::unique_ptr<Processor> processor;
+        std::unique_ptr<Node> node;
+        std::vector<absl::Time> wakeAt;
+        bool isBusy = false;
+        std::deque<Held> queue;
+    };
+
     struct NodeSlot {
         std::shared_ptr<Run> run;
         bool isReady = false;
@@ -80,6 +87,8 @@
 
     static std::string nameOf(int node);
     void deliver(int node, PartIndex part, const Event& event);
+    void handle(int node, PartIndex part, const Event& event);
+    void finish(int node, PartIndex part, const Effects& effects);
     void perform(int node, PartIndex part, const Effect& effect);
     void trace(int node, const DecisionEffect& decision) const;
     void wakeAt(int node, PartIndex part, absl::Time at);
@@ -90,6 +99,7 @@
     BatchFleet m_fleet;
     Manifest m_manifest;
     std::map<int, double> m_shares;
+    std::map<int, ProcessorCost> m_costs;
     std::map<int, NodeSlot> m_nodes;
     std::map<CallerId, CallerLog> m_logs;
     CallerId m_lastCaller = 0;
--- /dev/null
+++ b/tests/batch/owner_load_test.cpp
@@ -0,0 +1,86 @@
+// An owner whose work takes time: what it still gets done.
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_format.h"
+#include "batch/batch_cluster_base.h"
+#include "gtest/gtest.h"
+
+namespace mangohall::batch {
+namespace {
+
+constexpr int racks = 10;
+constexpr int workersPerRack = 8;
+constexpr absl::Duration submitPeriod = absl::Milliseconds(100);
+// By when a job that its organisation's guarantee covers has to begin.
+constexpr absl::Duration guaranteeBound = absl::Milliseconds(3400);
+
+// A site that is full of batch work, with more of it waiting all the time, and two nodes that may own it.
+class BusySite {
+public:
+    explicit BusySite(ProcessorCost cost)
+        : m_cluster(2)
+    {
+        for (int node = 0; node < 2; ++node) {
+            m_cluster.kill(node);
+            m_cluster.setProcessorShare(node, 0.5);
+            m_cluster.setProcessorCost(node, cost);
+        }
+        for (int worker = 0; worker < racks * workersPerRack; ++worker)
+            m_cluster.fleet().add(
+                absl::StrCat("i-", worker), absl::StrCat("rack", worker / workersPerRack), { 128000, 1 << 30, 8 });
+        m_cluster.fleet().setRunTime("batch", absl::Seconds(5));
+        m_cluster.fleet().setRunTime("urgent", absl::Seconds(2));
+        m_cluster.start(0);
+        m_cluster.start(1);
+        m_cluster.runFor(absl::Seconds(8));
+    }
+
+    // The whole time with the site's load.
+    void runFor(absl::Duration time)
+    {
+        const absl::Time end = m_cluster.timeline().now() + time;
+        while (m_cluster.timeline().now() < end) {
+            m_cluster.submit(0, absl::StrCat("/batch/", absl::StrFormat("%016x", ++m_jobs)), tasksOf("batch", 20, 1));
+            m_cluster.runFor(submitPeriod);
+        }
+    }
+
+    Epoch epoch() { return std::get<EpochRecord>(m_cluster.store().find({ Collection::Epoch, "" })->value).epoch; }
+
+    // How many tasks of an urgent gang have begun by the bound.
+    int startsOfUrgentGang(int tasks)
+    {
+        const std::string job = absl::StrFormat("%016x", ++m_jobs);
+        m_cluster.submit(1, absl::StrCat("/urgent/", job), gangOf("urgent", tasks, 8));
+        runFor(guaranteeBound);
+        return m_cluster.fleet().startCount(job);
+    }
+
+private:
+    BatchCluster m_cluster;
+    int m_jobs = 0;
+};
+
+// Guards against the RECLAIM incident: an owner that makes one costly choice after the other, at each event, cannot
+// renew its lease, and nobody owns the jobs while a guaranteed one waits.
+TEST(OwnerLoad, KeepsTheOwnershipWhileChoicesTakeLong)
+{
+    BusySite site({ absl::Microseconds(300), absl::Milliseconds(30), absl::ZeroDuration() });
+    site.runFor(absl::Seconds(5));
+    const Epoch epoch = site.epoch();
+    for (int round = 0; round < 4; ++round)
+        EXPECT_EQ(site.startsOfUrgentGang(4), 4) << "in round " << round;
+    EXPECT_EQ(site.epoch(), epoch) << "the ownership was lost";
+}
+
+// Guards against the same where nothing costs much: the site's load alone must not be what the test above sees.
+TEST(OwnerLoad, ServesTheSameSiteWithCheapChoices)
+{
+    BusySite site({ absl::Microseconds(300), absl::Microseconds(300), absl::ZeroDuration() });
+    site.runFor(absl::Seconds(5));
+    const Epoch epoch = site.epoch();
+    EXPECT_EQ(site.startsOfUrgentGang(4), 4);
+    EXPECT_EQ(site.epoch(), epoch);
+}
+
+} // namespace
+} // namespace mangohall::batch
--- a/tests/batch/priority_policy_test.cpp
+++ b/tests/batch/priority_policy_test.cpp
@@ -257,5 +257,60 @@
     EXPECT_EQ(allocation.placements.front().worker, WorkerName("w01"));
 }
 
+// How often a choice looks at workers for gangs that find no room on a large site, where two accelerators are free on
+// each worker and nobody has to make room.
+std::int64_t looksForWaitingGangs(int tasks, int accelerators)
+{
+    std::vector<WorkerRoom> rooms = makeRooms(44, 8);
+    for (std::size_t room = 0; room < rooms.size(); ++room)
+        occupy(rooms[room], absl::StrCat("urgent", room), 6, 10, 0);
+    StepSpec spec = specOf(tasks, accelerators);
+    spec.isGang = true;
+    std::vector<StepDemand> demands;
+    for (int gang = 0; gang < 8; ++gang)
+        demands.push_back(demandOf(absl::StrCat("gang", gang), spec, 0));
+    const Allocation allocation = PriorityPolicy().choose(rooms, demands, now);
+    EXPECT_TRUE(allocation.placements.empty());
+    EXPECT_TRUE(allocation.evictions.empty());
+    return allocation.roomsTried;
+}
+
+// Guards against the RECLAIM incident: each choice placed most of a gang, task by task, before it found no room for the
+// last one, and took it back.
+TEST(PriorityPolicy, LooksNoFurtherForAGangThatAlmostFitsThanForOneThatFitsNowhere)
+{
+    EXPECT_LE(looksForWaitingGangs(353, 2), 2 * looksForWaitingGangs(353, 4));
+}
+
+// Guards against the same where there is room: a gang of small tasks on a large site that is half full.
+TEST(PriorityPolicy, PlacesALargeGangWithoutALookAtEachWorkerForEachTask)
+{
+    const auto looksFor = [](int tasks) {
+        std::vector<WorkerRoom> rooms = makeRooms(44, 8);
+        StepSpec spec = specOf(tasks, 1);
+        spec.isGang = true;
+        const Allocation allocation = PriorityPolicy().choose(rooms, { demandOf("gang", spec, 0) }, now);
+        EXPECT_EQ(allocation.placements.size(), static_cast<std::size_t>(tasks));
+        return allocation.roomsTried;
+    };
+    EXPECT_LE(looksFor(256), 2 * looksFor(16));
+}
+
+// Guards against the same where others have to make room, task by task.
+TEST(PriorityPolicy, EvictsForALargeGangWithoutALookAtEachWorkerForEachTask)
+{
+    const auto looksFor = [](int tasks) {
+        std::vector<WorkerRoom> rooms = makeRooms(44, 8);
+        for (std::size_t room = 0; room < rooms.size(); ++room)
+            occupy(rooms[room], absl::StrCat("batch", room), 8, 10);
+        StepSpec spec = specOf(tasks, 8);
+        spec.isGang = true;
+        const Allocation allocation = PriorityPolicy().choose(rooms, { demandOf("gang", spec, 0) }, now);
+        EXPECT_EQ(allocation.evictions.size(), static_cast<std::size_t>(tasks));
+        return allocation.roomsTried;
+    };
+    EXPECT_LE(looksFor(128), 2 * looksFor(8));
+}
+
 } // namespace
 } // namespace mangohall::batch
