Fix: choices keep to a measured share of the owner's time

Cause: the pause between two choices followed an estimate, 3 us a worker and 10 us a waiting step, was counted from the beginning of a choice, and was 150 ms at most. The class: a rate limit that rests on an estimated cost.

Choices are paid for now by what they have taken on the node's clock: a quarter of the time, 100 ms at once after a quiet time. Ruled out: a longer lease (the queue grows without end) and a larger estimate (it holds for one load only).

--- a/src/batch/owner/owner_part_base.h
+++ b/src/batch/owner/owner_part_base.h
@@ -6,6 +6,7 @@
 #include "absl/synchronization/mutex.h"
 #include "batch/node/node_base.h"
 #include "batch/node/outbox_base.h"
+#include "batch/owner/choice_pacer_base.h"
 #include "batch/owner/demand_func.h"
 #include "batch/owner/fleet_base.h"
 #include "batch/owner/job_book_base.h"
@@ -100,8 +101,7 @@
     // Something has changed that may let a task start.
     bool m_isAllocationDue ABSL_GUARDED_BY(m_mutex) = false;
     absl::Time m_allocatedAt ABSL_GUARDED_BY(m_mutex) = absl::InfinitePast();
-    // From one choice to the next, by what the last one had to look at.
-    absl::Duration m_allocationPause ABSL_GUARDED_BY(m_mutex);
+    ChoicePacer m_pacer ABSL_GUARDED_BY(m_mutex);
     bool m_hasUnplaced ABSL_GUARDED_BY(m_mutex) = false;
     bool m_isDraining ABSL_GUARDED_BY(m_mutex) = false;
     bool m_isDrained ABSL_GUARDED_BY(m_mutex) = false;
--- a/src/batch/owner/owner_part_cmd.cpp
+++ b/src/batch/owner/owner_part_cmd.cpp
@@ -14,14 +14,6 @@
 constexpr absl::Duration workerWatchWait = absl::Seconds(2);
 // Each worker renews its entry every second or so.
 constexpr absl::Duration workerWatchPause = absl::Milliseconds(150);
-// Events that come together are served by one choice.
-constexpr absl::Duration shortestAllocationPause = absl::Milliseconds(10);
-constexpr absl::Duration longestAllocationPause = absl::Milliseconds(150);
-// What a choice takes of a whole processor for each worker and each step that waits, and the share of the node's
-// processor that choices may take together. A node that does nothing but choose cannot renew its lease.
-constexpr absl::Duration choiceTimePerWorker = absl::Microseconds(3);
-constexpr absl::Duration choiceTimePerStep = absl::Microseconds(10);
-constexpr double choiceShare = 0.1;
 // How long a new owner waits for workers that do not answer.
 constexpr absl::Duration settlePatience = absl::Milliseconds(700);
 // Waiting tasks are looked at again this often, since patience and objectives change with time alone.
@@ -37,13 +29,6 @@
     return longestClaimDelay * missing;
 }
 
-absl::Duration allocationPauseOf(const AllocationInput& input, double processorShare)
-{
-    const absl::Duration choiceTime = choiceTimePerWorker * static_cast<std::int64_t>(input.rooms.size())
-        + choiceTimePerStep * static_cast<std::int64_t>(input.demands.size());
-    return std::clamp(choiceTime / (choiceShare * processorShare), shortestAllocationPause, longestAllocationPause);
-}
-
 } // namespace
 
 OwnerPart::OwnerPart(const NodeSettings& settings, const Clock& clock, std::unique_ptr<AllocationPolicy> policy)
@@ -111,9 +96,9 @@
 {
     absl::Time due = absl::InfiniteFuture();
     if (m_isAllocationDue)
-        due = m_allocatedAt + m_allocationPause;
+        due = m_pacer.mayBeginAt();
     if (m_hasUnplaced)
-        due = std::min(due, m_allocatedAt + reallocationPeriod);
+        due = std::min(due, std::max(m_pacer.mayBeginAt(), m_allocatedAt + reallocationPeriod));
     // A choice among the few workers that answered first would evict what need not be.
     return m_fleet.isSettled() ? due : std::max(due, m_loading.doneAt + settlePatience);
 }
@@ -126,11 +111,14 @@
     AllocationInput input = describeAllocation(m_fleet, m_book, m_routes.get(), now);
     logGuarantees(input, now);
     m_hasUnplaced = !input.demands.empty();
-    m_allocationPause = allocationPauseOf(input, m_settings.processorShare);
-    if (input.demands.empty())
+    Allocation allocation;
+    if (m_hasUnplaced)
+        allocation = m_policy->choose(input.rooms, input.demands, now);
+    const absl::Time ended = m_clock.now();
+    m_pacer.noteChoice(begun, ended);
+    if (!m_hasUnplaced)
         return;
-    const Allocation allocation = m_policy->choose(input.rooms, input.demands, now);
-    logChoice(allocation, input, m_clock.now() - begun, now);
+    logChoice(allocation, input, ended - begun, now);
     place(allocation.placements, now);
     for (const Eviction& eviction : allocation.evictions) {
         logRun(DecisionEffect::Kind::RunEvicted, eviction.run, eviction.worker, "");
