Fix: a choice looks at each worker a few times for a step, not once for each of its tasks

A gang was placed task by task, each time over all workers, before the last one found no room and all were taken back; whoever may evict tried each rack on a copy of its rooms, again task by task, and each eviction went through all rooms.

RoomIndex keeps rooms and free accelerators by rack; RoomSearch counts what fits and fills the best worker first, which then suits even better; EvictionSearch takes rooms from a queue by cost, knows where the members of a gang are, and undoes a trial in place. Members of a gang on other racks count as stopping too now. Ranks are compared without a copy of the job's name.

--- a/bench/batch/batch_load_bench.cpp
+++ b/bench/batch/batch_load_bench.cpp
@@ -2,6 +2,7 @@
 #include <ctime>
 #include <iostream>
 
+#include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_format.h"
 #include "batch/batch_cluster_base.h"
@@ -91,12 +92,19 @@
 } // namespace
 } // namespace mangohall::batch
 
-int main()
+// With two arguments, a number of workers and a pressure, only these are measured.
+int main(int argc, char** argv)
 {
-    for (const int workers : { 50, 100, 200, 350 })
-        mangohall::batch::measure(workers, 1);
+    int workers = 0;
+    double pressure = 0;
+    if (argc == 3 && absl::SimpleAtoi(argv[1], &workers) && absl::SimpleAtod(argv[2], &pressure)) {
+        mangohall::batch::measure(workers, pressure);
+        return 0;
+    }
+    for (const int size : { 50, 100, 200, 350 })
+        mangohall::batch::measure(size, 1);
     // A large site under more load than it can serve.
-    for (const double pressure : { 1.6, 2.5, 4.0 })
-        mangohall::batch::measure(mangohall::batch::siteWorkers, pressure);
+    for (const double more : { 1.6, 2.5, 4.0 })
+        mangohall::batch::measure(mangohall::batch::siteWorkers, more);
     return 0;
 }
--- a/src/batch/policy/priority_policy_base.cpp
+++ b/src/batch/policy/priority_policy_base.cpp
@@ -6,6 +6,7 @@
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/strings/string_view.h"
+#include "batch/policy/eviction_search_base.h"
 #include "batch/policy/room_search_base.h"
 
 namespace mangohall::batch {
@@ -34,32 +35,7 @@
     const bool isLate = demand.objective < now;
     // A guarantee holds for late work too, and soonest for what has waited.
     return std::make_tuple(demand.priority, !demand.isGuaranteed, !demand.mayReclaim, isLate, demand.objective,
-        demand.readySince, demand.job);
-}
-
-struct RackRoom {
-    RackName rack;
-    std::int32_t freeAccelerators = 0;
-};
-
-// The racks, fullest first, so that large rooms stay whole.
-std::vector<RackName> racksByRoom(absl::Span<const WorkerRoom> rooms)
-{
-    absl::flat_hash_map<absl::string_view, std::int32_t> freeAccelerators;
-    for (const WorkerRoom& room : rooms)
-        freeAccelerators[room.rack.text()] += room.free.accelerators;
-    std::vector<RackRoom> racks;
-    racks.reserve(freeAccelerators.size());
-    for (const auto& [rack, free] : freeAccelerators)
-        racks.push_back({ RackName(rack), free });
-    std::sort(racks.begin(), racks.end(), [](const RackRoom& left, const RackRoom& right) {
-        return std::tie(left.freeAccelerators, left.rack) < std::tie(right.freeAccelerators, right.rack);
-    });
-    std::vector<RackName> names;
-    names.reserve(racks.size());
-    for (const RackRoom& rack : racks)
-        names.push_back(rack.rack);
-    return names;
+        demand.readySince, demand.job.text());
 }
 
 double usedShare(absl::Span<const WorkerRoom> rooms)
@@ -85,35 +61,19 @@
     return used;
 }
 
-// Keeps the emptiest workers, rack by rack, for urgent work of the next moments, so that it need not wait for others to
-// be evicted, and nobody is started only to be evicted soon.
-void reserveForUrgent(std::vector<WorkerRoom>& rooms)
-{
-    double wanted = static_cast<double>(urgentAccelerators(rooms)) * urgentReserve;
-    std::vector<RackName> racks = racksByRoom(rooms);
-    std::reverse(racks.begin(), racks.end());
-    for (const RackName& rack : racks) {
-        for (WorkerRoom& room : rooms) {
-            if (wanted <= 0)
-                return;
-            if (room.rack != rack || room.free.accelerators < leastReservedRoom)
-                continue;
-            room.isReserved = true;
-            wanted -= room.free.accelerators;
-        }
-    }
-}
-
 // One choice over all rooms.
 class Choice {
 public:
     Choice(std::vector<WorkerRoom>& rooms, absl::Time now)
-        : m_rooms(rooms)
-        , m_now(now)
+        : m_now(now)
         , m_isBusy(usedShare(rooms) > busyShare)
-        , m_search(rooms)
+        , m_rooms(rooms)
+        , m_search(m_rooms)
+        , m_evictions(m_rooms)
     {
-        reserveForUrgent(rooms);
+        // Urgent work of the next moments need not wait for others to be evicted, and nobody is started only to be
+        // evicted soon.
+        m_rooms.reserveEmptiest(static_cast<double>(urgentAccelerators(rooms)) * urgentReserve, leastReservedRoom);
     }
 
     void serve(const StepDemand& demand)
@@ -126,7 +86,7 @@
 
     Allocation take()
     {
-        m_allocation.roomsTried += m_search.roomsTried();
+        m_allocation.roomsTried = m_rooms.looks();
         return std::move(m_allocation);
     }
 
@@ -149,7 +109,7 @@
         if (!spec.dataRack.empty() && isPatient(demand))
             return places;
         if (spec.isGang && spec.isRackLocal) {
-            const std::vector<RackName> racks = racksByRoom(m_rooms);
+            const std::vector<RackName> racks = m_rooms.racksByRoom();
             places.insert(places.end(), racks.begin(), racks.end());
             if (isPatient(demand))
                 return places;
@@ -161,39 +121,25 @@
     void serveTasks(const StepDemand& demand)
     {
         const std::vector<RackName> places = placesOf(demand);
-        std::vector<std::int32_t> unplaced;
-        for (const std::int32_t index : demand.indices) {
-            // What has found no room will find none for the next equal task.
-            absl::optional<Placement> placement;
-            if (unplaced.empty())
-                placement = placeTask(demand, index, places);
-            if (placement)
-                m_allocation.placements.push_back(*std::move(placement));
-            else
-                unplaced.push_back(index);
-        }
+        absl::Span<const std::int32_t> unplaced = demand.indices;
+        for (const RackName& place : places)
+            unplaced.remove_prefix(add(m_search.placeMost(demand, unplaced, place)));
         makeRoom(demand, unplaced, places);
     }
 
-    absl::optional<Placement> placeTask(const StepDemand& demand, std::int32_t index, absl::Span<const RackName> places)
+    // Returns how many there are.
+    std::size_t add(absl::Span<const Placement> placements)
     {
-        for (const RackName& place : places) {
-            absl::optional<Placement> placement = m_search.place(demand, index, place);
-            if (placement)
-                return placement;
-        }
-        return absl::nullopt;
+        m_allocation.placements.insert(m_allocation.placements.end(), placements.begin(), placements.end());
+        return placements.size();
     }
 
     void serveGang(const StepDemand& demand)
     {
         const std::vector<RackName> places = placesOf(demand);
         for (const RackName& place : places) {
-            const std::vector<Placement> placements = m_search.placeAll(demand, place);
-            if (placements.empty())
-                continue;
-            m_allocation.placements.insert(m_allocation.placements.end(), placements.begin(), placements.end());
-            return;
+            if (add(m_search.placeAll(demand, place)) > 0)
+                return;
         }
         makeRoom(demand, demand.indices, places);
     }
@@ -204,41 +150,24 @@
         if (demand.priority != urgentPriority || indices.empty())
             return;
         absl::optional<RoomPlan> best;
-        std::vector<WorkerRoom> bestRooms;
         for (const RackName& place : places) {
-            // The trial takes a copy of the rooms, which is worth it for few of them.
-            if (!m_search.mayHold(demand, indices.size(), place))
-                continue;
-            std::vector<WorkerRoom> trial = m_search.copyOf(place);
-            RoomSearch search(trial);
-            absl::optional<RoomPlan> plan = search.makeRoom(demand, indices, place);
-            m_allocation.roomsTried += search.roomsTried();
-            if (!plan || (best && plan->cost >= best->cost))
+            if (!m_evictions.mayHold(demand, indices.size(), place))
                 continue;
-            best = std::move(plan);
-            bestRooms = std::move(trial);
+            absl::optional<RoomPlan> plan = m_evictions.plan(demand, indices, place);
+            if (plan && (!best || plan->cost < best->cost))
+                best = std::move(plan);
         }
         if (!best)
             return;
-        replace(std::move(bestRooms));
-        m_allocation.evictions.insert(m_allocation.evictions.end(), best->evictions.begin(), best->evictions.end());
+        const std::vector<Eviction> evictions = m_evictions.carryOut(*best, demand);
+        m_allocation.evictions.insert(m_allocation.evictions.end(), evictions.begin(), evictions.end());
     }
 
-    // Takes over rooms that a plan has changed. Both lists are in the same order.
-    void replace(std::vector<WorkerRoom> changed)
-    {
-        auto target = m_rooms.begin();
-        for (WorkerRoom& room : changed) {
-            target = std::find_if(target, m_rooms.end(),
-                [&room](const WorkerRoom& candidate) { return candidate.worker == room.worker; });
-            *target = std::move(room);
-        }
-    }
-
-    std::vector<WorkerRoom>& m_rooms;
     const absl::Time m_now;
     const bool m_isBusy;
+    RoomIndex m_rooms;
     RoomSearch m_search;
+    EvictionSearch m_evictions;
     Allocation m_allocation;
 };
 
@@ -262,22 +191,16 @@
 Allocation ArrivalOrderPolicy::choose(
     std::vector<WorkerRoom>& rooms, absl::Span<const StepDemand> demands, absl::Time /*now*/) const
 {
-    RoomSearch search(rooms);
+    RoomIndex index(rooms);
+    RoomSearch search(index);
     Allocation allocation;
     for (const StepDemand& demand : demands) {
-        if (demand.spec->isGang) {
-            const std::vector<Placement> gang = search.placeAll(demand, RackName());
-            allocation.placements.insert(allocation.placements.end(), gang.begin(), gang.end());
-            continue;
-        }
-        for (const std::int32_t index : demand.indices) {
-            const absl::optional<Placement> placement = search.place(demand, index, RackName());
-            if (!placement)
-                break;
-            allocation.placements.push_back(*placement);
-        }
+        const std::vector<Placement> placed = demand.spec->isGang
+            ? search.placeAll(demand, RackName())
+            : search.placeMost(demand, demand.indices, RackName());
+        allocation.placements.insert(allocation.placements.end(), placed.begin(), placed.end());
     }
-    allocation.roomsTried = search.roomsTried();
+    allocation.roomsTried = index.looks();
     return allocation;
 }
 
--- a/tests/batch/batch_fleet_base.cpp
+++ b/tests/batch/batch_fleet_base.cpp
@@ -5,7 +5,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "batch/owner/run_name_func.h"
-#include "batch/policy/room_search_base.h"
+#include "batch/policy/room_index_base.h"
 #include "core/error_func.h"
 
 namespace mangohall::batch {
