Fix: a guarantee that is lost with its workers is named

What was wrong is that nobody was told: the pool knew the shortfall, and GuaranteeShortfall was never observed. The dispatcher observes it now whenever the missing cells change.

--- a/src/dispatch/dispatch_reserve_cmd.cpp
+++ b/src/dispatch/dispatch_reserve_cmd.cpp
@@ -133,6 +133,7 @@
     for (const PlacedRequest& request : placed.all())
         takeRoom(request.attempt, request.choice, now);
     tellCapacity(now);
+    observeShortfalls();
 }
 
 void Dispatcher::takeRoom(const AttemptId& attempt, const PlacementChoice& choice, absl::Time now)
@@ -218,6 +219,40 @@
     m_outbox.observe(std::move(observation));
 }
 
+void Dispatcher::observeShortfalls()
+{
+    absl::btree_map<GuaranteeName, int> missing;
+    for (const GuaranteeShortfall& shortfall : m_pool->shortfalls())
+        missing[shortfall.guarantee] = shortfall.missingCells;
+    if (missing == m_shortfallsTold)
+        return;
+    for (const auto& [guarantee, cells] : missing) {
+        const auto told = m_shortfallsTold.find(guarantee);
+        if (told == m_shortfallsTold.end() || told->second != cells)
+            observeShortfall(guarantee, cells);
+    }
+    for (const auto& [guarantee, cells] : m_shortfallsTold) {
+        if (!missing.contains(guarantee))
+            observeShortfall(guarantee, 0);
+    }
+    m_shortfallsTold = std::move(missing);
+}
+
+void Dispatcher::observeShortfall(const GuaranteeName& guarantee, int missingCells)
+{
+    ObservationEffect observation;
+    observation.kind = ObservationEffect::Kind::GuaranteeShortfall;
+    observation.shard = m_name;
+    observation.subject = guarantee.str();
+    observation.epoch = m_epoch;
+    observation.isWithinObjective = missingCells == 0;
+    observation.outcome = missingCells == 0 ? ErrorKind::None : ErrorKind::GuaranteeDoesNotPack;
+    const auto declared = m_directory->guarantees.find(guarantee);
+    if (declared != m_directory->guarantees.end())
+        observation.organisation = declared->second.organisation;
+    m_outbox.observe(std::move(observation));
+}
+
 void Dispatcher::tellHeld(const DispatchPart& part)
 {
     CapacityHeld held { part.attempt, m_name, {} };
--- a/src/dispatch/dispatcher_base.h
+++ b/src/dispatch/dispatcher_base.h
@@ -113,6 +113,9 @@
     bool isLapsed(const WorkerSession& session, absl::Time now) const;
     WorkerSession* findWorker(const WorkerName& worker);
     void tellCapacity(absl::Time now);
+    // Tells operators of guarantees that cannot be honoured with the workers there are, and of those that can again.
+    void observeShortfalls();
+    void observeShortfall(const GuaranteeName& guarantee, int missingCells);
 
     const ShardName m_name;
     const Epoch m_epoch;
@@ -133,6 +136,8 @@
     absl::flat_hash_map<CallId, OpenCall> m_calls;
     absl::Time m_capacityToldAt = absl::InfinitePast();
     CapacitySummary m_capacityTold;
+    // Cells that were last told to be missing, by guarantee.
+    absl::btree_map<GuaranteeName, int> m_shortfallsTold;
 };
 
 } // namespace mangohall
