Fix: a guaranteed job's wait counts from its acceptance, by the deployment's bound

Callers of a guaranteed urgent job waited up to their bound once more after a change of owner, and a wide step began its wait anew each time one of its tasks was placed. The two patiences, 0.9 and 1.9 s, were made for a bound of 3.4 s and used as they are where the deployment's bound is 2.7 s.

The owner is told the deployment's bound (guaranteeBoundMs, from the platform's settings). A demand says by when its guarantee wants it started, counted from the acceptance until each task of the first step has been started once; what another node's clock has noted is trusted within the bound. With a bound of 3.4 s and no change of owner nothing differs.

--- a/src/batch/node/node_base.h
+++ b/src/batch/node/node_base.h
@@ -23,6 +23,8 @@
     // Past this age of the manifest no call is taken that needs a key.
     absl::Duration maxManifestAge = absl::Seconds(4);
     SessionSettings session;
+    // By when after its acceptance an urgent job that a guarantee covers has to begin.
+    absl::Duration guaranteeBound = absl::Milliseconds(3400);
     // Share of a processor that the node may use. Nodes with more take the ownership first.
     double processorShare = 1;
     // The latest that a node which stops keeps serving open connections.
--- a/src/batch/owner/demand_func.cpp
+++ b/src/batch/owner/demand_func.cpp
@@ -18,8 +18,8 @@
 // What stopping a run takes.
 constexpr absl::Duration stopTime = absl::Milliseconds(600);
 constexpr std::int32_t urgentPriority = 0;
-// How long guaranteed work waits before it evicts work as urgent as itself.
-constexpr absl::Duration reclaimPatience = absl::Milliseconds(900);
+// So long before its guarantee wants it started, work evicts others that are as urgent as itself.
+constexpr absl::Duration reclaimLead = absl::Milliseconds(2500);
 
 double stopCostOf(const StepSpec& spec, const RunSlot& slot, absl::Time now)
 {
@@ -125,6 +125,26 @@
     return begin + progress.chainEstimate() * job.terms.stretchFactor + job.terms.latencyAllowance;
 }
 
+// Whether the job promises its first step and some of its tasks have never been started.
+bool isFirstStart(const JobProgress& progress, const StepDemand& demand)
+{
+    const Job& job = progress.job();
+    if (!demand.spec->after.empty() || demand.occurrence != 0 || job.spec.firstDue != absl::InfinitePast())
+        return false;
+    return std::any_of(demand.indices.begin(), demand.indices.end(), [&](std::int32_t index) {
+        return progress.nextAttempt({ demand.occurrence, demand.step, index }) == 1;
+    });
+}
+
+// The bound counts from the acceptance, which the clock of another node has noted.
+absl::Time startByOf(const JobProgress& progress, const StepDemand& demand, absl::Duration guaranteeBound)
+{
+    absl::Time waitsSince = demand.readySince;
+    if (isFirstStart(progress, demand))
+        waitsSince = std::clamp(progress.job().acceptedAt, demand.readySince - guaranteeBound, demand.readySince);
+    return waitsSince + guaranteeBound;
+}
+
 StepDemand demandOf(JobEntry& entry, ReadyStep ready, absl::Time now)
 {
     const JobProgress& progress = entry.progress;
@@ -152,7 +172,8 @@
     return rooms;
 }
 
-std::vector<StepDemand> demandsOf(absl::Span<JobEntry* const> entries, const JobNames& covered, absl::Time now)
+std::vector<StepDemand> demandsOf(
+    absl::Span<JobEntry* const> entries, const JobNames& covered, absl::Duration guaranteeBound, absl::Time now)
 {
     std::vector<StepDemand> demands;
     for (JobEntry* entry : entries) {
@@ -160,7 +181,10 @@
             demands.push_back(demandOf(*entry, std::move(ready), now));
             StepDemand& demand = demands.back();
             demand.isGuaranteed = covered.contains(entry->progress.job().id.text());
-            demand.mayReclaim = demand.isGuaranteed && now >= demand.readySince + reclaimPatience;
+            if (!demand.isGuaranteed)
+                continue;
+            demand.startBy = startByOf(entry->progress, demand, guaranteeBound);
+            demand.mayReclaim = now >= demand.startBy - reclaimLead;
         }
     }
     return demands;
@@ -168,12 +192,13 @@
 
 } // namespace
 
-AllocationInput describeAllocation(const Fleet& fleet, JobBook& book, const RouteTable* routes, absl::Time now)
+AllocationInput describeAllocation(
+    const Fleet& fleet, JobBook& book, const RouteTable* routes, absl::Duration guaranteeBound, absl::Time now)
 {
     const std::vector<JobEntry*> entries = openEntries(book);
     const JobNames covered = coveredJobs(entries, routes);
     AllocationInput input;
-    input.demands = demandsOf(entries, covered, now);
+    input.demands = demandsOf(entries, covered, guaranteeBound, now);
     if (!input.demands.empty())
         input.rooms = roomsOf(fleet, book, covered, now);
     return input;
--- a/src/batch/owner/demand_func.h
+++ b/src/batch/owner/demand_func.h
@@ -18,6 +18,8 @@
     std::vector<StepDemand> demands;
 };
 
-AllocationInput describeAllocation(const Fleet& fleet, JobBook& book, const RouteTable* routes, absl::Time now);
+// `guaranteeBound` is how long a job that a guarantee covers may wait.
+AllocationInput describeAllocation(
+    const Fleet& fleet, JobBook& book, const RouteTable* routes, absl::Duration guaranteeBound, absl::Time now);
 
 } // namespace mangohall::batch
--- a/src/batch/owner/owner_part_cmd.cpp
+++ b/src/batch/owner/owner_part_cmd.cpp
@@ -111,7 +111,7 @@
     m_isAllocationDue = false;
     m_allocatedAt = now;
     const absl::Time begun = m_clock.now();
-    AllocationInput input = describeAllocation(m_fleet, m_book, m_routes.get(), now);
+    AllocationInput input = describeAllocation(m_fleet, m_book, m_routes.get(), m_settings.guaranteeBound, now);
     logGuarantees(input, now);
     m_hasUnplaced = !input.demands.empty();
     Allocation allocation;
--- a/src/batch/policy/allocation_type.h
+++ b/src/batch/policy/allocation_type.h
@@ -58,6 +58,8 @@
     bool mayReclaim = false;
     // Since when the tasks may start.
     absl::Time readySince;
+    // By when the guarantee that covers it wants it started.
+    absl::Time startBy = absl::InfiniteFuture();
     // By when the job has to be done to be in time.
     absl::Time objective;
 };
--- a/src/batch/policy/priority_policy_base.cpp
+++ b/src/batch/policy/priority_policy_base.cpp
@@ -19,8 +19,9 @@
 constexpr absl::Duration longestPatience = absl::Seconds(15);
 // While much is free, nothing waits for long.
 constexpr absl::Duration idlePatience = absl::Milliseconds(2000);
-// A guarantee has to be honoured within 3.4 s, the time to stop others included.
-constexpr absl::Duration guaranteedPatience = absl::Milliseconds(1900);
+// So long before its guarantee wants it started, work takes a place that suits less: others may have to be stopped
+// there.
+constexpr absl::Duration guaranteeLead = absl::Milliseconds(1500);
 // From this share of accelerators in use on, a place near the data is worth waiting for.
 constexpr double busyShare = 0.55;
 
@@ -94,7 +95,7 @@
     bool isPatient(const StepDemand& demand) const
     {
         if (demand.isGuaranteed)
-            return m_now < demand.readySince + guaranteedPatience;
+            return m_now < demand.startBy - guaranteeLead;
         const absl::Duration busyPatience = std::min(demand.spec->estimate * patienceFactor, longestPatience);
         return m_now < demand.readySince + (m_isBusy ? std::max(busyPatience, idlePatience) : idlePatience);
     }
--- a/tests/batch/priority_policy_test.cpp
+++ b/tests/batch/priority_policy_test.cpp
@@ -266,8 +266,10 @@
         occupy(rooms[room], absl::StrCat("urgent", room), 6, 10, 0);
     StepSpec spec = specOf(tasks, accelerators);
     spec.isGang = true;
+    constexpr int gangs = 8;
     std::vector<StepDemand> demands;
-    for (int gang = 0; gang < 8; ++gang)
+    demands.reserve(gangs);
+    for (int gang = 0; gang < gangs; ++gang)
         demands.push_back(demandOf(absl::StrCat("gang", gang), spec, 0));
     const Allocation allocation = PriorityPolicy().choose(rooms, demands, now);
     EXPECT_TRUE(allocation.placements.empty());
