Fix: a clock that is set back holds no scheduling pass back

Schedulers go by the machine's time of day. With passes paced, a clock set back by an hour after a pass would have held the next one back for an hour; found while reading the change, before anybody was hit. A pass may begin as well when the clock stands before the end of the last one. Dispatcher.HoldsNothingBackAfterTheClockWasSetBack failed before and passes.

--- a/src/batch/owner/demand_func.cpp
+++ b/src/batch/owner/demand_func.cpp
@@ -125,7 +125,7 @@
     return begin + progress.chainEstimate() * job.terms.stretchFactor + job.terms.latencyAllowance;
 }
 
-// Whether the job promises its first step and some of its tasks have never been started.
+// Whether the demand is of a first step of a job without times, and some of its tasks have never been started.
 bool isFirstStart(const JobProgress& progress, const StepDemand& demand)
 {
     const Job& job = progress.job();
--- a/src/core/work_pacer_base.h
+++ b/src/core/work_pacer_base.h
@@ -19,6 +19,8 @@
     void note(absl::Time begun, absl::Time ended);
 
     absl::Time mayBeginAt() const { return m_mayBeginAt; }
+    // Also true on a clock that has been set back since the last piece.
+    bool mayBegin(absl::Time now) const { return now >= m_mayBeginAt || now < m_refilledAt; }
 
 private:
     static constexpr absl::Duration longestBurst = absl::Milliseconds(100);
--- a/src/dispatch/dispatch_reserve_cmd.cpp
+++ b/src/dispatch/dispatch_reserve_cmd.cpp
@@ -126,7 +126,7 @@
 {
     if (!m_isScheduleDue || m_isDeposed)
         return;
-    m_isPassHeldBack = now < m_pacer.mayBeginAt();
+    m_isPassHeldBack = !m_pacer.mayBegin(now);
     if (m_isPassHeldBack)
         return;
     m_isScheduleDue = false;
--- a/tests/dispatch/dispatcher_test.cpp
+++ b/tests/dispatch/dispatcher_test.cpp
@@ -118,6 +118,17 @@
     EXPECT_EQ(dispatcher.spent(), 2 * first);
 }
 
+// A clock that is set back must not hold passes back until it has caught up.
+TEST(Dispatcher, HoldsNothingBackAfterTheClockWasSetBack)
+{
+    SlowDispatcher dispatcher(absl::Milliseconds(200));
+    dispatcher.reserveOne();
+    const absl::Duration first = dispatcher.spent();
+    dispatcher.advance(-absl::Hours(1));
+    dispatcher.reserveOne();
+    EXPECT_EQ(dispatcher.spent(), 2 * first);
+}
+
 TEST(Dispatcher, HoldsNothingBackWhilePassesTakeNoTime)
 {
     SlowDispatcher dispatcher(absl::Microseconds(50));
