Fix: a leaving worker counts as gone only once the look that is out has ended

A worker that shuts down takes no new connections while it still answers open ones. An order that was refused there made the owner take the worker for gone, end its runs as lapsed and forget the session; the answer to the look that was still out, which lists the end, then found no session and was dropped, and the task was started again. Now the look that is out has to end first, and a session is kept as long.

Two tests of WorkerSession failed before and pass.

--- a/src/batch/fleet/worker_session_base.cpp
+++ b/src/batch/fleet/worker_session_base.cpp
@@ -215,10 +215,11 @@
     return standing;
 }
 
-// A worker that drained, is no longer listed and has nobody at its address is gone, and all that it ran with it.
+// A worker that drained, is no longer listed and has nobody at its address is gone, and all that it ran with it. It
+// stops to take connections before it answers the look that is out.
 bool WorkerSession::hasLeft() const
 {
-    return m_entry.isDraining && !m_isListed && m_isUnreachable;
+    return m_entry.isDraining && !m_isListed && m_isUnreachable && !m_isLookOut;
 }
 
 std::vector<EndedRun> WorkerSession::takeLapsed(absl::Time now)
--- a/src/batch/fleet/worker_session_base.h
+++ b/src/batch/fleet/worker_session_base.h
@@ -111,7 +111,8 @@
     bool isListed() const { return m_isListed; }
     // By when a draining worker may be gone; the infinite future for one that stays.
     absl::Time leavesAt() const { return m_leavesAt; }
-    bool isForgettable() const { return !m_isListed && m_runs.empty(); }
+    // The look that is out may still list ends.
+    bool isForgettable() const { return !m_isListed && m_runs.empty() && !m_isLookOut; }
 
     // Whether the worker has answered under this owner's epoch.
     bool isSettled() const { return m_isSettled; }
--- a/tests/batch/worker_session_test.cpp
+++ b/tests/batch/worker_session_test.cpp
@@ -191,6 +191,39 @@
     EXPECT_EQ(m_session.takeLapsed(m_now).size(), 1U);
 }
 
+// Guards against a second start of a task that is done: a leaving worker takes no new connections any more, while the
+// look that is out is still answered and lists the end.
+TEST_F(WorkerSessionTest, WaitsForTheLookThatIsOutBeforeADrainedWorkerCountsAsGone)
+{
+    drainWithARun();
+    const DueCall look = due(SessionCall::Kind::Look);
+    m_session.stop(runOf(0), m_now);
+    m_session.takeReply(due(SessionCall::Kind::Stop).about, noAnswer(ErrorKind::OwnerUnreachable), m_now);
+    EXPECT_TRUE(m_session.takeLapsed(m_now).empty());
+    EXPECT_FALSE(m_session.isForgettable());
+    WorkerReply reply = answerOf(5200);
+    reply.ended = { { 1, runOf(0), RunEnd::Done, "" } };
+    const SessionNews news = m_session.takeReply(look.about, reply, m_now);
+    ASSERT_EQ(news.ended.size(), 1U);
+    EXPECT_EQ(news.ended.front().end, RunEnd::Done);
+    EXPECT_TRUE(m_session.isForgettable());
+}
+
+TEST_F(WorkerSessionTest, IsNotForgottenWhileALookIsOut)
+{
+    settle();
+    m_session.takeReply(startRun(runOf(0)), answerOf(5100), m_now);
+    const DueCall look = due(SessionCall::Kind::Look);
+    // The list shows another process first, so that the run counts as lost.
+    WorkerEntry reborn = makeWorkerEntry("w");
+    reborn.bornMs = born + 1;
+    m_session.update(reborn, m_now);
+    m_session.noteUnlisted();
+    EXPECT_FALSE(m_session.isForgettable());
+    m_session.takeReply(look.about, noAnswer(ErrorKind::PeerGone), m_now);
+    EXPECT_TRUE(m_session.isForgettable());
+}
+
 TEST_F(WorkerSessionTest, EndsWhatAnotherProcessOfTheNameHad)
 {
     settle();
