Codechange: wording of tests/programs

Names of tests, fakes and comments in the usual terms; the requests, responses and checks are the same. Two texts that only these tests see changed with them: the message of FakeEntry's errors and the change id of the other client.

--- a/tests/programs/ctl/fake_entry_base.cpp
+++ b/tests/programs/ctl/fake_entry_base.cpp
@@ -32,16 +32,16 @@
 
 HttpResponse errorResponse(ErrorKind kind, Revision expected, Revision present)
 {
-    const EncodedAnswer answer = encodeAnswer(ErrorAnswer { kind, "told so", expected, present });
+    const EncodedAnswer answer = encodeAnswer(ErrorAnswer { kind, "refused by FakeEntry", expected, present });
     return { answer.httpStatus, {}, answer.body };
 }
 
-absl::Status lostAnswer()
+absl::Status lostResponse()
 {
-    return makeError(ErrorKind::TimedOut, "no answer in time");
+    return makeError(ErrorKind::TimedOut, "no response in time");
 }
 
-absl::Status noConnection()
+absl::Status refusedConnection()
 {
     return makeError(ErrorKind::OwnerUnreachable, "connection refused");
 }
@@ -49,29 +49,29 @@
 void FakeEntry::send(const HttpRequest& request, Done done)
 {
     m_requests.push_back(request);
-    if (m_script.empty()) {
+    if (m_handlers.empty()) {
         done(serve(request));
         return;
     }
-    const Handler handler = m_script.front();
-    m_script.pop_front();
+    const Handler handler = m_handlers.front();
+    m_handlers.pop_front();
     done(handler(request));
 }
 
 void FakeEntry::stream(const HttpRequest& request, Piece piece, Done done)
 {
     m_requests.push_back(request);
-    if (m_streams.empty()) {
-        done(noConnection());
+    if (m_streamResponses.empty()) {
+        done(refusedConnection());
         return;
     }
-    HttpResponse response = m_streams.front();
-    m_streams.pop_front();
-    // Pieces that do not end where lines do.
-    constexpr std::size_t pieceSize = 7;
+    HttpResponse response = m_streamResponses.front();
+    m_streamResponses.pop_front();
+    // Splits the body at positions other than the ends of lines.
+    constexpr std::size_t pieceBytes = 7;
     bool isOpen = true;
-    for (std::size_t place = 0; place < response.body.size() && isOpen; place += pieceSize)
-        isOpen = piece(response.body.substr(place, pieceSize));
+    for (std::size_t offset = 0; offset < response.body.size() && isOpen; offset += pieceBytes)
+        isOpen = piece(response.body.substr(offset, pieceBytes));
     response.body.clear();
     done(response);
 }
@@ -121,7 +121,7 @@
     return { 200, {}, object.dump() };
 }
 
-ExitCode ClientRun::run(std::vector<std::string> words)
+ExitCode ClientFixture::run(std::vector<std::string> words)
 {
     const std::vector<std::string> global = { "--entry", "http://one", "--entry=http://two", "--token", "secret" };
     words.insert(words.begin(), global.begin(), global.end());
@@ -131,10 +131,10 @@
 std::string writeFile(const std::string& name, const std::string& text)
 {
     const testing::TestInfo* test = testing::UnitTest::GetInstance()->current_test_info();
-    std::string place = absl::StrCat(testing::TempDir(), "mangohallctl_", test->name(), "/", name);
-    std::filesystem::create_directories(std::filesystem::path(place).parent_path());
-    std::ofstream(place) << text;
-    return place;
+    std::string path = absl::StrCat(testing::TempDir(), "mangohallctl_", test->name(), "/", name);
+    std::filesystem::create_directories(std::filesystem::path(path).parent_path());
+    std::ofstream(path) << text;
+    return path;
 }
 
 } // namespace mangohall
--- a/tests/programs/ctl/plan_test.cpp
+++ b/tests/programs/ctl/plan_test.cpp
@@ -1,4 +1,4 @@
-// Plans from what is present to what is declared.
+// Tests of declarations, and of the plans that change the current resources into the declared ones.
 #include "programs/ctl/plan_func.h"
 
 #include "core/error_func.h"
@@ -26,7 +26,7 @@
     return declared.ok() ? *declared : std::vector<Declaration> {};
 }
 
-TEST(Plan, OrdersKindsByWhatTheyRestOn)
+TEST(Plan, OrdersKindsByTheirDependencies)
 {
     std::vector<std::string> lines;
     for (const PlanStep& step : makePlan(parse(everyKind), {}))
@@ -37,7 +37,7 @@
     EXPECT_EQ(lines, expected);
 }
 
-TEST(Plan, ChangesNothingTwice)
+TEST(Plan, HasNoChangesWhenEveryResourceIsCurrent)
 {
     const std::vector<Declaration> declared = parse(everyKind);
     std::vector<CurrentObject> current;
@@ -49,7 +49,7 @@
     EXPECT_FALSE(hasChanges(plan));
 }
 
-TEST(Plan, NamesTheFieldsOfAChangeAndItsRevision)
+TEST(Plan, ListsChangedFieldsAndTheCurrentRevision)
 {
     const std::vector<Declaration> before = parse(R"({"kind":"organisations","name":"a","spec":{"weight":1}})");
     const std::vector<Declaration> after = parse(R"({"kind":"organisations","name":"a","spec":{"weight":4}})");
@@ -61,15 +61,15 @@
     EXPECT_EQ(describeFields(plan[0]), "    weight: 1 -> 4\n");
 }
 
-TEST(Plan, TakesADefaultLeftOutForTheSame)
+TEST(Plan, TreatsAnOmittedDefaultAsUnchanged)
 {
-    const std::vector<Declaration> brief = parse(R"({"kind":"organisations","name":"a","spec":{}})");
-    const std::vector<Declaration> whole
+    const std::vector<Declaration> withDefaults = parse(R"({"kind":"organisations","name":"a","spec":{}})");
+    const std::vector<Declaration> explicitValues
         = parse(R"({"kind":"organisations","name":"a","spec":{"weight":1,"maxQueuedJobs":1000,"maxAccelerators":0}})");
-    EXPECT_FALSE(hasChanges(makePlan(brief, std::vector<CurrentObject> { { whole[0].spec, 3 } })));
+    EXPECT_FALSE(hasChanges(makePlan(withDefaults, std::vector<CurrentObject> { { explicitValues[0].spec, 3 } })));
 }
 
-TEST(Declaration, NamesFileAndPlaceOfAFault)
+TEST(Declaration, ReportsTheFileAndFieldOfAnError)
 {
     const auto messageOf
         = [](absl::string_view text) { return std::string(parseDeclarations(text, "a.json").status().message()); };
--- a/tests/programs/ctl/resource_commands_test.cpp
+++ b/tests/programs/ctl/resource_commands_test.cpp
@@ -1,4 +1,4 @@
-// Commands on declared resources.
+// Tests of the commands on declared resources.
 #include <filesystem>
 
 #include "core/error_func.h"
@@ -13,14 +13,14 @@
     {"kind": "organisations", "name": "zagara", "spec": {"weight": 2}}
 ])";
 
-class ResourceCommandsTest : public testing::Test, protected ClientRun {
+class ResourceCommandsTest : public testing::Test, protected ClientFixture {
 protected:
     void SetUp() override { m_file = writeFile("all.json", twoDeclarations); }
 
     std::string m_file;
 };
 
-TEST_F(ResourceCommandsTest, AppliesOnceAndThenFindsNothingToDo)
+TEST_F(ResourceCommandsTest, AppliesADeclarationOnce)
 {
     EXPECT_EQ(run({ "apply", "-f", m_file, "--dry-run" }), ExitCode::Differences);
     EXPECT_TRUE(m_entry.m_objects.empty());
@@ -44,15 +44,16 @@
     EXPECT_EQ(m_entry.m_objects.size(), 3U);
 }
 
-TEST_F(ResourceCommandsTest, SettlesALostAnswerByReadingBack)
+TEST_F(ResourceCommandsTest, ReadsAResourceBackAfterALostResponse)
 {
     const FakeEntry::Handler serve = [this](const HttpRequest& request) { return m_entry.serve(request); };
-    const FakeEntry::Handler lose = [this](const HttpRequest& request) {
+    const FakeEntry::Handler serveButLoseResponse = [this](const HttpRequest& request) {
         static_cast<void>(m_entry.serve(request));
-        return lostAnswer();
+        return lostResponse();
     };
-    // Two lists, then a write that takes effect with its answer lost; the next entry sees a conflict.
-    m_entry.m_script = { serve, serve, lose };
+    // Two lists, then a write that takes effect but whose response is lost. The retry at the next entry gets a
+    // conflict.
+    m_entry.m_handlers = { serve, serve, serveButLoseResponse };
     EXPECT_EQ(run({ "apply", "-f", m_file }), ExitCode::Ok) << m_errors.str();
     EXPECT_EQ(m_entry.m_objects.size(), 2U);
     const HttpRequest& first = m_entry.m_requests[2];
@@ -63,55 +64,55 @@
     EXPECT_EQ(m_entry.m_requests[4].method, "GET");
 }
 
-TEST_F(ResourceCommandsTest, DoesNotTakeAnothersChangeForItsOwn)
+TEST_F(ResourceCommandsTest, ReportsAConflictWithTheChangeOfAnotherClient)
 {
     const FakeEntry::Handler serve = [this](const HttpRequest& request) { return m_entry.serve(request); };
-    const FakeEntry::Handler race = [this](const HttpRequest& request) {
+    const FakeEntry::Handler changeByAnotherClient = [this](const HttpRequest& request) {
         HttpRequest other = request;
-        other.headers = { { "X-Change-Id", "of another" } };
+        other.headers = { { "X-Change-Id", "change-of-another-client" } };
         static_cast<void>(m_entry.serve(other));
-        return lostAnswer();
+        return lostResponse();
     };
-    m_entry.m_script = { serve, serve, race };
+    m_entry.m_handlers = { serve, serve, changeByAnotherClient };
     EXPECT_EQ(run({ "apply", "-f", m_file }), ExitCode::Refused);
     EXPECT_NE(m_errors.str().find("revisionConflict"), std::string::npos);
 }
 
-TEST_F(ResourceCommandsTest, TellsUnreachableFromUnknown)
+TEST_F(ResourceCommandsTest, DistinguishesUnreachableFromOutcomeUnknown)
 {
-    const FakeEntry::Handler refuse = [](const HttpRequest&) { return noConnection(); };
-    const FakeEntry::Handler lose = [](const HttpRequest&) { return lostAnswer(); };
+    const FakeEntry::Handler refuseConnection = [](const HttpRequest&) { return refusedConnection(); };
+    const FakeEntry::Handler loseResponse = [](const HttpRequest&) { return lostResponse(); };
     const FakeEntry::Handler serve = [this](const HttpRequest& request) { return m_entry.serve(request); };
-    m_entry.m_script.assign(100, refuse);
+    m_entry.m_handlers.assign(100, refuseConnection);
     EXPECT_EQ(run({ "get", "nodes" }), ExitCode::Unreachable);
     EXPECT_EQ(m_entry.m_requests.size(), 10U);
     EXPECT_EQ(m_pause.m_pauses.size(), 4U);
-    m_entry.m_script.assign(100, lose);
+    m_entry.m_handlers.assign(100, loseResponse);
     EXPECT_EQ(run({ "get", "nodes" }), ExitCode::Unreachable);
-    m_entry.m_script.assign(100, refuse);
-    m_entry.m_script.push_front(serve);
-    m_entry.m_script.push_front(serve);
+    m_entry.m_handlers.assign(100, refuseConnection);
+    m_entry.m_handlers.push_front(serve);
+    m_entry.m_handlers.push_front(serve);
     EXPECT_EQ(run({ "apply", "-f", m_file }), ExitCode::Unreachable);
-    m_entry.m_script.assign(100, lose);
-    m_entry.m_script.push_front(serve);
-    m_entry.m_script.push_front(serve);
+    m_entry.m_handlers.assign(100, loseResponse);
+    m_entry.m_handlers.push_front(serve);
+    m_entry.m_handlers.push_front(serve);
     EXPECT_EQ(run({ "apply", "-f", m_file }), ExitCode::OutcomeUnknown);
-    m_entry.m_script.assign(100, refuse);
-    m_entry.m_script.push_front(lose);
+    m_entry.m_handlers.assign(100, refuseConnection);
+    m_entry.m_handlers.push_front(loseResponse);
     EXPECT_EQ(run({ "delete", "drains", "x" }), ExitCode::OutcomeUnknown);
 }
 
-TEST_F(ResourceCommandsTest, StopsAtTheFirstRefusal)
+TEST_F(ResourceCommandsTest, StopsAtTheFirstRefusedChange)
 {
     const FakeEntry::Handler serve = [this](const HttpRequest& request) { return m_entry.serve(request); };
-    m_entry.m_script
+    m_entry.m_handlers
         = { serve, serve, [](const HttpRequest&) { return errorResponse(ErrorKind::GuaranteeDoesNotPack); } };
     EXPECT_EQ(run({ "apply", "-f", m_file }), ExitCode::Refused);
     EXPECT_TRUE(m_entry.m_objects.empty());
     EXPECT_TRUE(m_pause.m_pauses.empty());
 }
 
-TEST_F(ResourceCommandsTest, ChecksFilesOffline)
+TEST_F(ResourceCommandsTest, ValidatesFilesWithoutRequests)
 {
     EXPECT_EQ(run({ "validate", "-f", m_file }), ExitCode::Ok);
     EXPECT_EQ(run({ "validate", "-f", writeFile("bad.json", "{") }), ExitCode::Usage);
@@ -120,7 +121,7 @@
     EXPECT_TRUE(m_entry.m_requests.empty());
 }
 
-TEST_F(ResourceCommandsTest, DrainsAndTakesItBack)
+TEST_F(ResourceCommandsTest, DrainsARackAndUndoesIt)
 {
     EXPECT_EQ(run({ "drain", "rack", "r1" }), ExitCode::Ok);
     EXPECT_EQ(m_entry.m_objects["/v1/drains/rack-r1"]["spec"]["targetName"], "r1");
@@ -131,12 +132,12 @@
     EXPECT_EQ(run({ "drain", "rack", "r1", "--undo" }), ExitCode::Refused);
 }
 
-TEST_F(ResourceCommandsTest, TakesADeletionWhoseAnswerWasLostForDone)
+TEST_F(ResourceCommandsTest, ReportsSuccessWhenTheResponseToADeletionIsLost)
 {
     EXPECT_EQ(run({ "drain", "rack", "r1" }), ExitCode::Ok);
-    m_entry.m_script = { [this](const HttpRequest& request) {
+    m_entry.m_handlers = { [this](const HttpRequest& request) {
         static_cast<void>(m_entry.serve(request));
-        return lostAnswer();
+        return lostResponse();
     } };
     EXPECT_EQ(run({ "delete", "drains", "rack-r1" }), ExitCode::Ok);
 }
@@ -153,7 +154,7 @@
     EXPECT_EQ(run({ "get", "organisations", "nobody" }), ExitCode::Refused);
 }
 
-TEST_F(ResourceCommandsTest, RefusesWrongUsage)
+TEST_F(ResourceCommandsTest, RejectsInvalidCommandLines)
 {
     EXPECT_EQ(run({}), ExitCode::Usage);
     EXPECT_EQ(run({ "fly" }), ExitCode::Usage);
--- a/tests/programs/server/server_program_test.cpp
+++ b/tests/programs/server/server_program_test.cpp
@@ -12,15 +12,15 @@
 
 using Arguments = std::vector<const char*>;
 
-// What a process was asked, in order.
-struct ProcessRecord {
-    std::vector<std::string> steps;
+// The calls that a FakeServerProcess received, in order.
+struct CallRecord {
+    std::vector<std::string> calls;
 };
 
-// A server whose start asks the program to stop at once.
-class FakeProcess : public ServerProcess {
+// Records its calls. A successful start raises SIGTERM, so that the program stops at once.
+class FakeServerProcess : public ServerProcess {
 public:
-    FakeProcess(ProcessRecord& record, absl::Status startStatus)
+    FakeServerProcess(CallRecord& record, absl::Status startStatus)
         : m_record(record)
         , m_startStatus(std::move(startStatus))
     {
@@ -28,7 +28,7 @@
 
     absl::Status start() override
     {
-        m_record.steps.emplace_back("start");
+        m_record.calls.emplace_back("start");
         if (m_startStatus.ok())
             std::raise(SIGTERM);
         return m_startStatus;
@@ -36,24 +36,25 @@
 
     bool drain(absl::Duration timeout) override
     {
-        m_record.steps.push_back("drain " + absl::FormatDuration(timeout));
+        m_record.calls.push_back("drain " + absl::FormatDuration(timeout));
         return true;
     }
 
-    void stop() override { m_record.steps.emplace_back("stop"); }
+    void stop() override { m_record.calls.emplace_back("stop"); }
 
 private:
-    ProcessRecord& m_record;
+    CallRecord& m_record;
     const absl::Status m_startStatus;
 };
 
-ServerProgram fakeProgram(ProcessRecord& record, const absl::Status& startStatus)
+ServerProgram fakeProgram(CallRecord& record, const absl::Status& startStatus)
 {
     return { "mangohall-test", NodeRole::Scheduler,
-        [&record, startStatus](const Settings&) { return std::make_unique<FakeProcess>(record, startStatus); } };
+        [&record, startStatus](const Settings&) { return std::make_unique<FakeServerProcess>(record, startStatus); } };
 }
 
-std::string settingsFile(absl::string_view dataCentre)
+// Writes a settings file and returns its path. The settings are invalid if the data centre is empty.
+std::string writeSettings(absl::string_view dataCentre)
 {
     std::string path = testing::TempDir() + "/server_program_test.json";
     std::ofstream(path) << R"({ "node": { "name": "s", "region": "r", "dataCentre": ")" << dataCentre << R"(" },
@@ -63,7 +64,7 @@
     return path;
 }
 
-TEST(ServerArguments, TellsWhatIsAskedFor)
+TEST(ServerArguments, ParsesEachActionAndRejectsInvalidArguments)
 {
     EXPECT_EQ(parseServerArguments(Arguments { "p", "--settings", "f" }, "p").settingsPath, "f");
     EXPECT_EQ(parseServerArguments(Arguments { "p", "--settings", "f", "--check-settings" }, "p").action,
@@ -76,33 +77,33 @@
     EXPECT_EQ(parseServerArguments(Arguments { "p", "--set", "f" }, "p").action, CommandAction::Refuse);
 }
 
-TEST(ServerProgram, DrainsAndStopsOnASignal)
+TEST(ServerProgram, DrainsAndStopsOnSigterm)
 {
-    ProcessRecord record;
-    const std::string path = settingsFile("ct-a");
+    CallRecord record;
+    const std::string path = writeSettings("ct-a");
     EXPECT_EQ(
         runServerProgram(Arguments { "p", "--settings", path.c_str() }, fakeProgram(record, absl::OkStatus())), 0);
-    EXPECT_EQ(record.steps, (std::vector<std::string> { "start", "drain 2s", "stop" }));
+    EXPECT_EQ(record.calls, (std::vector<std::string> { "start", "drain 2s", "stop" }));
 }
 
-TEST(ServerProgram, EndsWithOneIfItCannotStart)
+TEST(ServerProgram, ExitsWithOneIfItCannotStart)
 {
-    ProcessRecord record;
-    const std::string path = settingsFile("ct-a");
+    CallRecord record;
+    const std::string path = writeSettings("ct-a");
     const ServerProgram program = fakeProgram(record, absl::InternalError("port taken"));
     EXPECT_EQ(runServerProgram(Arguments { "p", "--settings", path.c_str() }, program), 1);
-    EXPECT_EQ(record.steps, (std::vector<std::string> { "start", "stop" }));
+    EXPECT_EQ(record.calls, (std::vector<std::string> { "start", "stop" }));
 }
 
-TEST(ServerProgram, EndsWithTwoOnFaultySettings)
+TEST(ServerProgram, ExitsWithTwoOnInvalidSettings)
 {
-    ProcessRecord record;
-    const std::string path = settingsFile("");
+    CallRecord record;
+    const std::string path = writeSettings("");
     const ServerProgram program = fakeProgram(record, absl::OkStatus());
     EXPECT_EQ(runServerProgram(Arguments { "p", "--settings", path.c_str() }, program), 2);
     EXPECT_EQ(runServerProgram(Arguments { "p", "--settings", path.c_str(), "--check-settings" }, program), 2);
     EXPECT_EQ(runServerProgram(Arguments { "p" }, program), 2);
-    EXPECT_TRUE(record.steps.empty());
+    EXPECT_TRUE(record.calls.empty());
 }
 
 } // namespace
