--- a/tests/golden/session_record_func.cpp
+++ b/tests/golden/session_record_func.cpp
@@ -12,20 +12,22 @@
 
 namespace {
 
-struct Line {
+// One line of the record.
+struct SessionEvent {
     absl::Time at;
-    std::string who;
-    std::string what;
+    // Who did or received something, for example "caller 8 at e0".
+    std::string actor;
+    std::string text;
 };
 
-std::string show(const JobKey& key)
+std::string describe(const JobKey& key)
 {
     return absl::StrCat(key.organisation.str(), "/", key.requestKey);
 }
 
-std::string show(const TaskId& task)
+std::string describe(const TaskId& task)
 {
-    return absl::StrCat(show(task.job), " attempt ", task.attempt, " task ", task.index);
+    return absl::StrCat(describe(task.job), " attempt ", task.attempt, " task ", task.index);
 }
 
 std::string phaseName(JobPhase phase)
@@ -43,16 +45,22 @@
     return "";
 }
 
-// What a caller asked.
-class RequestText {
+// Describes a request of a caller or operator.
+class RequestDescription {
 public:
     std::string operator()(const SubmitRequest& request) const
     {
         const Shape& shape = request.spec.shape;
-        return absl::StrCat("submits ", show(request.key), ", ", shape.tasks, " x ", shape.acceleratorsPerTask);
+        return absl::StrCat("submits ", describe(request.key), ", ", shape.tasks, " x ", shape.acceleratorsPerTask);
+    }
+    std::string operator()(const QueryRequest& request) const
+    {
+        return absl::StrCat("queries ", describe(request.key));
+    }
+    std::string operator()(const CancelRequest& request) const
+    {
+        return absl::StrCat("cancels ", describe(request.key));
     }
-    std::string operator()(const QueryRequest& request) const { return absl::StrCat("asks for ", show(request.key)); }
-    std::string operator()(const CancelRequest& request) const { return absl::StrCat("cancels ", show(request.key)); }
     std::string operator()(const PutRequest& request) const
     {
         return absl::StrCat("declares ", configKindName(kindOf(request.spec)), "/", nameOf(request.spec));
@@ -69,11 +77,11 @@
     {
         return absl::StrCat("watches ", configKindName(request.kind));
     }
-    std::string operator()(const ViewRequest& /*request*/) const { return "views"; }
+    std::string operator()(const ViewRequest& /*request*/) const { return "reads a view"; }
 };
 
-// What a caller was answered.
-class AnswerText {
+// Describes the answer to a request.
+class AnswerDescription {
 public:
     std::string operator()(const ErrorAnswer& answer) const
     {
@@ -82,7 +90,8 @@
     std::string operator()(const JobAnswer& answer) const
     {
         const JobStatus& status = answer.status;
-        std::string text = absl::StrCat(show(status.key), " ", phaseName(status.phase), ", attempt ", status.attempt);
+        std::string text
+            = absl::StrCat(describe(status.key), " ", phaseName(status.phase), ", attempt ", status.attempt);
         if (status.phase == JobPhase::Ended)
             absl::StrAppend(
                 &text, ", ", errorName(status.outcome), ", results [", absl::StrJoin(status.results, " "), "]");
@@ -111,48 +120,49 @@
     std::string operator()(const NodesAnswer& answer) const { return absl::StrCat(answer.members.size(), " nodes"); }
 };
 
-bool isOperators(const CallerRequest& request)
+bool isOperatorRequest(const CallerRequest& request)
 {
     return !std::holds_alternative<SubmitRequest>(request) && !std::holds_alternative<QueryRequest>(request)
         && !std::holds_alternative<CancelRequest>(request);
 }
 
-void addCallers(const Witness& witness, std::vector<Line>& lines)
+void addCallerEvents(const Witness& witness, std::vector<SessionEvent>& events)
 {
     for (const auto& [caller, log] : witness.callers) {
-        const std::string who
-            = absl::StrCat(isOperators(log.request) ? "operator " : "caller ", caller, " at ", log.entry);
-        lines.push_back({ log.sentAt, who, std::visit(RequestText(), log.request) });
+        const std::string actor
+            = absl::StrCat(isOperatorRequest(log.request) ? "operator " : "caller ", caller, " at ", log.entry);
+        events.push_back({ log.sentAt, actor, std::visit(RequestDescription(), log.request) });
         if (!log.answers.empty())
-            lines.push_back({ log.answeredAt, who, "<- " + std::visit(AnswerText(), log.answers.back()) });
+            events.push_back({ log.answeredAt, actor, "<- " + std::visit(AnswerDescription(), log.answers.back()) });
     }
 }
 
-void addWorkers(const Witness& witness, std::vector<Line>& lines)
+void addWorkerEvents(const Witness& witness, std::vector<SessionEvent>& events)
 {
     for (const TaskStart& start : witness.starts) {
-        const std::string how = start.isPrepared ? "prepares " : "takes ";
-        const std::string from = start.isResumed ? " from its checkpoint" : "";
-        lines.push_back({ start.at, "worker " + start.worker, absl::StrCat(how, show(start.task), from) });
+        const std::string verb = start.isPrepared ? "prepares " : "starts ";
+        const std::string origin = start.isResumed ? " from its checkpoint" : "";
+        events.push_back({ start.at, "worker " + start.worker, absl::StrCat(verb, describe(start.task), origin) });
     }
     for (const TaskExecution& execution : witness.executions)
-        lines.push_back({ execution.startedAt, "worker run " + execution.incarnation, "runs " + show(execution.task) });
+        events.push_back(
+            { execution.startedAt, "incarnation " + execution.incarnation, "executes " + describe(execution.task) });
 }
 
 } // namespace
 
 std::string recordOf(const Witness& witness, absl::Time start)
 {
-    std::vector<Line> lines;
-    addCallers(witness, lines);
-    addWorkers(witness, lines);
-    std::stable_sort(
-        lines.begin(), lines.end(), [](const Line& left, const Line& right) { return left.at < right.at; });
+    std::vector<SessionEvent> events;
+    addCallerEvents(witness, events);
+    addWorkerEvents(witness, events);
+    std::stable_sort(events.begin(), events.end(),
+        [](const SessionEvent& left, const SessionEvent& right) { return left.at < right.at; });
     std::string text;
-    for (const Line& line : lines) {
-        if (line.at >= start)
-            absl::StrAppend(&text, absl::StrFormat("%9.3f", absl::ToDoubleSeconds(line.at - start)), "  ", line.who,
-                ": ", line.what, "\n");
+    for (const SessionEvent& event : events) {
+        if (event.at >= start)
+            absl::StrAppend(&text, absl::StrFormat("%9.3f", absl::ToDoubleSeconds(event.at - start)), "  ", event.actor,
+                ": ", event.text, "\n");
     }
     return text;
 }
--- a/tests/golden/session_record_func.h
+++ b/tests/golden/session_record_func.h
@@ -1,4 +1,4 @@
-// A session as text: what callers, operators and workers saw, in order.
+// Renders a session as text, for the comparison with a golden file.
 #pragma once
 
 #include <string>
@@ -7,7 +7,8 @@
 
 namespace mangohall {
 
-// One line each: seconds since the session's start, who, and what.
+// Lists what callers, operators and workers did and received since `start`, in order of time. Each line has the seconds
+// since `start`, the actor and the event.
 std::string recordOf(const Witness& witness, absl::Time start);
 
 } // namespace mangohall
