--- a/tests/adapters/runtime/node_runtime_test.cpp
+++ b/tests/adapters/runtime/node_runtime_test.cpp
@@ -27,7 +27,7 @@
 }
 
 // Returns the effects for a caller event of part 1 and no effects for any other event.
-FakeNode::Script effectsForCallerEvent(const Effects& effects)
+FakeNode::Handler effectsForCallerEvent(const Effects& effects)
 {
     return [effects](PartIndex part, const Event& event) {
         return part == 1 && std::holds_alternative<CallerEvent>(event) ? effects : Effects();
@@ -37,8 +37,8 @@
 // A started runtime with a fake node and fake ports. Every part has handled its first wake-up.
 class RuntimeHarness {
 public:
-    explicit RuntimeHarness(FakeNode::Script script)
-        : node(partCount, std::move(script))
+    explicit RuntimeHarness(FakeNode::Handler handler)
+        : node(partCount, std::move(handler))
         , runtime(node, clock, { store, vmList, worker, peer, observer, &caller }, { selfName, 4 })
     {
         runtime.start();
--- a/tests/fakes/fake_node_base.h
+++ b/tests/fakes/fake_node_base.h
@@ -1,4 +1,4 @@
-// A node that records what it is told and answers with what a test has laid ready.
+// A node that records the events it handles and returns the effects that a test's handler gives.
 #pragma once
 
 #include <functional>
@@ -11,27 +11,28 @@
 
 namespace mangohall {
 
-// One event that a part was told.
+// An event that a part of a FakeNode has handled.
 struct HandledEvent {
     PartIndex part = 0;
     Event event;
     absl::Time now;
 };
 
-// Safe to call from several threads. Wake events at the start are recorded like any other.
+// Safe to call from several threads. The wake events that the runtime sends at the start are recorded too.
 class FakeNode : public Node {
 public:
-    using Script = std::function<Effects(PartIndex, const Event&)>;
+    // Returns the effects of an event. Called by several threads at a time.
+    using Handler = std::function<Effects(PartIndex, const Event&)>;
 
-    FakeNode(std::size_t partCount, Script script)
+    FakeNode(std::size_t partCount, Handler handler)
         : m_partCount(partCount)
-        , m_script(std::move(script))
+        , m_handler(std::move(handler))
     {
     }
 
     std::size_t partCount() const override { return m_partCount; }
 
-    // Callers are spread over the parts; everything else is for the last part.
+    // Distributes caller events over all parts by the caller's id. Every other event goes to the last part.
     PartIndex partFor(const Event& event) const override
     {
         const auto* caller = std::get_if<CallerEvent>(&event);
@@ -40,13 +41,13 @@
 
     Effects handle(PartIndex part, const Event& event, absl::Time now) override
     {
-        Effects effects = m_script(part, event);
+        Effects effects = m_handler(part, event);
         absl::MutexLock lock(&m_mutex);
         m_handled.push_back({ part, event, now });
         return effects;
     }
 
-    // Waits until the node has handled this many events.
+    // Blocks until the node has handled this many events, then returns all events handled so far.
     std::vector<HandledEvent> waitForEvents(std::size_t count)
     {
         absl::MutexLock lock(&m_mutex);
@@ -57,7 +58,7 @@
 
 private:
     const std::size_t m_partCount;
-    const Script m_script;
+    const Handler m_handler;
     absl::Mutex m_mutex;
     std::vector<HandledEvent> m_handled ABSL_GUARDED_BY(m_mutex);
 };
--- a/tests/fakes/fake_ports_base.h
+++ b/tests/fakes/fake_ports_base.h
@@ -1,4 +1,4 @@
-// Ports that record what they are asked and reply at once.
+// Fakes of the node's ports. They record calls or reply to them at once, on the calling thread.
 #pragma once
 
 #include <string>
@@ -16,8 +16,8 @@
 
 namespace mangohall {
 
-// A list that several threads append to.
-template <typename Item> class Record {
+// A list to which several threads may append.
+template <typename Item> class ConcurrentList {
 public:
     void add(Item item)
     {
@@ -36,6 +36,7 @@
     std::vector<Item> m_items ABSL_GUARDED_BY(m_mutex);
 };
 
+// Replies to every request with success at revision 7.
 class FakeStorePort : public StorePort {
 public:
     void start(const StoreRequest& /*request*/, Done done) override
@@ -46,6 +47,7 @@
     }
 };
 
+// Lists one VM in the requested data centre. An empty name gives the error Unavailable.
 class FakeVmListPort : public VmListPort {
 public:
     void read(const DataCentreName& dataCentre, Done done) override
@@ -60,6 +62,7 @@
     }
 };
 
+// Replies to every call with an empty report of the worker.
 class FakeWorkerPort : public WorkerPort {
 public:
     void call(
@@ -71,6 +74,7 @@
     }
 };
 
+// Records the address of every message.
 class FakePeerPort : public PeerPort {
 public:
     void send(const NodeName& /*to*/, absl::string_view address, const PeerMessage& /*message*/) override
@@ -78,21 +82,23 @@
         sentTo.add(std::string(address));
     }
 
-    Record<std::string> sentTo;
+    ConcurrentList<std::string> sentTo;
 };
 
+// Records the caller of every answer.
 class FakeCallerPort : public CallerPort {
 public:
     void answer(CallerId caller, const CallerAnswer& /*answer*/, bool /*isLast*/) override { answered.add(caller); }
 
-    Record<CallerId> answered;
+    ConcurrentList<CallerId> answered;
 };
 
+// Records every observation.
 class FakeObserverPort : public ObserverPort {
 public:
     void observe(const ObservationEffect& observation) override { observed.add(observation); }
 
-    Record<ObservationEffect> observed;
+    ConcurrentList<ObservationEffect> observed;
 };
 
 } // namespace mangohall
--- a/tests/fakes/manual_clock_base.h
+++ b/tests/fakes/manual_clock_base.h
@@ -1,4 +1,4 @@
-// A clock that stands still until a test advances it.
+// A clock whose time changes only when a test advances it.
 #pragma once
 
 #include "absl/base/thread_annotations.h"
