--- a/tests/fuzzers/http_body_fuzzer.cpp
+++ b/tests/fuzzers/http_body_fuzzer.cpp
@@ -1,4 +1,4 @@
-// Feeds bytes to the routing of requests: the first line is method, target and entity tag, the rest is the body.
+// Fuzzes the routing of HTTP requests and the parsing of their bodies.
 #include <cstdint>
 #include <cstdlib>
 #include <variant>
@@ -14,27 +14,30 @@
 namespace mangohall {
 namespace {
 
+// Makes an operator's request. The first line holds the method, the target and the entity tag, separated by spaces; the
+// rest is the body.
 ApiRequest makeRequest(absl::string_view text)
 {
-    const std::pair<absl::string_view, absl::string_view> parts = absl::StrSplit(text, absl::MaxSplits('\n', 1));
-    const std::vector<std::string> words = absl::StrSplit(parts.first, ' ');
+    const std::pair<absl::string_view, absl::string_view> lineAndBody = absl::StrSplit(text, absl::MaxSplits('\n', 1));
+    const std::vector<std::string> fields = absl::StrSplit(lineAndBody.first, ' ');
     ApiRequest request;
-    request.method = words[0];
-    request.target = words.size() > 1 ? words[1] : "/";
+    request.method = fields[0];
+    request.target = fields.size() > 1 ? fields[1] : "/";
     request.headers = { { "Authorization", "Bearer op" } };
-    if (words.size() > 2)
-        request.headers.push_back({ "If-Match", words[2] });
-    request.body = std::string(parts.second);
+    if (fields.size() > 2)
+        request.headers.push_back({ "If-Match", fields[2] });
+    request.body = std::string(lineAndBody.second);
     return request;
 }
 
+// Aborts if the condition is false, which libFuzzer reports as a crash.
 void require(bool condition)
 {
     if (!condition)
         std::abort();
 }
 
-// What was read and written again has to read as the same.
+// Checks that a parsed specification is the same after it has been encoded and parsed again.
 void checkRoundTrip(const CallerRequest& request)
 {
     if (const auto* submit = std::get_if<SubmitRequest>(&request)) {
@@ -59,7 +62,7 @@
     const ApiRequest request = makeRequest(absl::string_view(reinterpret_cast<const char*>(data), size));
     const absl::StatusOr<Route> route = routeRequest(request, tokens, settings, "change-1");
     if (!route.ok()) {
-        // Every refusal is of the closed list and can be written down.
+        // Every error has one of the documented kinds and can be encoded.
         require(errorKindOf(route.status()) != ErrorKind::Internal);
         require(encodeError(route.status()).httpStatus >= 400);
         return 0;
