--- a/tests/fuzz/config_oracle_base.h
+++ b/tests/fuzz/config_oracle_base.h
@@ -2,14 +2,14 @@
 #pragma once
 
 #include "absl/types/optional.h"
-#include "fuzz/witness_type.h"
+#include "fuzz/observed_history_type.h"
 
 namespace mangohall {
 
 // A simple reference model of the declared organisations, built from the operators' requests and answers.
 class ConfigOracle {
 public:
-    explicit ConfigOracle(const Witness& witness);
+    explicit ConfigOracle(const ObservedHistory& observed);
 
     // Checks that reads never go back to an older revision and that conditional changes were accepted only at the
     // revision that they expected.
@@ -40,7 +40,7 @@
     void checkReads(Findings& findings) const;
     void checkExpected(const std::string& name, const History& history, Findings& findings) const;
 
-    const Witness& m_witness;
+    const ObservedHistory& m_observed;
     // The history of each organisation by its name.
     std::map<std::string, History> m_names;
 };
--- a/tests/fuzz/config_oracle_cmd.cpp
+++ b/tests/fuzz/config_oracle_cmd.cpp
@@ -10,10 +10,10 @@
 namespace {
 
 // Returns the answered reads in the order in which they were answered.
-std::vector<const CallerLog*> answeredReads(const Witness& witness)
+std::vector<const CallerLog*> answeredReads(const ObservedHistory& observed)
 {
     std::vector<const CallerLog*> reads;
-    for (const auto& [caller, log] : witness.callers) {
+    for (const auto& [caller, log] : observed.callers) {
         if (std::holds_alternative<ReadRequest>(log.request) && !log.answers.empty())
             reads.push_back(&log);
     }
@@ -24,10 +24,10 @@
 
 } // namespace
 
-ConfigOracle::ConfigOracle(const Witness& witness)
-    : m_witness(witness)
+ConfigOracle::ConfigOracle(const ObservedHistory& observed)
+    : m_observed(observed)
 {
-    for (const auto& [caller, log] : witness.callers)
+    for (const auto& [caller, log] : observed.callers)
         recordCaller(log);
 }
 
@@ -72,7 +72,7 @@
 void ConfigOracle::checkReads(Findings& findings) const
 {
     std::map<std::string, Revision> newest;
-    for (const CallerLog* log : answeredReads(m_witness)) {
+    for (const CallerLog* log : answeredReads(m_observed)) {
         const auto* list = std::get_if<ConfigListAnswer>(&log->answers.back());
         if (list == nullptr)
             continue;
--- a/tests/fuzz/fuzz_world_cmd.cpp
+++ b/tests/fuzz/fuzz_world_cmd.cpp
@@ -219,8 +219,8 @@
 
 void FuzzWorld::checkStrayTasks()
 {
-    const Witness witness = witnessOf(m_cluster);
-    const std::set<JobKey> ended = JobOracle(witness).endedBy(m_cluster.timeline().now() - strayTaskBound);
+    const ObservedHistory observed = observedHistoryOf(m_cluster);
+    const std::set<JobKey> ended = JobOracle(observed).endedBy(m_cluster.timeline().now() - strayTaskBound);
     for (auto& [name, worker] : m_cluster.fleet().workers()) {
         if (worker.isDead || worker.isFrozen)
             continue;
@@ -267,9 +267,9 @@
     m_cluster.runFor(quietLimit);
     queryAllJobs();
     checkStrayTasks();
-    const Witness witness = witnessOf(m_cluster);
+    const ObservedHistory observed = observedHistoryOf(m_cluster);
     Findings findings = m_findings;
-    for (const Findings& more : { JobOracle(witness).checkQuiet(), ConfigOracle(witness).check(), config })
+    for (const Findings& more : { JobOracle(observed).checkQuiet(), ConfigOracle(observed).check(), config })
         findings.insert(findings.end(), more.begin(), more.end());
     return findings;
 }
@@ -300,8 +300,8 @@
     for (int entry = 0; entry < entryCount; ++entry)
         reads.push_back(m_cluster.ask(entryOf(entry), ReadRequest { ConfigKind::Organisation, "" }));
     m_cluster.runFor(absl::Seconds(1));
-    const Witness witness = witnessOf(m_cluster);
-    const ConfigOracle oracle(witness);
+    const ObservedHistory observed = observedHistoryOf(m_cluster);
+    const ConfigOracle oracle(observed);
     Findings findings;
     for (const CallerId read : reads) {
         const CallerLog& log = m_cluster.log(read);
--- a/tests/fuzz/job_oracle_base.h
+++ b/tests/fuzz/job_oracle_base.h
@@ -2,14 +2,14 @@
 #pragma once
 
 #include "absl/types/optional.h"
-#include "fuzz/witness_type.h"
+#include "fuzz/observed_history_type.h"
 
 namespace mangohall {
 
 // A simple reference model of the jobs, built from the requests and answers of callers and from what workers recorded.
 class JobOracle {
 public:
-    explicit JobOracle(const Witness& witness);
+    explicit JobOracle(const ObservedHistory& observed);
 
     // Checks everything that has to hold at any time.
     Findings check() const;
@@ -50,7 +50,7 @@
     void checkGangs(const JobKey& key, const History& history, Findings& findings) const;
     void checkEpochs(Findings& findings) const;
 
-    const Witness& m_witness;
+    const ObservedHistory& m_observed;
     std::map<JobKey, History> m_jobs;
     // Findings made while the requests and answers were recorded.
     Findings m_recordingFindings;
--- a/tests/fuzz/job_oracle_cmd.cpp
+++ b/tests/fuzz/job_oracle_cmd.cpp
@@ -34,14 +34,14 @@
 
 } // namespace
 
-JobOracle::JobOracle(const Witness& witness)
-    : m_witness(witness)
+JobOracle::JobOracle(const ObservedHistory& observed)
+    : m_observed(observed)
 {
-    for (const auto& [caller, log] : witness.callers)
+    for (const auto& [caller, log] : observed.callers)
         recordCaller(caller, log);
-    for (const TaskExecution& execution : witness.executions)
+    for (const TaskExecution& execution : observed.executions)
         m_jobs[execution.task.job].executions.push_back(execution);
-    for (const TaskStart& start : witness.starts)
+    for (const TaskStart& start : observed.starts)
         m_jobs[start.task.job].starts.push_back(start);
 }
 
@@ -133,7 +133,7 @@
     if (history.submits != 1 || history.executions.empty())
         return;
     for (const auto& [caller, kind] : history.refusals) {
-        const CallerRequest& request = m_witness.callers.at(caller).request;
+        const CallerRequest& request = m_observed.callers.at(caller).request;
         if (isNotRun(kind) && std::holds_alternative<SubmitRequest>(request))
             findings.push_back(
                 absl::StrCat(show(key), ": caller ", caller, " was refused with ", errorName(kind), " and a task ran"));
@@ -191,7 +191,7 @@
 void JobOracle::checkEpochs(Findings& findings) const
 {
     std::map<std::pair<std::string, ShardName>, Epoch> newest;
-    for (const AcceptedEpoch& accepted : m_witness.epochs) {
+    for (const AcceptedEpoch& accepted : m_observed.epochs) {
         Epoch& last = newest[{ accepted.incarnation, accepted.shard }];
         if (accepted.epoch < last)
             findings.push_back(absl::StrCat(accepted.worker, " accepted epoch ", accepted.epoch, " of ",
--- a/tests/fuzz/witness_type.h
+++ b/tests/fuzz/observed_history_type.h
@@ -10,8 +10,8 @@
 
 namespace mangohall {
 
-// What callers and workers recorded.
-struct Witness {
+// What callers and workers have recorded.
+struct ObservedHistory {
     const std::map<CallerId, CallerLog>& callers;
     std::vector<TaskExecution> executions;
     const std::vector<TaskStart>& starts;
@@ -22,7 +22,7 @@
 using Findings = std::vector<std::string>;
 
 // Collects the records of the cluster's callers and workers so far.
-inline Witness witnessOf(Cluster& cluster)
+inline ObservedHistory observedHistoryOf(Cluster& cluster)
 {
     return { cluster.logs(), cluster.fleet().executions(), cluster.fleet().starts(), cluster.fleet().acceptedEpochs() };
 }
--- a/tests/golden/golden_session_test.cpp
+++ b/tests/golden/golden_session_test.cpp
@@ -52,9 +52,9 @@
     void finish(const std::string& session)
     {
         EXPECT_TRUE(m_cluster.runUntilAnswered(absl::Minutes(5)));
-        const Witness witness = witnessOf(m_cluster);
-        EXPECT_EQ(JobOracle(witness).check(), Findings());
-        compareWithGolden(session, recordOf(witness, m_start));
+        const ObservedHistory observed = observedHistoryOf(m_cluster);
+        EXPECT_EQ(JobOracle(observed).check(), Findings());
+        compareWithGolden(session, recordOf(observed, m_start));
     }
 
     Cluster m_cluster { options() };
--- a/tests/golden/session_record_func.cpp
+++ b/tests/golden/session_record_func.cpp
@@ -126,9 +126,9 @@
         && !std::holds_alternative<CancelRequest>(request);
 }
 
-void addCallerEvents(const Witness& witness, std::vector<SessionEvent>& events)
+void addCallerEvents(const ObservedHistory& observed, std::vector<SessionEvent>& events)
 {
-    for (const auto& [caller, log] : witness.callers) {
+    for (const auto& [caller, log] : observed.callers) {
         const std::string actor
             = absl::StrCat(isOperatorRequest(log.request) ? "operator " : "caller ", caller, " at ", log.entry);
         events.push_back({ log.sentAt, actor, std::visit(RequestDescription(), log.request) });
@@ -137,25 +137,25 @@
     }
 }
 
-void addWorkerEvents(const Witness& witness, std::vector<SessionEvent>& events)
+void addWorkerEvents(const ObservedHistory& observed, std::vector<SessionEvent>& events)
 {
-    for (const TaskStart& start : witness.starts) {
+    for (const TaskStart& start : observed.starts) {
         const std::string verb = start.isPrepared ? "prepares " : "starts ";
         const std::string origin = start.isResumed ? " from its checkpoint" : "";
         events.push_back({ start.at, "worker " + start.worker, absl::StrCat(verb, describe(start.task), origin) });
     }
-    for (const TaskExecution& execution : witness.executions)
+    for (const TaskExecution& execution : observed.executions)
         events.push_back(
             { execution.startedAt, "incarnation " + execution.incarnation, "executes " + describe(execution.task) });
 }
 
 } // namespace
 
-std::string recordOf(const Witness& witness, absl::Time start)
+std::string recordOf(const ObservedHistory& observed, absl::Time start)
 {
     std::vector<SessionEvent> events;
-    addCallerEvents(witness, events);
-    addWorkerEvents(witness, events);
+    addCallerEvents(observed, events);
+    addWorkerEvents(observed, events);
     std::stable_sort(events.begin(), events.end(),
         [](const SessionEvent& left, const SessionEvent& right) { return left.at < right.at; });
     std::string text;
--- a/tests/golden/session_record_func.h
+++ b/tests/golden/session_record_func.h
@@ -3,12 +3,12 @@
 
 #include <string>
 
-#include "fuzz/witness_type.h"
+#include "fuzz/observed_history_type.h"
 
 namespace mangohall {
 
 // Lists what callers, operators and workers did and received since `start`, in order of time. Each line has the seconds
 // since `start`, the actor and the event.
-std::string recordOf(const Witness& witness, absl::Time start);
+std::string recordOf(const ObservedHistory& observed, absl::Time start);
 
 } // namespace mangohall
