--- a/tests/cluster/cluster_base.cpp
+++ b/tests/cluster/cluster_base.cpp
@@ -99,7 +99,7 @@
     return isAnswered();
 }
 
-CallerId Cluster::ask(const std::string& entry, CallerRequest request, const std::string& organisation)
+CallerId Cluster::sendRequest(const std::string& entry, CallerRequest request, const std::string& organisation)
 {
     const CallerId caller = ++m_lastCaller;
     m_logs[caller]
@@ -112,13 +112,13 @@
 CallerId Cluster::submit(const std::string& entry, const std::string& organisation, const std::string& key,
     const JobSpec& spec, absl::Duration wait)
 {
-    return ask(entry, SubmitRequest { { OrganisationName(organisation), key }, spec, wait }, organisation);
+    return sendRequest(entry, SubmitRequest { { OrganisationName(organisation), key }, spec, wait }, organisation);
 }
 
 CallerId Cluster::put(const std::string& entry, ConfigSpec spec)
 {
     const std::string changeId = absl::StrCat("change-", m_lastCaller + 1);
-    return ask(entry, PutRequest { std::move(spec), absl::nullopt, changeId });
+    return sendRequest(entry, PutRequest { std::move(spec), absl::nullopt, changeId });
 }
 
 JobStatus Cluster::statusOf(CallerId caller) const
--- a/tests/cluster/cluster_base.h
+++ b/tests/cluster/cluster_base.h
@@ -65,7 +65,7 @@
     bool runUntilAnswered(absl::Duration limit);
 
     // Each of the next three sends a request to the entry node with the given name and returns the id of its log.
-    CallerId ask(const std::string& entry, CallerRequest request, const std::string& organisation = "");
+    CallerId sendRequest(const std::string& entry, CallerRequest request, const std::string& organisation = "");
     CallerId submit(const std::string& entry, const std::string& organisation, const std::string& key,
         const JobSpec& spec, absl::Duration wait = absl::Minutes(10));
     CallerId put(const std::string& entry, ConfigSpec spec);
@@ -79,7 +79,7 @@
     SimNode& node(const std::string& name) { return *m_nodes.at(name); }
     std::map<std::string, std::unique_ptr<SimNode>>& nodes() { return m_nodes; }
     FakeStore& store() { return m_store; }
-    FakeWorkerPool& fleet() { return m_workerPool; }
+    FakeWorkerPool& workerPool() { return m_workerPool; }
     FakeNetwork& network() { return m_network; }
     Timeline& timeline() { return m_timeline; }
     const std::vector<ObservationEffect>& observations() const { return m_observations; }
--- a/tests/cluster/configuration_force_test.cpp
+++ b/tests/cluster/configuration_force_test.cpp
@@ -12,7 +12,7 @@
 CallerId putIfMatch(
     Cluster& cluster, const std::string& entry, ConfigSpec spec, Revision expected, const std::string& changeId)
 {
-    return cluster.ask(entry, PutRequest { std::move(spec), expected, changeId });
+    return cluster.sendRequest(entry, PutRequest { std::move(spec), expected, changeId });
 }
 
 Organisation organisation(int weight)
@@ -23,7 +23,7 @@
 // Reads the organisation "edited" at the entry. Returns an empty answer if there is none.
 ConfigAnswer readAt(Cluster& cluster, const std::string& entry)
 {
-    const CallerId caller = cluster.ask(entry, ReadRequest { ConfigKind::Organisation, "edited" });
+    const CallerId caller = cluster.sendRequest(entry, ReadRequest { ConfigKind::Organisation, "edited" });
     const auto* answer = cluster.log(caller).answers.empty()
         ? nullptr
         : std::get_if<ConfigAnswer>(&cluster.log(caller).answers.back());
@@ -147,7 +147,7 @@
     cluster.node("e1").kill();
     cluster.node("e1").start();
     cluster.runFor(absl::Seconds(30));
-    const CallerId read = cluster.ask("e1", ReadRequest { ConfigKind::Organisation, "edited" });
+    const CallerId read = cluster.sendRequest("e1", ReadRequest { ConfigKind::Organisation, "edited" });
     EXPECT_EQ(cluster.kindOf(read), ErrorKind::StoreUnavailable);
     EXPECT_EQ(weightAt(cluster, "e0"), 2);
     cluster.store().setUnavailable(false);
--- a/tests/cluster/gang_test.cpp
+++ b/tests/cluster/gang_test.cpp
@@ -19,7 +19,7 @@
     Cluster& cluster, const std::string& key, int count, bool mayLoseWorkers, const std::string& scenario)
 {
     std::map<int, std::multiset<int>> byAttempt;
-    for (const TaskExecution& execution : cluster.fleet().executions()) {
+    for (const TaskExecution& execution : cluster.workerPool().executions()) {
         if (execution.task.job.requestKey == key)
             byAttempt[execution.task.attempt].insert(execution.task.index);
     }
@@ -116,10 +116,10 @@
         const std::string scenario = absl::StrCat("a worker of each rack freezes at ", offsetMs, " ms");
         const CallerId caller = cluster.submit("e0", "large", "gang", rackGang());
         cluster.runFor(absl::Milliseconds(offsetMs));
-        for (auto& [name, worker] : cluster.fleet().workers())
+        for (auto& [name, worker] : cluster.workerPool().workers())
             worker.isFrozen = worker.isFrozen || name.ends_with("-w1");
         cluster.runFor(absl::Seconds(60));
-        for (auto& [name, worker] : cluster.fleet().workers())
+        for (auto& [name, worker] : cluster.workerPool().workers())
             worker.isFrozen = false;
         ASSERT_TRUE(cluster.runUntilAnswered(answerTimeout)) << scenario;
         cluster.runFor(absl::Seconds(40));
@@ -135,7 +135,7 @@
         options.seed = seed;
         Cluster cluster(options);
         cluster.declareBuilding();
-        cluster.fleet().setLoss(0.1);
+        cluster.workerPool().setLoss(0.1);
         const CallerId caller = cluster.submit("e0", "large", "gang", rackGang());
         ASSERT_TRUE(cluster.runUntilAnswered(answerTimeout)) << "seed " << seed;
         cluster.runFor(absl::Seconds(40));
@@ -153,11 +153,11 @@
         = cluster.submit("e0", "large", "gang", gang(tasks, 2, Adjacency::SameRack, absl::Minutes(30)));
     cluster.runFor(absl::Seconds(2));
     ASSERT_EQ(cluster.executionsOf("large", "gang"), tasks);
-    cluster.fleet().kill(cluster.fleet().workers().begin()->first);
-    for (const TaskExecution& execution : cluster.fleet().executions()) {
-        for (auto& [name, worker] : cluster.fleet().workers()) {
+    cluster.workerPool().kill(cluster.workerPool().workers().begin()->first);
+    for (const TaskExecution& execution : cluster.workerPool().executions()) {
+        for (auto& [name, worker] : cluster.workerPool().workers()) {
             if (execution.incarnation == worker.state->incarnation() && !worker.isDead) {
-                cluster.fleet().kill(name);
+                cluster.workerPool().kill(name);
                 ASSERT_TRUE(cluster.runUntilAnswered(absl::Minutes(2)));
                 EXPECT_EQ(cluster.kindOf(caller), ErrorKind::OutcomeUnknown);
                 // The capacity is free again, so the next gang starts at once.
--- a/tests/cluster/leaving_test.cpp
+++ b/tests/cluster/leaving_test.cpp
@@ -26,7 +26,7 @@
     }
     EXPECT_TRUE(cluster.runUntilAnswered(absl::Minutes(3))) << scenario;
     int elsewhere = 0;
-    for (const TaskExecution& execution : cluster.fleet().executions()) {
+    for (const TaskExecution& execution : cluster.workerPool().executions()) {
         if (execution.startedAt <= after)
             continue;
         EXPECT_FALSE(isOn(cluster, execution, workerPrefix))
@@ -57,7 +57,7 @@
     Cluster cluster(singleDataCentre());
     cluster.declareBuilding();
     keepBusy(cluster);
-    cluster.fleet().leave("dc0-r0-w1");
+    cluster.workerPool().leave("dc0-r0-w1");
     const absl::Duration bound = vmListPeriod + listLag + workerHeartbeatPeriod + callTime;
     expectNoTaskStarts(cluster, "dc0-r0-w1-run", cluster.timeline().now() + bound, "leaving VM");
 }
@@ -96,7 +96,7 @@
     Cluster cluster(singleDataCentre());
     cluster.declareBuilding();
     keepBusy(cluster);
-    cluster.fleet().worker("dc0-r0-w3").isFrozen = true;
+    cluster.workerPool().worker("dc0-r0-w3").isFrozen = true;
     const absl::Time bound = cluster.timeline().now() + workerSuspectAfter + workerHeartbeatPeriod + callTime;
     for (int job = 0; job < 60; ++job) {
         cluster.submit("e0", "small", absl::StrCat("during-", job), singleTask(absl::Milliseconds(500), 4));
@@ -110,7 +110,7 @@
         unknown += cluster.kindOf(caller) == ErrorKind::OutcomeUnknown ? 1 : 0;
     }
     EXPECT_LE(unknown, 8);
-    for (const TaskExecution& execution : cluster.fleet().executions())
+    for (const TaskExecution& execution : cluster.workerPool().executions())
         EXPECT_FALSE(execution.startedAt > bound && isOn(cluster, execution, "dc0-r0-w3-run"));
 }
 
@@ -120,7 +120,7 @@
 {
     Cluster cluster(singleDataCentre());
     cluster.declareBuilding();
-    cluster.fleet().worker("dc0-r0-w0").state->setFailsEveryTask(true);
+    cluster.workerPool().worker("dc0-r0-w0").state->setFailsEveryTask(true);
     for (int job = 0; job < 300; ++job) {
         cluster.submit("e0", "small", absl::StrCat("k-", job), singleTask(absl::Milliseconds(500), 4));
         cluster.runFor(absl::Milliseconds(100));
--- a/tests/cluster/load_test.cpp
+++ b/tests/cluster/load_test.cpp
@@ -35,7 +35,7 @@
         callers.push_back(cluster.submit("e0", "small", absl::StrCat("k-", job), nonIdempotentJob(absl::Minutes(30))));
     cluster.runFor(absl::Seconds(5));
     for (int job = 0; job < 500; ++job)
-        cluster.ask(
+        cluster.sendRequest(
             "e1", CancelRequest { { OrganisationName("small"), absl::StrCat("k-", job) }, absl::Minutes(1) }, "small");
     ASSERT_TRUE(cluster.runUntilAnswered(absl::Seconds(60)));
     for (int job = 0; job < 500; ++job)
--- a/tests/cluster/not_run_test.cpp
+++ b/tests/cluster/not_run_test.cpp
@@ -10,7 +10,7 @@
 
 CallerId cancel(Cluster& cluster, const std::string& entry, const std::string& key, absl::Duration wait)
 {
-    return cluster.ask(entry, CancelRequest { { OrganisationName("small"), key }, wait }, "small");
+    return cluster.sendRequest(entry, CancelRequest { { OrganisationName("small"), key }, wait }, "small");
 }
 
 TEST(NotRun, HoldsWhenACancelRacesTheStart)
@@ -53,14 +53,14 @@
 {
     Cluster cluster { ClusterOptions() };
     cluster.declareBuilding();
-    for (auto& [name, worker] : cluster.fleet().workers())
+    for (auto& [name, worker] : cluster.workerPool().workers())
         worker.losesAnswers = true;
     std::vector<CallerId> callers;
     callers.reserve(20);
     for (int job = 0; job < 20; ++job)
         callers.push_back(cluster.submit("e0", "small", absl::StrCat("k", job), nonIdempotentJob(absl::Seconds(2))));
     cluster.runFor(absl::Milliseconds(200));
-    for (auto& [name, worker] : cluster.fleet().workers())
+    for (auto& [name, worker] : cluster.workerPool().workers())
         worker.losesAnswers = false;
     ASSERT_TRUE(cluster.runUntilAnswered(answerTimeout));
     cluster.runFor(absl::Seconds(40));
@@ -119,7 +119,7 @@
     cluster.runFor(absl::Seconds(1));
     const CallerId caller = cluster.submit("e0", "small", "k", nonIdempotentJob(absl::Seconds(30)));
     const CallerId query
-        = cluster.ask("e1", QueryRequest { { OrganisationName("small"), "k" }, absl::Minutes(2) }, "small");
+        = cluster.sendRequest("e1", QueryRequest { { OrganisationName("small"), "k" }, absl::Minutes(2) }, "small");
     cluster.runFor(absl::Seconds(12));
     cluster.node(home).resume();
     ASSERT_TRUE(cluster.runUntilAnswered(answerTimeout));
--- a/tests/cluster/reclaim_test.cpp
+++ b/tests/cluster/reclaim_test.cpp
@@ -76,7 +76,7 @@
 {
     absl::Time last = absl::InfinitePast();
     int count = 0;
-    for (const TaskExecution& execution : cluster.fleet().executions()) {
+    for (const TaskExecution& execution : cluster.workerPool().executions()) {
         if (execution.task.job.requestKey != key)
             continue;
         ++count;
@@ -201,7 +201,7 @@
         Borrowing borrowing;
         borrowing.seed = seed;
         borrowEverything(cluster, borrowing);
-        cluster.fleet().worker(absl::StrCat("dc0-r0-w", seed % 4)).isFrozen = true;
+        cluster.workerPool().worker(absl::StrCat("dc0-r0-w", seed % 4)).isFrozen = true;
         // The scheduler has detected that the worker does not answer when the organisation returns.
         cluster.runFor(workerSuspectAfter + workerHeartbeatPeriod);
         const CallerId urgent = cluster.submit("e1", "large", "urgent", urgentGang(4, 8, Adjacency::SameDataCentre));
@@ -223,7 +223,7 @@
     cluster->runFor(absl::Seconds(10));
     borrowEverything(*cluster, borrowing);
     for (int worker = 0; worker < 4; ++worker)
-        cluster->fleet().kill(absl::StrCat("dc0-r", rack, "-w", worker));
+        cluster->workerPool().kill(absl::StrCat("dc0-r", rack, "-w", worker));
     cluster->runFor(absl::Seconds(8));
     return cluster;
 }
--- a/tests/cluster/store_outage_test.cpp
+++ b/tests/cluster/store_outage_test.cpp
@@ -90,7 +90,7 @@
     EXPECT_EQ(cluster.kindOf(caller), ErrorKind::StoreUnavailable);
     cluster.store().setUnavailable(false);
     cluster.runFor(absl::Seconds(10));
-    const CallerId read = cluster.ask("e1", ReadRequest { ConfigKind::Organisation, "new" });
+    const CallerId read = cluster.sendRequest("e1", ReadRequest { ConfigKind::Organisation, "new" });
     EXPECT_EQ(cluster.kindOf(read), ErrorKind::NotFound);
 }
 
@@ -101,7 +101,7 @@
     const CallerId caller = cluster.submit("e0", "small", "k", nonIdempotentJob(absl::Minutes(10)));
     cluster.runFor(absl::Seconds(1));
     cluster.store().setUnavailable(true);
-    cluster.ask("e1", CancelRequest { { OrganisationName("small"), "k" }, absl::Minutes(3) }, "small");
+    cluster.sendRequest("e1", CancelRequest { { OrganisationName("small"), "k" }, absl::Minutes(3) }, "small");
     cluster.runFor(absl::Seconds(30));
     cluster.store().setUnavailable(false);
     ASSERT_TRUE(cluster.runUntilAnswered(absl::Seconds(60)));
--- a/tests/cluster/whole_path_test.cpp
+++ b/tests/cluster/whole_path_test.cpp
@@ -93,7 +93,7 @@
     cluster.declareBuilding();
     cluster.put("e0", Organisation { OrganisationName("new"), 1, 10, 0 });
     cluster.runFor(absl::Seconds(2));
-    const CallerId caller = cluster.ask("e1", ReadRequest { ConfigKind::Organisation, "new" });
+    const CallerId caller = cluster.sendRequest("e1", ReadRequest { ConfigKind::Organisation, "new" });
     cluster.runFor(absl::Seconds(1));
     const auto* answer = std::get_if<ConfigAnswer>(&cluster.log(caller).answers.back());
     ASSERT_NE(answer, nullptr);
--- a/tests/fuzz/broken_rule_test.cpp
+++ b/tests/fuzz/broken_rule_test.cpp
@@ -57,24 +57,26 @@
 TEST(BrokenRule, AWorkerThatObeysAnyEpochIsSeen)
 {
     EXPECT_NE(findingsWithBrokenRule(
-                  [](Cluster& cluster) { cluster.fleet().setBehaviour(std::make_shared<UnfencedBehaviour>()); },
+                  [](Cluster& cluster) { cluster.workerPool().setBehaviour(std::make_shared<UnfencedBehaviour>()); },
                   { "accepted epoch" }),
         "");
 }
 
 TEST(BrokenRule, AWorkerThatStartsTwiceIsSeen)
 {
-    EXPECT_NE(findingsWithBrokenRule(
-                  [](Cluster& cluster) { cluster.fleet().setBehaviour(std::make_shared<StartingTwiceBehaviour>()); },
-                  { "not idempotent" }),
+    EXPECT_NE(
+        findingsWithBrokenRule(
+            [](Cluster& cluster) { cluster.workerPool().setBehaviour(std::make_shared<StartingTwiceBehaviour>()); },
+            { "not idempotent" }),
         "");
 }
 
 TEST(BrokenRule, AGangReleasedEarlyIsSeen)
 {
-    EXPECT_NE(findingsWithBrokenRule(
-                  [](Cluster& cluster) { cluster.fleet().setBehaviour(std::make_shared<EarlyReleaseBehaviour>()); },
-                  { "tasks started on workers" }),
+    EXPECT_NE(
+        findingsWithBrokenRule(
+            [](Cluster& cluster) { cluster.workerPool().setBehaviour(std::make_shared<EarlyReleaseBehaviour>()); },
+            { "tasks started on workers" }),
         "");
 }
 
@@ -82,7 +84,7 @@
 {
     EXPECT_NE(
         findingsWithBrokenRule(
-            [](Cluster& cluster) { cluster.fleet().setBehaviour(std::make_shared<FalseNeverStartedBehaviour>()); },
+            [](Cluster& cluster) { cluster.workerPool().setBehaviour(std::make_shared<FalseNeverStartedBehaviour>()); },
             { "not idempotent", "and a task ran" }),
         "");
 }
--- a/tests/fuzz/fuzz_world_cmd.cpp
+++ b/tests/fuzz/fuzz_world_cmd.cpp
@@ -68,7 +68,7 @@
 
 FakeWorker& FuzzWorld::workerOf(int number)
 {
-    auto& workers = m_cluster.fleet().workers();
+    auto& workers = m_cluster.workerPool().workers();
     auto found = workers.begin();
     std::advance(found, number % workers.size());
     return found->second;
@@ -94,9 +94,9 @@
     else if (step.kind == StepKind::SubmitOtherBody)
         submit(step, 1);
     else if (step.kind == StepKind::Cancel)
-        m_cluster.ask(entry, CancelRequest { key, callerWait }, key.organisation.str());
+        m_cluster.sendRequest(entry, CancelRequest { key, callerWait }, key.organisation.str());
     else if (step.kind == StepKind::Query)
-        m_cluster.ask(entry, QueryRequest { key, callerWait }, key.organisation.str());
+        m_cluster.sendRequest(entry, QueryRequest { key, callerWait }, key.organisation.str());
     else if (step.kind == StepKind::Put)
         put(step, false);
     else if (step.kind == StepKind::PutExpected)
@@ -105,9 +105,10 @@
         for (int entry = 0; entry < entryCount; ++entry)
             put({ step.kind, step.subject, entry }, true);
     } else if (step.kind == StepKind::Delete)
-        m_cluster.ask(entry, DeleteRequest { ConfigKind::Organisation, organisationOf(step.subject), absl::nullopt });
+        m_cluster.sendRequest(
+            entry, DeleteRequest { ConfigKind::Organisation, organisationOf(step.subject), absl::nullopt });
     else if (step.kind == StepKind::Read)
-        m_cluster.ask(entry, ReadRequest { ConfigKind::Organisation, "" });
+        m_cluster.sendRequest(entry, ReadRequest { ConfigKind::Organisation, "" });
     else
         return false;
     return true;
@@ -129,7 +130,7 @@
     PutRequest request { organisation, absl::nullopt, absl::StrCat("fuzz-", m_puts) };
     if (hasExpectedRevision)
         request.expectedRevision = lastPutRevision(organisation.name.str());
-    m_cluster.ask(entryOf(step.detail), request);
+    m_cluster.sendRequest(entryOf(step.detail), request);
 }
 
 Revision FuzzWorld::lastPutRevision(const std::string& name) const
@@ -201,17 +202,17 @@
     else if (step.kind == StepKind::ThawWorker)
         worker.isFrozen = false;
     else if (step.kind == StepKind::KillWorker)
-        m_cluster.fleet().kill(name);
+        m_cluster.workerPool().kill(name);
     else if (step.kind == StepKind::RestartWorker)
-        m_cluster.fleet().revive(name);
+        m_cluster.workerPool().revive(name);
     else if (step.kind == StepKind::LoseWorkerAnswers)
         worker.losesAnswers = step.detail % 2 == 0;
     else if (step.kind == StepKind::FailEveryTask)
         worker.state->setFailsEveryTask(step.detail % 2 == 0);
     else if (step.kind == StepKind::LeaveWorker)
-        m_cluster.fleet().leave(name);
+        m_cluster.workerPool().leave(name);
     else if (step.kind == StepKind::LoseWorkerCalls)
-        m_cluster.fleet().setLoss(fractionOf(step.detail));
+        m_cluster.workerPool().setLoss(fractionOf(step.detail));
     else
         return false;
     return true;
@@ -221,7 +222,7 @@
 {
     const ObservedHistory observed = observedHistoryOf(m_cluster);
     const std::set<JobKey> ended = JobOracle(observed).endedBy(m_cluster.timeline().now() - strayTaskBound);
-    for (auto& [name, worker] : m_cluster.fleet().workers()) {
+    for (auto& [name, worker] : m_cluster.workerPool().workers()) {
         if (worker.isDead || worker.isFrozen)
             continue;
         for (const TaskId& task : worker.state->runningTasks()) {
@@ -239,13 +240,13 @@
     m_cluster.network().setLoss(0);
     m_cluster.network().setDuplication(0);
     m_cluster.network().setJitter(absl::Milliseconds(1));
-    m_cluster.fleet().setLoss(0);
-    for (auto& [name, worker] : m_cluster.fleet().workers()) {
+    m_cluster.workerPool().setLoss(0);
+    for (auto& [name, worker] : m_cluster.workerPool().workers()) {
         worker.isFrozen = false;
         worker.losesAnswers = false;
         worker.state->setFailsEveryTask(false);
         if (worker.isDead || worker.vm.isLeaving)
-            m_cluster.fleet().revive(name);
+            m_cluster.workerPool().revive(name);
     }
     for (auto& [name, node] : m_cluster.nodes()) {
         m_cluster.network().reconnect(NodeName(name));
@@ -284,7 +285,7 @@
     }
     for (const JobKey& key : keys) {
         for (int entry = 0; entry < entryCount; ++entry)
-            m_cluster.ask(entryOf(entry), QueryRequest { key, absl::Seconds(1) }, key.organisation.str());
+            m_cluster.sendRequest(entryOf(entry), QueryRequest { key, absl::Seconds(1) }, key.organisation.str());
     }
     m_cluster.runFor(answerLimit);
 }
@@ -298,7 +299,7 @@
     std::vector<CallerId> reads;
     reads.reserve(entryCount);
     for (int entry = 0; entry < entryCount; ++entry)
-        reads.push_back(m_cluster.ask(entryOf(entry), ReadRequest { ConfigKind::Organisation, "" }));
+        reads.push_back(m_cluster.sendRequest(entryOf(entry), ReadRequest { ConfigKind::Organisation, "" }));
     m_cluster.runFor(absl::Seconds(1));
     const ObservedHistory observed = observedHistoryOf(m_cluster);
     const ConfigOracle oracle(observed);
--- a/tests/fuzz/observed_history_type.h
+++ b/tests/fuzz/observed_history_type.h
@@ -24,7 +24,8 @@
 // Collects the records of the cluster's callers and workers so far.
 inline ObservedHistory observedHistoryOf(Cluster& cluster)
 {
-    return { cluster.logs(), cluster.fleet().executions(), cluster.fleet().starts(), cluster.fleet().acceptedEpochs() };
+    return { cluster.logs(), cluster.workerPool().executions(), cluster.workerPool().starts(),
+        cluster.workerPool().acceptedEpochs() };
 }
 
 } // namespace mangohall
--- a/tests/golden/golden_session_test.cpp
+++ b/tests/golden/golden_session_test.cpp
@@ -82,10 +82,11 @@
         "e0", "third", "too-wide", withEcho(gang(1, 9, Adjacency::SameWorker, absl::Seconds(1)), "too-wide"));
     m_cluster.submit("e0", "third", "typed-wrong", withEcho(singleTask(absl::Seconds(30)), "typed-wrong"));
     m_cluster.runFor(absl::Seconds(2));
-    m_cluster.ask("e1", CancelRequest { { OrganisationName("third"), "typed-wrong" }, absl::Seconds(10) }, "third");
+    m_cluster.sendRequest(
+        "e1", CancelRequest { { OrganisationName("third"), "typed-wrong" }, absl::Seconds(10) }, "third");
     m_cluster.put("e1", Organisation { OrganisationName("new"), 1, 10, 0 });
     m_cluster.runFor(absl::Seconds(5));
-    m_cluster.ask("e0", ReadRequest { ConfigKind::Organisation, "new" });
+    m_cluster.sendRequest("e0", ReadRequest { ConfigKind::Organisation, "new" });
     m_cluster.submit("e0", "new", "first", withEcho(singleTask(absl::Seconds(1)), "first"));
     finish("ordinary-requests");
 }
@@ -129,7 +130,7 @@
     };
     for (int millisecond = 0; millisecond < 2000 && !killOwnerIfClaimed(); ++millisecond)
         m_cluster.runFor(absl::Milliseconds(1));
-    EXPECT_TRUE(m_cluster.fleet().starts().empty());
+    EXPECT_TRUE(m_cluster.workerPool().starts().empty());
     finish("kill-between-claim-and-start");
 }
 
