--- a/src/programs/server/server_arguments_func.cpp
+++ b/src/programs/server/server_arguments_func.cpp
@@ -39,7 +39,7 @@
     if (values.count("version") != 0)
         return { CommandAction::ShowText, "", absl::StrCat(program, " ", versionText, "\n") };
     if (values.count("settings") == 0)
-        return { CommandAction::Refuse, "", absl::StrCat(program, ": --settings FILE is required\n") };
+        return { CommandAction::ShowError, "", absl::StrCat(program, ": --settings FILE is required\n") };
     const bool isCheck = values.count("check-settings") != 0;
     const CommandAction action = isCheck ? CommandAction::CheckSettings : CommandAction::Run;
     return { action, values["settings"].as<std::string>(), "" };
@@ -61,7 +61,7 @@
         parser.style(options::command_line_style::unix_style & ~options::command_line_style::allow_guessing);
         options::store(parser.run(), values);
     } catch (const options::error& error) {
-        return { CommandAction::Refuse, "", absl::StrCat(program, ": ", error.what(), "\n") };
+        return { CommandAction::ShowError, "", absl::StrCat(program, ": ", error.what(), "\n") };
     }
     return interpret(values, program);
 }
--- a/src/programs/server/server_program_func.cpp
+++ b/src/programs/server/server_program_func.cpp
@@ -73,7 +73,7 @@
         std::cout << line.text;
         return exitSuccess;
     }
-    if (line.action == CommandAction::Refuse) {
+    if (line.action == CommandAction::ShowError) {
         std::cerr << line.text;
         return exitInvalidInput;
     }
--- a/tests/programs/server/server_program_test.cpp
+++ b/tests/programs/server/server_program_test.cpp
@@ -71,10 +71,10 @@
         CommandAction::CheckSettings);
     EXPECT_EQ(parseServerArguments(Arguments { "p", "--help" }, "p").action, CommandAction::ShowText);
     EXPECT_EQ(parseServerArguments(Arguments { "p", "--version" }, "p").text, "p 0.1.0\n");
-    EXPECT_EQ(parseServerArguments(Arguments { "p" }, "p").action, CommandAction::Refuse);
-    EXPECT_EQ(parseServerArguments(Arguments { "p", "--colour" }, "p").action, CommandAction::Refuse);
-    EXPECT_EQ(parseServerArguments(Arguments { "p", "file" }, "p").action, CommandAction::Refuse);
-    EXPECT_EQ(parseServerArguments(Arguments { "p", "--set", "f" }, "p").action, CommandAction::Refuse);
+    EXPECT_EQ(parseServerArguments(Arguments { "p" }, "p").action, CommandAction::ShowError);
+    EXPECT_EQ(parseServerArguments(Arguments { "p", "--colour" }, "p").action, CommandAction::ShowError);
+    EXPECT_EQ(parseServerArguments(Arguments { "p", "file" }, "p").action, CommandAction::ShowError);
+    EXPECT_EQ(parseServerArguments(Arguments { "p", "--set", "f" }, "p").action, CommandAction::ShowError);
 }
 
 TEST(ServerProgram, DrainsAndStopsOnSigterm)
