--- a/tests/cluster/sim_node_base.cpp
+++ b/tests/cluster/sim_node_base.cpp
@@ -93,13 +93,13 @@
                 reply(StoreEvent { id, answer });
             });
     } else if (const auto* work = std::get_if<WorkerEffect>(&effect)) {
-        m_world.fleet.call(
+        m_world.workerPool.call(
             work->worker, work->request, [reply, work = *work](const absl::StatusOr<WorkerReport>& report) {
                 reply(WorkerEvent { work.worker, work.call, report.status(), report.ok() ? *report : WorkerReport() });
             });
     } else if (const auto* list = std::get_if<ReadVmListEffect>(&effect)) {
         m_world.timeline.after(absl::Milliseconds(2), [this, reply, dataCentre = list->dataCentre] {
-            reply(VmListEvent { dataCentre, absl::OkStatus(), m_world.fleet.vms(dataCentre) });
+            reply(VmListEvent { dataCentre, absl::OkStatus(), m_world.workerPool.vms(dataCentre) });
         });
     } else if (const auto* answer = std::get_if<AnswerEffect>(&effect)) {
         m_world.answer(*answer);
--- a/tests/cluster/sim_node_base.h
+++ b/tests/cluster/sim_node_base.h
@@ -19,7 +19,7 @@
 struct SimWorld {
     Timeline& timeline;
     FakeStore& store;
-    FakeWorkerPool& fleet;
+    FakeWorkerPool& workerPool;
     FakeNetwork& network;
     // Receives each answer to a caller.
     std::function<void(const AnswerEffect&)> answer;
