--- a/tests/cluster/store_outage_test.cpp
+++ b/tests/cluster/store_outage_test.cpp
@@ -9,7 +9,7 @@
 
 constexpr absl::Duration answerTimeout = absl::Minutes(4);
 
-TEST(StoreOutage, LetsRunningWorkGoOnAndTellsItsEndLater)
+TEST(StoreOutage, KeepsTasksRunningAndReportsTheirEndsLater)
 {
     for (const int seconds : { 10, 45, 120 }) {
         Cluster cluster { ClusterOptions() };
@@ -33,7 +33,7 @@
     }
 }
 
-TEST(StoreOutage, LetsARunningGangGoOn)
+TEST(StoreOutage, KeepsAGangRunning)
 {
     Cluster cluster { ClusterOptions() };
     cluster.declareBuilding();
@@ -63,7 +63,7 @@
     EXPECT_EQ(cluster.executionsOf("small", "k"), 1);
 }
 
-TEST(StoreOutage, SaysThatTheFateOfASubmissionIsUnknownIfNobodyWaitsLongEnough)
+TEST(StoreOutage, ReportsAnUnknownOutcomeIfTheCallerStopsWaiting)
 {
     Cluster cluster { ClusterOptions() };
     cluster.declareBuilding();
@@ -94,7 +94,7 @@
     EXPECT_EQ(cluster.kindOf(read), ErrorKind::NotFound);
 }
 
-TEST(StoreOutage, TakesACancellationOnceTheStoreIsBack)
+TEST(StoreOutage, CancelsAJobOnceTheStoreIsAvailable)
 {
     Cluster cluster { ClusterOptions() };
     cluster.declareBuilding();
@@ -156,7 +156,7 @@
     EXPECT_EQ(cluster.executionsOf("small", "k"), 1);
 }
 
-TEST(StoreOutage, IsNotFollowedByAStampede)
+TEST(StoreOutage, SpreadsTheCallsOnceTheStoreIsAvailable)
 {
     ClusterOptions options;
     options.schedulers = 6;
