--- a/tests/batch/batch_path_test.cpp
+++ b/tests/batch/batch_path_test.cpp
@@ -117,7 +117,7 @@
 }
 
 // An urgent gang that a guarantee covers arrives while batch work occupies all workers.
-TEST(BatchPath, ReclaimsRoomForUrgentWorkInTime)
+TEST(BatchPath, ReclaimsCapacityForUrgentWorkInTime)
 {
     BatchCluster cluster;
     cluster.workers().setRunTime("long", absl::Seconds(60));
--- a/tests/batch/priority_policy_test.cpp
+++ b/tests/batch/priority_policy_test.cpp
@@ -99,7 +99,7 @@
 
 // An urgent gang needs two whole workers on one rack. The run with the lowest cost is on the rack where evicting two
 // runs costs more in total.
-TEST(PriorityPolicy, MakesRoomForAGangOnOneRackOnly)
+TEST(PriorityPolicy, EvictsForAGangOnOneRackOnly)
 {
     std::vector<WorkerCapacity> workers = makeWorkers(2, 2);
     occupy(workers[0], "a", 8, 10);
@@ -284,13 +284,13 @@
 
 // Guards against the RECLAIM incident: each allocation round placed most of a gang, task by task, before the last task
 // did not fit and all placements were reverted.
-TEST(PriorityPolicy, LooksNoFurtherForAGangThatAlmostFitsThanForOneThatFitsNowhere)
+TEST(PriorityPolicy, ExaminesNoMoreWorkersForAGangThatAlmostFitsThanForOneThatFitsNowhere)
 {
     EXPECT_LE(examinationsForWaitingGangs(353, 2), 2 * examinationsForWaitingGangs(353, 4));
 }
 
 // Guards against the same cost where the gang fits: small tasks on a large site with free capacity.
-TEST(PriorityPolicy, PlacesALargeGangWithoutALookAtEachWorkerForEachTask)
+TEST(PriorityPolicy, PlacesALargeGangWithoutExaminingEachWorkerForEachTask)
 {
     const auto examinationsFor = [](int tasks) {
         std::vector<WorkerCapacity> workers = makeWorkers(44, 8);
@@ -304,7 +304,7 @@
 }
 
 // Guards against the same cost where a run has to be evicted for each task.
-TEST(PriorityPolicy, EvictsForALargeGangWithoutALookAtEachWorkerForEachTask)
+TEST(PriorityPolicy, EvictsForALargeGangWithoutExaminingEachWorkerForEachTask)
 {
     const auto examinationsFor = [](int tasks) {
         std::vector<WorkerCapacity> workers = makeWorkers(44, 8);
--- a/tests/batch/record_writer_test.cpp
+++ b/tests/batch/record_writer_test.cpp
@@ -59,7 +59,7 @@
 
 // NotWritten means that the record will never be written. After a lost reply this is not certain any more, so the
 // writer must not report it even if all later commits are refused.
-TEST(RecordWriter, NeverSaysNotWrittenAfterALostAnswer)
+TEST(RecordWriter, NeverReportsNotWrittenAfterALostReply)
 {
     RecordWriter writer;
     Outbox outbox;
