Codechange: split ledger_attempt_cmd.cpp by subject

The functions are moved unchanged. What both needed is shared: allInPhase and deadlineOf are functions of the job folder, and the two equal lines that draw the next request time are nextAttemptTime, which draws one random number as before.

--- a/src/job/attempt_outcome_func.cpp
+++ b/src/job/attempt_outcome_func.cpp
@@ -82,6 +82,12 @@
 
 } // namespace
 
+bool allInPhase(absl::Span<const AttemptPart> parts, PartPhase phase)
+{
+    return !parts.empty()
+        && std::all_of(parts.begin(), parts.end(), [phase](const AttemptPart& part) { return part.phase == phase; });
+}
+
 AttemptOutcome decideOutcome(const JobRecord& record, absl::Span<const AttemptPart> parts)
 {
     if (allEnded(parts, PartEnd::Succeeded))
--- a/src/job/attempt_outcome_func.h
+++ b/src/job/attempt_outcome_func.h
@@ -27,6 +27,9 @@
     std::string checkpoint;
 };
 
+// Whether there is a part and every part is in the phase.
+bool allInPhase(absl::Span<const AttemptPart> parts, PartPhase phase);
+
 // Decides the outcome of an attempt; requires that every part has ended. A job that is not idempotent is retried only
 // if it is proved that no task of the attempt executed anything, or if the attempt left a checkpoint.
 AttemptOutcome decideOutcome(const JobRecord& record, absl::Span<const AttemptPart> parts);
--- a/src/job/job_func.cpp
+++ b/src/job/job_func.cpp
@@ -78,6 +78,11 @@
     return spec.isIdempotent || spec.isCheckpointable || spec.acceptsStop;
 }
 
+absl::Time deadlineOf(const JobRecord& record)
+{
+    return record.acceptedAt + record.spec.deadline;
+}
+
 std::string toText(const JobKey& key)
 {
     return absl::StrCat(key.organisation.text(), "/", key.requestKey);
--- a/src/job/job_func.h
+++ b/src/job/job_func.h
@@ -25,6 +25,9 @@
 // Whether the scheduler may stop the job while it runs, in order to reclaim its capacity for a guarantee.
 bool isEvictable(const JobSpec& spec);
 
+// The time by which the job has to be done, as its caller declared; infinite if there is no deadline.
+absl::Time deadlineOf(const JobRecord& record);
+
 // Formats a job key for logs and hashing as "organisation/requestKey".
 std::string toText(const JobKey& key);
 
--- a/src/job/job_ledger_base.h
+++ b/src/job/job_ledger_base.h
@@ -116,7 +116,7 @@
     void sendConfirmedRefusals(BucketState& bucket);
     void requestCancel(LedgerJob& job, absl::Time now);
 
-    // Steps of an attempt: ledger_attempt_cmd.cpp.
+    // Other steps of an attempt: ledger_attempt_cmd.cpp.
     // The job if the attempt is its present one; otherwise null.
     LedgerJob* findAttempt(const AttemptId& attempt);
     AttemptPart* findPart(LedgerJob& job, const ShardName& shard);
@@ -126,21 +126,9 @@
     void handleDurableRecord(LedgerJob& job, absl::Time now);
     // Sends the messages that the job's phase requires and schedules their repetition.
     void drive(LedgerJob& job, absl::Time now);
-    void driveQueued(LedgerJob& job, absl::Time now);
     void driveStarted(LedgerJob& job, absl::Time now);
-    void offerWholeJob(LedgerJob& job, const ShardName& shard);
-    void moveToFreeCapacity(LedgerJob& job);
-    void chooseParts(LedgerJob& job);
-    // Moves the job to Claimed once every part is held.
-    void claimIfHeld(LedgerJob& job, absl::Time now);
     // Moves a gang to Released once every part is prepared and the claim is durable.
     void releaseIfPrepared(LedgerJob& job, absl::Time now);
-    // Ends or retries the job once every part has ended.
-    void finishIfEnded(LedgerJob& job, absl::Time now);
-    void endJob(LedgerJob& job, ErrorKind outcome, absl::string_view message, absl::Time now);
-    // Queues the job again under the next attempt number.
-    void retryJob(LedgerJob& job, absl::string_view checkpoint, absl::Time now);
-    void stopParts(LedgerJob& job, absl::Time now);
     void abortPart(const LedgerJob& job, const AttemptPart& part);
     // Rebuilds the parts of a loaded job from its placement.
     void restoreParts(LedgerJob& job);
@@ -150,6 +138,30 @@
     // Reports the start latency of an urgent job.
     void observeStart(const LedgerJob& job);
 
+    // Reservation of capacity: ledger_reserve_cmd.cpp.
+    // Requests capacity for a queued job, or ends the job after its deadline.
+    void driveQueued(LedgerJob& job, absl::Time now);
+    // Adds one part with all tasks of the job.
+    void offerWholeJob(LedgerJob& job, const ShardName& shard);
+    // Moves a job that has waited in one shard for several requests to another shard that could start it now.
+    void moveToFreeCapacity(LedgerJob& job);
+    // Chooses the building shard of a job without parts. Splits the job over shards if none can run all of it.
+    void chooseParts(LedgerJob& job);
+    // Moves the job to Claimed once every part is held.
+    void claimIfHeld(LedgerJob& job, absl::Time now);
+    // When capacity is requested again after the given number of refused or failed attempts.
+    absl::Time nextAttemptTime(int failures, absl::Time now);
+
+    // End of an attempt: ledger_end_cmd.cpp.
+    // Stops the remaining parts after one has failed.
+    void stopParts(LedgerJob& job, absl::Time now);
+    // Ends or retries the job once every part has ended.
+    void finishIfEnded(LedgerJob& job, absl::Time now);
+    // Ends the job with the outcome; None means success.
+    void endJob(LedgerJob& job, ErrorKind outcome, absl::string_view message, absl::Time now);
+    // Queues the job again under the next attempt number.
+    void retryJob(LedgerJob& job, absl::string_view checkpoint, absl::Time now);
+
     const ShardName m_name;
     const Epoch m_epoch;
     RandomSource& m_random;
