--- a/src/programs/server/server_program_func.cpp
+++ b/src/programs/server/server_program_func.cpp
@@ -1,13 +1,12 @@
 #include "programs/server/server_program_func.h"
 
-#include <csignal>
-
 #include <iostream>
 
 #include "absl/strings/str_cat.h"
 #include "adapters/observe/log_func.h"
 #include "adapters/settings/settings_func.h"
 #include "programs/server/server_arguments_func.h"
+#include "programs/server/stop_signal_func.h"
 
 namespace mangohall {
 
@@ -17,35 +16,9 @@
 constexpr int exitStartFailed = 1;
 constexpr int exitInvalidInput = 2;
 
-// The signals that end the program gracefully.
-sigset_t stopSignals()
-{
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
-    return signals;
-}
-
-// Threads created later inherit the mask, so only waitForStopSignal() receives the signals.
-void blockStopSignals()
-{
-    const sigset_t signals = stopSignals();
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-    // Writing to a closed connection then fails with EPIPE instead of ending the process.
-    std::signal(SIGPIPE, SIG_IGN);
-}
-
-void waitForStopSignal()
-{
-    const sigset_t signals = stopSignals();
-    int received = 0;
-    sigwait(&signals, &received);
-}
-
 int serve(const Settings& settings, const ServerProgram& program)
 {
-    blockStopSignals();
+    blockSignals(stopSignals());
     setUpLogging(settings.log.level, settings.log.filePath);
     const std::unique_ptr<ServerProcess> process = program.makeProcess(settings);
     const absl::Status status = process->start();
--- a/tests/standins/standin_main_func.cpp
+++ b/tests/standins/standin_main_func.cpp
@@ -1,6 +1,5 @@
 #include "standins/standin_main_func.h"
 
-#include <csignal>
 #include <iostream>
 
 #include <log4cxx/basicconfigurator.h>
@@ -10,6 +9,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "nlohmann/json.hpp"
+#include "programs/server/stop_signal_func.h"
 
 namespace mangohall {
 
@@ -20,15 +20,6 @@
 constexpr int exitUsage = 2;
 constexpr int exitFailure = 1;
 
-sigset_t terminationSignals()
-{
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
-    return signals;
-}
-
 log4cxx::LoggerPtr logger(absl::string_view program)
 {
     static const bool isConfigured = [] {
@@ -86,13 +77,6 @@
     LOG4CXX_INFO(logger(program), std::string(message));
 }
 
-void blockSignals()
-{
-    const sigset_t signals = terminationSignals();
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-    std::signal(SIGPIPE, SIG_IGN);
-}
-
 int serveUntilTerminated(HttpServer& server, absl::string_view program, const StandinOptions& options)
 {
     const absl::Status status = server.start(options.address, options.port);
@@ -102,9 +86,7 @@
     }
     std::cout << nlohmann::json({ { "port", server.port() } }).dump() << std::endl;
     logLine(program, absl::StrCat("listening on ", options.address, ":", server.port()));
-    const sigset_t signals = terminationSignals();
-    int signal = 0;
-    sigwait(&signals, &signal);
+    const int signal = waitForStopSignal();
     logLine(program, absl::StrCat("stopping on signal ", signal));
     server.stop();
     return 0;
--- a/tests/standins/standin_main_func.h
+++ b/tests/standins/standin_main_func.h
@@ -25,12 +25,8 @@
 // Writes one JSON line to the log, which is standard error.
 void logLine(absl::string_view program, absl::string_view message);
 
-// Blocks SIGTERM and SIGINT, which `serveUntilTerminated` waits for, and ignores SIGPIPE. Must be called before the
-// first thread is started.
-void blockSignals();
-
-// Serves until SIGTERM or SIGINT. Prints {"port": N} to standard output once it listens. Returns the exit code, 1 if
-// the server cannot listen.
+// Serves until SIGTERM or SIGINT, which must have been blocked before the first thread was started. Prints {"port": N}
+// to standard output once it listens. Returns the exit code, 1 if the server cannot listen.
 int serveUntilTerminated(HttpServer& server, absl::string_view program, const StandinOptions& options);
 
 } // namespace mangohall
--- a/tests/standins/standin_store_main.cpp
+++ b/tests/standins/standin_store_main.cpp
@@ -1,4 +1,5 @@
 // The stand-in for the platform's store.
+#include "programs/server/stop_signal_func.h"
 #include "standins/faulty_handler_base.h"
 #include "standins/real_clock_base.h"
 #include "standins/standin_main_func.h"
@@ -23,7 +24,7 @@
 
 int main(int argc, char** argv)
 {
-    mangohall::blockSignals();
+    mangohall::blockSignals(mangohall::stopSignals());
     std::size_t historyLimit = defaultHistoryLimit;
     boost::program_options::options_description programOptions;
     programOptions.add_options()("history", boost::program_options::value(&historyLimit)->default_value(historyLimit),
--- a/tests/standins/standin_vmlist_main.cpp
+++ b/tests/standins/standin_vmlist_main.cpp
@@ -3,6 +3,7 @@
 #include <iostream>
 #include <sstream>
 
+#include "programs/server/stop_signal_func.h"
 #include "standins/building_json_func.h"
 #include "standins/faulty_handler_base.h"
 #include "standins/real_clock_base.h"
@@ -37,7 +38,7 @@
 
 int main(int argc, char** argv)
 {
-    mangohall::blockSignals();
+    mangohall::blockSignals(mangohall::stopSignals());
     std::string buildingFile;
     boost::program_options::options_description programOptions;
     programOptions.add_options()("building", boost::program_options::value(&buildingFile), "the building file, JSON");
--- a/tests/standins/worker/standin_worker_cmd.cpp
+++ b/tests/standins/worker/standin_worker_cmd.cpp
@@ -6,6 +6,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "boost/program_options.hpp"
+#include "programs/server/stop_signal_func.h"
 #include "standins/real_clock_base.h"
 #include "standins/standin_main_func.h"
 #include "standins/worker/worker_building_base.h"
@@ -70,7 +71,7 @@
         std::cerr << program << ": " << workers.status().message() << '\n';
         return exitUsage;
     }
-    blockSignals();
+    blockSignals(stopSignals());
     const RealClock clock;
     const WorkerTiming timing { absl::Milliseconds(options.checkpointDelayMs), absl::Milliseconds(options.usageLagMs) };
     // The start time makes incarnation names differ between runs of the process.
