--- a/src/placement/cell_pool_base.cpp
+++ b/src/placement/cell_pool_base.cpp
@@ -15,6 +15,22 @@
 // From this completion weight on, completion time takes precedence over fragmentation.
 constexpr double balancedWeight = 0.5;
 
+// Lists the workers that can run at least one task, grouped by rack. `capacityOf` returns the TaskCapacity of a worker,
+// given its rack and the worker.
+template <typename CapacityOf>
+std::vector<TaskCapacity> listCapacities(const CapacityLedger& ledger, const CapacityOf& capacityOf)
+{
+    std::vector<TaskCapacity> capacities;
+    for (const auto& [rackName, rack] : ledger.racks()) {
+        for (const WorkerUsage* worker : rack.workers) {
+            const TaskCapacity capacity = capacityOf(rack, *worker);
+            if (capacity.tasks > 0)
+                capacities.push_back(capacity);
+        }
+    }
+    return capacities;
+}
+
 } // namespace
 
 CellPool::CellPool(const ShardName& shard)
@@ -90,14 +106,10 @@
 absl::optional<PlacementDecision> CellPool::chooseInCells(
     const PlacementRequest& request, const GuaranteeName& guarantee) const
 {
-    std::vector<TaskCapacity> capacities;
-    for (const auto& [rackName, rack] : m_ledger.racks()) {
-        for (const WorkerUsage* worker : rack.workers) {
-            const TaskCapacity capacity = capacityInCells(request, guarantee, *worker);
-            if (capacity.tasks > 0)
-                capacities.push_back(capacity);
-        }
-    }
+    const std::vector<TaskCapacity> capacities
+        = listCapacities(m_ledger, [&](const RackUsage& /*rack*/, const WorkerUsage& worker) {
+              return capacityInCells(request, guarantee, worker);
+          });
     const absl::optional<std::vector<TaskShare>> shares = spreadTasks(request.spec.shape, capacities);
     if (!shares.has_value())
         return absl::nullopt;
@@ -110,14 +122,8 @@
 
 absl::optional<PlacementDecision> CellPool::chooseBorrowed(const PlacementRequest& request) const
 {
-    std::vector<TaskCapacity> capacities;
-    for (const auto& [rackName, rack] : m_ledger.racks()) {
-        for (const WorkerUsage* worker : rack.workers) {
-            const TaskCapacity capacity = capacityForBorrower(request, rack, *worker);
-            if (capacity.tasks > 0)
-                capacities.push_back(capacity);
-        }
-    }
+    const std::vector<TaskCapacity> capacities = listCapacities(m_ledger,
+        [&](const RackUsage& rack, const WorkerUsage& worker) { return capacityForBorrower(request, rack, worker); });
     const absl::optional<std::vector<TaskShare>> shares = spreadTasks(request.spec.shape, capacities);
     if (!shares.has_value())
         return absl::nullopt;
