--- a/tests/golden/session_record_func.cpp
+++ b/tests/golden/session_record_func.cpp
@@ -7,6 +7,7 @@
 #include "absl/strings/str_join.h"
 #include "configuration/configuration_func.h"
 #include "core/error_func.h"
+#include "job/job_func.h"
 
 namespace mangohall {
 
@@ -20,29 +21,9 @@
     std::string text;
 };
 
-std::string describe(const JobKey& key)
-{
-    return absl::StrCat(key.organisation.str(), "/", key.requestKey);
-}
-
 std::string describe(const TaskId& task)
 {
-    return absl::StrCat(describe(task.job), " attempt ", task.attempt, " task ", task.index);
-}
-
-std::string phaseName(JobPhase phase)
-{
-    switch (phase) {
-    case JobPhase::Queued:
-        return "queued";
-    case JobPhase::Claimed:
-        return "claimed";
-    case JobPhase::Released:
-        return "released";
-    case JobPhase::Ended:
-        return "ended";
-    }
-    return "";
+    return absl::StrCat(toText(task.job), " attempt ", task.attempt, " task ", task.index);
 }
 
 // Describes a request of a caller or operator.
@@ -51,16 +32,10 @@
     std::string operator()(const SubmitRequest& request) const
     {
         const Shape& shape = request.spec.shape;
-        return absl::StrCat("submits ", describe(request.key), ", ", shape.tasks, " x ", shape.acceleratorsPerTask);
-    }
-    std::string operator()(const QueryRequest& request) const
-    {
-        return absl::StrCat("queries ", describe(request.key));
-    }
-    std::string operator()(const CancelRequest& request) const
-    {
-        return absl::StrCat("cancels ", describe(request.key));
+        return absl::StrCat("submits ", toText(request.key), ", ", shape.tasks, " x ", shape.acceleratorsPerTask);
     }
+    std::string operator()(const QueryRequest& request) const { return absl::StrCat("queries ", toText(request.key)); }
+    std::string operator()(const CancelRequest& request) const { return absl::StrCat("cancels ", toText(request.key)); }
     std::string operator()(const PutRequest& request) const
     {
         return absl::StrCat("declares ", configKindName(kindOf(request.spec)), "/", nameOf(request.spec));
@@ -90,8 +65,7 @@
     std::string operator()(const JobAnswer& answer) const
     {
         const JobStatus& status = answer.status;
-        std::string text
-            = absl::StrCat(describe(status.key), " ", phaseName(status.phase), ", attempt ", status.attempt);
+        std::string text = absl::StrCat(toText(status.key), " ", phaseName(status.phase), ", attempt ", status.attempt);
         if (status.phase == JobPhase::Ended)
             absl::StrAppend(
                 &text, ", ", errorName(status.outcome), ", results [", absl::StrJoin(status.results, " "), "]");
