--- a/tests/cluster/store_outage_test.cpp
+++ b/tests/cluster/store_outage_test.cpp
@@ -9,7 +9,7 @@
 
 constexpr absl::Duration answerTimeout = absl::Minutes(4);
 
-TEST(StoreOutage, LetsRunningWorkGoOnAndTellsItsEndLater)
+TEST(StoreOutage, KeepsTasksRunningAndReportsTheirEndsLater)
 {
     for (const int seconds : { 10, 45, 120 }) {
         Cluster cluster { ClusterOptions() };
@@ -33,7 +33,7 @@
     }
 }
 
-TEST(StoreOutage, LetsARunningGangGoOn)
+TEST(StoreOutage, KeepsAGangRunning)
 {
     Cluster cluster { ClusterOptions() };
     cluster.declareBuilding();
@@ -63,7 +63,7 @@
     EXPECT_EQ(cluster.executionsOf("small", "k"), 1);
 }
 
-TEST(StoreOutage, SaysThatTheFateOfASubmissionIsUnknownIfNobodyWaitsLongEnough)
+TEST(StoreOutage, ReportsAnUnknownOutcomeIfTheCallerStopsWaiting)
 {
     Cluster cluster { ClusterOptions() };
     cluster.declareBuilding();
@@ -90,18 +90,18 @@
     EXPECT_EQ(cluster.kindOf(caller), ErrorKind::StoreUnavailable);
     cluster.store().setUnavailable(false);
     cluster.runFor(absl::Seconds(10));
-    const CallerId read = cluster.ask("e1", ReadRequest { ConfigKind::Organisation, "new" });
+    const CallerId read = cluster.sendRequest("e1", ReadRequest { ConfigKind::Organisation, "new" });
     EXPECT_EQ(cluster.kindOf(read), ErrorKind::NotFound);
 }
 
-TEST(StoreOutage, TakesACancellationOnceTheStoreIsBack)
+TEST(StoreOutage, CancelsAJobOnceTheStoreIsAvailable)
 {
     Cluster cluster { ClusterOptions() };
     cluster.declareBuilding();
     const CallerId caller = cluster.submit("e0", "small", "k", nonIdempotentJob(absl::Minutes(10)));
     cluster.runFor(absl::Seconds(1));
     cluster.store().setUnavailable(true);
-    cluster.ask("e1", CancelRequest { { OrganisationName("small"), "k" }, absl::Minutes(3) }, "small");
+    cluster.sendRequest("e1", CancelRequest { { OrganisationName("small"), "k" }, absl::Minutes(3) }, "small");
     cluster.runFor(absl::Seconds(30));
     cluster.store().setUnavailable(false);
     ASSERT_TRUE(cluster.runUntilAnswered(absl::Seconds(60)));
@@ -156,7 +156,7 @@
     EXPECT_EQ(cluster.executionsOf("small", "k"), 1);
 }
 
-TEST(StoreOutage, IsNotFollowedByAStampede)
+TEST(StoreOutage, SpreadsTheCallsOnceTheStoreIsAvailable)
 {
     ClusterOptions options;
     options.schedulers = 6;
--- a/tests/golden/session_record_func.h
+++ b/tests/golden/session_record_func.h
@@ -1,13 +1,14 @@
-// A session as text: what callers, operators and workers saw, in order.
+// Renders a session as text, for the comparison with a golden file.
 #pragma once
 
 #include <string>
 
-#include "fuzz/witness_type.h"
+#include "fuzz/observed_history_type.h"
 
 namespace mangohall {
 
-// One line each: seconds since the session's start, who, and what.
-std::string recordOf(const Witness& witness, absl::Time start);
+// Lists what callers, operators and workers did and received since `start`, in order of time. Each line has the seconds
+// since `start`, the actor and the event.
+std::string recordOf(const ObservedHistory& observed, absl::Time start);
 
 } // namespace mangohall
