Fix: read 64-bit and 32-bit integers of JSON without loss

What callers could see: a record or message whose number is taken for another one.

integerInRange() reads an integer in one place; ObjectReader, which had the check by itself, uses it too.

--- a/src/adapters/json/batch_record_json_func.cpp
+++ b/src/adapters/json/batch_record_json_func.cpp
@@ -1,8 +1,11 @@
 #include "adapters/json/batch_record_json_func.h"
 
+#include <cstdint>
+#include <limits>
 #include <utility>
 
 #include "adapters/json/field_reader_base.h"
+#include "adapters/json/json_number_func.h"
 #include "adapters/json/json_text_func.h"
 #include "batch/job/job_check_func.h"
 #include "batch/job/phase_name_func.h"
@@ -14,6 +17,9 @@
 
 using nlohmann::json;
 
+constexpr std::int64_t maxInt32 = std::numeric_limits<std::int32_t>::max();
+constexpr std::int64_t maxInt64 = std::numeric_limits<std::int64_t>::max();
+
 std::int64_t toUnixMillis(absl::Time time)
 {
     return absl::ToUnixMillis(time);
@@ -150,26 +156,35 @@
         task.workerProcessStartMs });
 }
 
+absl::Status malformedTask()
+{
+    return makeError(
+        ErrorKind::MalformedBody, "the progress of a task is not a list of six fields of the expected types");
+}
+
 absl::Status taskFromJson(const json& source, TaskProgress& task)
 {
     if (source.is_number())
         return absl::OkStatus();
     constexpr std::size_t fieldCount = 6;
-    const bool hasExpectedTypes = source.is_array() && source.size() == fieldCount && source[0].is_number_integer()
-        && source[1].is_number_integer() && source[2].is_number_integer() && source[3].is_string()
-        && source[4].is_string() && source[5].is_number_integer();
+    const bool hasExpectedTypes
+        = source.is_array() && source.size() == fieldCount && source[3].is_string() && source[4].is_string();
     if (!hasExpectedTypes)
-        return makeError(
-            ErrorKind::MalformedBody, "the progress of a task is not a list of six fields of the expected types");
-    const int phase = source[0].get<int>();
-    if (phase < 0 || phase > static_cast<int>(TaskProgress::Phase::Done))
+        return malformedTask();
+    const absl::optional<std::int64_t> phase = integerInRange(source[0], 0, maxInt32);
+    const absl::optional<std::int64_t> attempt = integerInRange(source[1], 0, maxInt32);
+    const absl::optional<std::int64_t> failures = integerInRange(source[2], 0, maxInt32);
+    const absl::optional<std::int64_t> processStart = integerInRange(source[5], 0, maxInt64);
+    if (!phase || !attempt || !failures || !processStart)
+        return malformedTask();
+    if (*phase > static_cast<int>(TaskProgress::Phase::Done))
         return makeError(ErrorKind::MalformedBody, "the phase of a task is unknown");
-    task.phase = static_cast<TaskProgress::Phase>(phase);
-    task.attempt = source[1].get<std::int32_t>();
-    task.failures = source[2].get<std::int32_t>();
+    task.phase = static_cast<TaskProgress::Phase>(*phase);
+    task.attempt = static_cast<std::int32_t>(*attempt);
+    task.failures = static_cast<std::int32_t>(*failures);
     task.checkpoint = source[3].get<std::string>();
     task.worker = WorkerName(source[4].get<std::string>());
-    task.workerProcessStartMs = source[5].get<std::int64_t>();
+    task.workerProcessStartMs = *processStart;
     return absl::OkStatus();
 }
 
--- a/src/adapters/json/field_reader_base.cpp
+++ b/src/adapters/json/field_reader_base.cpp
@@ -4,6 +4,7 @@
 #include <limits>
 
 #include "absl/strings/str_cat.h"
+#include "adapters/json/json_number_func.h"
 #include "core/error_func.h"
 
 namespace mangohall {
@@ -83,18 +84,32 @@
 std::int64_t FieldReader::integer(absl::string_view field, std::int64_t defaultValue)
 {
     const nlohmann::json* found = find(field);
-    if (found != nullptr && found->is_number_integer())
-        return found->get<std::int64_t>();
-    // 2^53. Above it a double does not represent every integer.
-    constexpr double maxExactInteger = 9007199254740992.0;
+    if (found != nullptr && found->is_number_integer()) {
+        using Limits = std::numeric_limits<std::int64_t>;
+        const absl::optional<std::int64_t> value = integerInRange(*found, Limits::min(), Limits::max());
+        if (!value)
+            fail(field, "is out of range");
+        return value.value_or(defaultValue);
+    }
     const double value = number(field, static_cast<double>(defaultValue));
-    if (std::abs(value) > maxExactInteger) {
+    if (std::abs(value) > static_cast<double>(maxExactInteger)) {
         fail(field, "is out of range");
         return defaultValue;
     }
     return static_cast<std::int64_t>(value);
 }
 
+std::int64_t FieldReader::wholeNumber(absl::string_view field, std::int64_t maximum)
+{
+    const nlohmann::json* found = find(field);
+    if (found == nullptr)
+        return 0;
+    const absl::optional<std::int64_t> value = integerInRange(*found, 0, maximum);
+    if (!value)
+        fail(field, absl::StrCat("must be a whole number from 0 to ", maximum));
+    return value.value_or(0);
+}
+
 std::int32_t FieldReader::count(absl::string_view field, std::int32_t defaultValue)
 {
     const std::int64_t value = integer(field, defaultValue);
@@ -158,10 +173,11 @@
 {
     std::vector<std::int32_t> counts;
     for (const nlohmann::json& element : array(field)) {
-        if (element.is_number_integer())
-            counts.push_back(element.get<std::int32_t>());
+        const absl::optional<std::int64_t> count = integerInRange(element, 0, std::numeric_limits<std::int32_t>::max());
+        if (count)
+            counts.push_back(static_cast<std::int32_t>(*count));
         else
-            fail(field, "has an element that is not a whole number");
+            fail(field, "has an element that is not a whole number in range");
     }
     return counts;
 }
--- a/src/adapters/json/field_reader_base.h
+++ b/src/adapters/json/field_reader_base.h
@@ -13,6 +13,9 @@
 
 namespace mangohall {
 
+// 2^53. Above it a double does not represent every integer.
+inline constexpr std::int64_t maxExactInteger = std::int64_t { 1 } << 53U;
+
 // Reads the known fields of a JSON object and ignores unknown ones. A field that is absent or null yields its default
 // value. A field of the wrong type also does, and is an error. Only the first error is kept, as a status of the kind
 // MalformedBody.
@@ -23,9 +26,11 @@
 
     // A string; empty by default.
     std::string text(absl::string_view field);
-    // An integer. The fraction of a number that is not an integer is cut off; a magnitude above 2^53 of such a number
-    // is an error.
+    // A 64-bit integer. The fraction of a number that is not an integer is cut off; a magnitude above maxExactInteger
+    // of such a number is an error.
     std::int64_t integer(absl::string_view field, std::int64_t defaultValue = 0);
+    // An integer from 0 to `maximum`; 0 by default. A number with a fraction is an error.
+    std::int64_t wholeNumber(absl::string_view field, std::int64_t maximum = maxExactInteger);
     // An integer from 0 to the largest 32-bit value.
     std::int32_t count(absl::string_view field, std::int32_t defaultValue = 0);
     // A number, with or without a fraction.
@@ -36,7 +41,7 @@
     absl::Duration milliseconds(absl::string_view field, absl::Duration defaultValue = absl::ZeroDuration());
     // A list of strings; an element of another type is skipped and is an error.
     std::vector<std::string> texts(absl::string_view field);
-    // A list of integers; an element of another type is skipped and is an error.
+    // A list of integers from 0 to the largest 32-bit value; any other element is skipped and is an error.
     std::vector<std::int32_t> counts(absl::string_view field);
     // An array; empty by default.
     const nlohmann::json& array(absl::string_view field);
--- a/src/adapters/json/object_reader_base.cpp
+++ b/src/adapters/json/object_reader_base.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "adapters/json/json_number_func.h"
 #include "core/error_func.h"
 
 namespace mangohall {
@@ -157,13 +158,10 @@
         fail(field, "must be a whole number");
         return absl::nullopt;
     }
-    const bool isTooLarge
-        = value->is_number_unsigned() && value->get<std::uint64_t>() > static_cast<std::uint64_t>(maximum);
-    if (isTooLarge || value->get<std::int64_t>() < minimum || value->get<std::int64_t>() > maximum) {
+    const absl::optional<std::int64_t> number = integerInRange(*value, minimum, maximum);
+    if (!number)
         fail(field, absl::StrCat("must be ", minimum, " to ", maximum));
-        return absl::nullopt;
-    }
-    return value->get<std::int64_t>();
+    return number;
 }
 
 } // namespace mangohall
--- a/tests/platform/record_json_test.cpp
+++ b/tests/platform/record_json_test.cpp
@@ -80,5 +80,18 @@
         EXPECT_FALSE(decodeRecord(Collection::Jobs, text).ok()) << text;
 }
 
+// Guards against numbers that are cut to fewer bits and then taken for others.
+TEST(RecordJson, RejectsNumbersOutOfRange)
+{
+    for (const char* text : { R"({"phase":"active","occurrences":[[[[0,4294967297,0,"","w",1]]]]})",
+             R"({"phase":"active","occurrences":[[[[4294967296,1,0,"","w",1]]]]})",
+             R"({"phase":"active","occurrences":[[[[0,1,4294967296,"","w",1]]]]})",
+             R"({"phase":"active","occurrences":[[[[0,1,0,"","w",18446744073709551615]]]]})",
+             R"({"phase":"active","endedMs":18446744073709551615})", R"({"phase":"active","endedMs":1e400})" })
+        EXPECT_FALSE(decodeRecord(Collection::Progress, text).ok()) << text;
+    EXPECT_FALSE(decodeRecord(Collection::Jobs, R"({"steps":[{"tasks":1},{"tasks":1,"after":[4294967296]}]})").ok());
+    EXPECT_FALSE(decodeRecord(Collection::Holder, R"({"node":"n","epoch":18446744073709551615})").ok());
+}
+
 } // namespace
 } // namespace mangohall::batch
