--- a/tests/platform/message_test.cpp
+++ b/tests/platform/message_test.cpp
@@ -122,6 +122,37 @@
     EXPECT_EQ(reply.ended[0].number, 58);
 }
 
+// Guards against a run that is taken for another one because its number was cut to fewer bits.
+TEST(WorkerMessage, SkipsRowsWithNumbersOutOfRange)
+{
+    const batch::WorkerReply reply = decodeWorkerReply(responseOf(200,
+        R"({"clockMs":1,"running":[["00a1.0.1.1",4294967297,"",41],["00a1.0.1.2",18446744073709551615,"",41],
+            ["00a1.0.1.3",1,"",1e308],["00a1.0.1.4",1,"",-1e308],["00a1.0.1.5",1,"",18446744073709551615],
+            ["00a1.0.-1.6",1,"",41],["00a1.0.1.4294967303",1,"",41],["00a1.0.1.8",-1,"",41],["00a1.0.1.9",1.5,"",41]],
+            "finished":[[18446744073709551615,"00a1.0.1.1",1,"done",""],[1,"00a1.0.1.2",4294967297,"done",""],
+            [-1,"00a1.0.1.3",1,"done",""],[0,"00a1.0.1.4",1,"done",""],[1e30,"00a1.0.1.5",1,"done",""]]})"));
+    ASSERT_TRUE(reply.status.ok()) << reply.status;
+    ASSERT_EQ(reply.running.size(), 3U);
+    for (std::size_t row = 0; row < reply.running.size(); ++row) {
+        EXPECT_EQ(reply.running[row].run.task.task.index, static_cast<std::int32_t>(row) + 3);
+        EXPECT_EQ(reply.running[row].percent, 0);
+    }
+    EXPECT_TRUE(reply.ended.empty());
+}
+
+// Guards against a lease or a restart that is derived from a worker's clock or start which no worker has.
+TEST(WorkerMessage, RejectsClocksOutOfRange)
+{
+    for (const char* field : { "clockMs", "born" }) {
+        for (const char* number : { "-1", "9223372036854775807", "18446744073709551615", "9007199254740993", "1e308",
+                 "-9223372036854775808", "0.5", "1e400", "\"5\"" }) {
+            const batch::WorkerReply reply
+                = decodeWorkerReply(responseOf(200, absl::StrCat("{\"", field, "\":", number, "}")));
+            EXPECT_EQ(errorKindOf(reply.status), ErrorKind::OutcomeUnknown) << field << " " << number;
+        }
+    }
+}
+
 TEST(WorkerMessage, ReadsRefusalReasons)
 {
     const auto refusalOf
