--- a/tests/platform/message_test.cpp
+++ b/tests/platform/message_test.cpp
@@ -77,6 +77,88 @@
         EXPECT_FALSE(workerEntryFromJson("i-1", text).ok()) << text;
 }
 
+// Guards against a job that is stored with other numbers than its caller gave, because they overflowed.
+TEST(JobMessage, RejectsNumbersThatOverflow)
+{
+    for (const char* number : { "8796093022208", "17592186044416", "9223372036854775807", "18446744073709551615",
+             "1e18", "1e308", "1e400", "-8796093022209" }) {
+        const std::string text = absl::StrCat(R"({"phases":[{"count":1,"memMb":)", number, "}]}");
+        EXPECT_EQ(errorKindOf(jobSpecFromJson(text).status()), ErrorKind::MalformedBody) << number;
+    }
+    EXPECT_FALSE(jobSpecFromJson(R"({"phases":[{"count":1},{"count":1,"after":[4294967296]}]})").ok());
+    EXPECT_FALSE(jobSpecFromJson(R"({"phases":[{"count":18446744073709551615}]})").ok());
+    EXPECT_FALSE(jobSpecFromJson(R"({"startAtMs":18446744073709551615,"phases":[{"count":1}]})").ok());
+}
+
+TEST(StoreMessage, ReadsARecordAndItsAbsence)
+{
+    const batch::StoreRequest request = batch::ReadRecord { { Collection::Cancellations, "00a1" } };
+    const HttpRequest sent = encodeStoreRequest(request, "10.0.0.1:1");
+    EXPECT_EQ(sent.url, "http://10.0.0.1:1/v1/kv-key?key=mangohall/jobs/00a1/cancel");
+    const batch::StoreReply reply
+        = decodeStoreReply(request, responseOf(200, itemOf("mangohall/jobs/00a1/cancel", R"({"requestedMs":5})", 3)));
+    ASSERT_EQ(reply.records.size(), 1U);
+    EXPECT_EQ(reply.records[0].revision, 3);
+    EXPECT_EQ(reply.revision, 9);
+    EXPECT_NE(std::get_if<batch::Cancellation>(&reply.records[0].value), nullptr);
+    EXPECT_EQ(errorKindOf(decodeStoreReply(request, responseOf(404)).status), ErrorKind::NotFound);
+}
+
+TEST(StoreMessage, DistinguishesRefusedFromUnknownOutcomes)
+{
+    const batch::StoreRequest request = batch::CommitRecords { { { { Collection::Epoch, "" }, 4 } }, {}, {} };
+    const auto kindOf = [&request](const absl::StatusOr<HttpResponse>& response) {
+        return errorKindOf(decodeStoreReply(request, response).status);
+    };
+    EXPECT_EQ(kindOf(responseOf(503)), ErrorKind::StoreRefused);
+    EXPECT_EQ(kindOf(responseOf(429)), ErrorKind::StoreRefused);
+    EXPECT_EQ(kindOf(makeError(ErrorKind::OwnerUnreachable, "refused")), ErrorKind::StoreRefused);
+    EXPECT_EQ(kindOf(makeError(ErrorKind::TimedOut, "late")), ErrorKind::OutcomeUnknown);
+    EXPECT_EQ(kindOf(responseOf(500)), ErrorKind::OutcomeUnknown);
+    EXPECT_EQ(kindOf(responseOf(200, "not JSON")), ErrorKind::OutcomeUnknown);
+    EXPECT_EQ(kindOf(responseOf(410)), ErrorKind::WatchExpired);
+}
+
+TEST(StoreMessage, AddsAbsentRecordsToAConflict)
+{
+    const batch::StoreRequest request
+        = batch::CommitRecords { { { { Collection::Epoch, "" }, 4 }, { { Collection::Progress, "00a1" }, 0 } }, {},
+              {} };
+    const std::string body
+        = absl::StrCat(R"({"items":[)", itemOf("mangohall/owner/epoch", R"({"node":"n","epoch":2})", 6), "]}");
+    const batch::StoreReply reply = decodeStoreReply(request, responseOf(412, body));
+    EXPECT_EQ(errorKindOf(reply.status), ErrorKind::RevisionConflict);
+    ASSERT_EQ(reply.records.size(), 2U);
+    EXPECT_EQ(reply.records[0].revision, 6);
+    EXPECT_EQ(reply.records[1].revision, 0);
+}
+
+TEST(StoreMessage, ReadsChangesAndSkipsForeignKeys)
+{
+    const batch::StoreRequest request = batch::WatchCollection { Collection::Workers, 411, absl::Seconds(2) };
+    EXPECT_TRUE(absl::EndsWith(
+        encodeStoreRequest(request, "h:1").url, "/v1/kv-watch?pathPrefix=servers/&after=411&waitMs=2000"));
+    const std::string body = absl::StrCat(R"({"events":[)", itemOf("servers/i-1", "no JSON", 412),
+        R"(,{"key":"servers/i-2","revision":413,"deleted":true},{"key":"elsewhere","revision":414,"deleted":true}],)",
+        R"("atRev":414})");
+    const batch::StoreReply reply = decodeStoreReply(request, responseOf(200, body));
+    EXPECT_EQ(reply.revision, 414);
+    ASSERT_EQ(reply.records.size(), 2U);
+    EXPECT_NE(std::get_if<batch::UnreadableRecord>(&reply.records[0].value), nullptr);
+    EXPECT_NE(std::get_if<std::monostate>(&reply.records[1].value), nullptr);
+}
+
+TEST(StoreMessage, ReadsPages)
+{
+    const std::string body
+        = absl::StrCat(R"({"items":[)", itemOf("servers/i-1", "{", 4), R"(],"hasMore":true,"atRev":9})");
+    const RecordPage page = decodePage(responseOf(200, body));
+    EXPECT_TRUE(page.hasMore);
+    EXPECT_EQ(page.lastKey, "servers/i-1");
+    EXPECT_TRUE(absl::EndsWith(encodePageRequest(Collection::Workers, page.lastKey, "h:1").url, "&after=servers/i-1"));
+    EXPECT_FALSE(decodePage(responseOf(200, R"({"items":[{"key":3}]})")).reply.status.ok());
+}
+
 // Guards against a list that is never read to its end because the last key of a page has bytes with a meaning in a URL.
 TEST(StoreMessage, EscapesKeysInUrls)
 {
