Fix: refuse JSON that is nested deeply before it is parsed

What callers could see: a node at its limit of memory ends, and again after each start, because one value in the store is as long as the store allows and nested deeply. Parsing and destroying are not recursive, so that the stack does not grow, but the memory does.

Whether a node really ended was not measured. JsonText.RejectsDeepNesting fails on: the texts were parsed.

--- a/src/adapters/json/json_text_func.h
+++ b/src/adapters/json/json_text_func.h
@@ -9,8 +9,11 @@
 
 namespace mangohall {
 
-// Parses JSON text. Fails with MalformedBody if the text is not JSON; the message has the position of the syntax error
-// in bytes.
+// How many arrays and objects may contain each other.
+inline constexpr int maxJsonNesting = 64;
+
+// Parses JSON text. Fails with MalformedBody if the text is not JSON, is nested deeper than maxJsonNesting, or has a
+// number that does not fit into a double; the message has the position of a syntax error in bytes.
 absl::StatusOr<nlohmann::json> parseJson(absl::string_view text);
 
 // Formats a value without white space. Bytes that are not UTF-8 are replaced by U+FFFD.
--- a/tests/platform/message_test.cpp
+++ b/tests/platform/message_test.cpp
@@ -2,6 +2,7 @@
 #include "absl/strings/escaping.h"
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
+#include "adapters/json/json_text_func.h"
 #include "core/error_func.h"
 #include "platform/job_json_func.h"
 #include "platform/manifest_json_func.h"
@@ -77,6 +78,60 @@
         EXPECT_FALSE(workerEntryFromJson("i-1", text).ok()) << text;
 }
 
+// Guards against a parser whose memory or stack grows with the nesting of a text.
+TEST(JsonText, RejectsDeepNesting)
+{
+    constexpr std::size_t maxValueBytes = std::size_t { 1 } << 20U;
+    for (const std::size_t depth : { std::size_t { 1000 }, std::size_t { 100000 }, maxValueBytes / 2 }) {
+        const std::string closed = absl::StrCat(std::string(depth, '['), std::string(depth, ']'));
+        std::string objects;
+        for (std::size_t level = 0; level < depth / 3; ++level)
+            absl::StrAppend(&objects, R"({"":)");
+        for (const std::string& text : { closed, std::string(depth * 2, '['), objects,
+                 absl::StrCat(R"({"later":)", closed, "}"), absl::StrCat(R"(["\\\"]",)", closed, "]") }) {
+            const absl::Status status = parseJson(text).status();
+            EXPECT_EQ(errorKindOf(status), ErrorKind::MalformedBody);
+            EXPECT_TRUE(absl::StrContains(status.message(), "nested")) << status.message();
+        }
+    }
+    EXPECT_TRUE(parseJson(absl::StrCat(std::string(10, '['), std::string(10, ']'))).ok());
+    // Brackets in strings, and those of neighbours, do not nest.
+    EXPECT_TRUE(parseJson(absl::StrCat("[\"", std::string(1000, '['), "\\\"", std::string(1000, '{'), "\"]")).ok());
+    std::string neighbours = "[0";
+    for (int count = 0; count < 1000; ++count)
+        absl::StrAppend(&neighbours, ",[]");
+    EXPECT_TRUE(parseJson(absl::StrCat(neighbours, "]")).ok());
+}
+
+TEST(JobMessage, ReadsAllStepFields)
+{
+    const absl::StatusOr<batch::JobSpec> spec = jobSpecFromJson(R"({"spec":"text","repeatCount":3,"startAtMs":5000,
+        "periodMs":2000,"phases":[{"count":4,"cpu":500,"memMb":256,"estimateMs":900,"affinity":"r1-3"},
+        {"count":20,"cpu":2000,"memMb":1024,"gpu":2,"estimateMs":7000,"after":[0],"checkpointing":true,"gang":true,
+         "rackLocal":true,"constraints":"a","antiAffinity":2,"speculative":true,"longRunning":true,"image":"i",
+         "targetMs":50,"fillCount":true,"allowMiss":1}]})");
+    ASSERT_TRUE(spec.ok()) << spec.status();
+    EXPECT_EQ(spec->payload, "text");
+    EXPECT_EQ(spec->repeatCount, 3);
+    EXPECT_EQ(spec->firstDue, absl::FromUnixMillis(5000));
+    EXPECT_EQ(spec->steps[0].dataRack, RackName("r1-3"));
+    const batch::StepSpec& step = spec->steps[1];
+    EXPECT_EQ(step.demand, (Resources { 2000, std::int64_t { 1 } << 30, 2 }));
+    EXPECT_TRUE(step.isGang && step.isRackLocal && step.isCheckpointing && step.isSpeculative && step.isLongRunning
+        && step.usesSpareProcessor);
+    EXPECT_EQ(step.maxPerWorker, 2);
+    EXPECT_EQ(step.requiredLabel, batch::WorkerLabel("a"));
+}
+
+TEST(JobMessage, RejectsInvalidJobs)
+{
+    for (const char* text :
+        { "", "{}", R"({"phases":[]})", R"({"phases":[{"count":0}]})", R"({"phases":[{"count":-1}]})",
+            R"({"phases":[{"count":1,"after":[0]}]})", R"({"phases":[{"count":1,"cpu":"two"}]})",
+            R"({"phases":[{"count":1,"gpu":-2}]})", R"({"phases":[{"count":9999999}]})", R"({"phases":[7]})" })
+        EXPECT_FALSE(jobSpecFromJson(text).ok()) << text;
+}
+
 // Guards against a job that is stored with other numbers than its caller gave, because they overflowed.
 TEST(JobMessage, RejectsNumbersThatOverflow)
 {
