--- a/tests/platform/message_test.cpp
+++ b/tests/platform/message_test.cpp
@@ -78,6 +78,43 @@
         EXPECT_FALSE(workerEntryFromJson("i-1", text).ok()) << text;
 }
 
+// A usable entry as JSON, for the tests to change single fields of.
+nlohmann::json usableEntry()
+{
+    return { { "service", "s" }, { "address", "10.0.0.1:80" }, { "zone", "z" }, { "version", "v1" }, { "slots", 8 },
+        { "state", "ready" }, { "coldLeftMs", 0 }, { "remainingMs", 1 }, { "labels", { "a", "r1-3" } },
+        { "clockMs", 5 }, { "born", 77 }, { "seqNo", 4 },
+        { "capacity", { { "cpu", 16000 }, { "memMb", 2 }, { "gpu", 8 } } } };
+}
+
+absl::Status readEntry(const nlohmann::json& entry, absl::string_view name = "i-1")
+{
+    return workerEntryFromJson(name, entry.dump()).status();
+}
+
+// Guards against calls to a host, port or path that no worker has announced.
+TEST(WorkerEntryMessage, RejectsAddressesThatAreNotAnIpv4AddressAndPort)
+{
+    nlohmann::json entry = usableEntry();
+    for (const char* address : { "10.0.0.1:1", "10.0.0.1:65535", "127.0.0.1:8080" }) {
+        entry["address"] = address;
+        EXPECT_TRUE(readEntry(entry).ok()) << address;
+    }
+    for (const std::string& address : { std::string(), std::string("10.0.0.1"), std::string("10.0.0.1:"),
+             std::string("10.0.0.1:0"), std::string("10.0.0.1:65536"), std::string("10.0.0.1:99999"),
+             std::string("10.0.0.1:-1"), std::string("10.0.0.1:+80"), std::string("10.0.0.1:text"),
+             std::string("10.0.0.1:4294967376"), std::string("10.0.0.1:80 "), std::string(" 10.0.0.1:80"),
+             std::string("10.0.0.1: 80"), std::string("10.0.0.1:80/path"), std::string("10.0.0.1:80?query"),
+             std::string("10.0.0.1:80#fragment"), std::string("user:key@10.0.0.1:80"),
+             std::string("10.0.0.1:80\r\nHost: other"), std::string("10.0.0.1:80\0", 12),
+             std::string("10.0.0.1\0:80", 12), std::string("http://10.0.0.1:80"), std::string("[::1]:80"),
+             std::string("::1:80"), std::string("localhost:80"), std::string("10.0.0.256:80"), std::string("10.1:80"),
+             std::string("010.0.0.1:80"), std::string("10.0.0.1:80:80"), std::string(10000, '1') }) {
+        entry["address"] = address;
+        EXPECT_EQ(errorKindOf(readEntry(entry)), ErrorKind::MalformedBody) << absl::CEscape(address.substr(0, 40));
+    }
+}
+
 // Guards against a parser whose memory or stack grows with the nesting of a text.
 TEST(JsonText, RejectsDeepNesting)
 {
