--- a/tests/platform/message_test.cpp
+++ b/tests/platform/message_test.cpp
@@ -115,6 +115,16 @@
     }
 }
 
+// Guards against calls whose header for the worker's name is empty, cut short or split in two.
+TEST(WorkerEntryMessage, RejectsNamesThatCannotStandInAHeader)
+{
+    EXPECT_TRUE(readEntry(usableEntry(), "i-7f3a91c2").ok());
+    for (const std::string& name :
+        { std::string(), std::string("a b"), std::string("a\r\nHost: other"), std::string("a\tb"),
+            std::string("a\0b", 3), std::string("\xc3\xa9"), std::string("a\x7f"), std::string(201, 'a') })
+        EXPECT_EQ(errorKindOf(readEntry(usableEntry(), name)), ErrorKind::MalformedBody) << absl::CEscape(name);
+}
+
 // Guards against a parser whose memory or stack grows with the nesting of a text.
 TEST(JsonText, RejectsDeepNesting)
 {
