--- a/tests/platform/message_test.cpp
+++ b/tests/platform/message_test.cpp
@@ -125,6 +125,37 @@
         EXPECT_EQ(errorKindOf(readEntry(usableEntry(), name)), ErrorKind::MalformedBody) << absl::CEscape(name);
 }
 
+// Guards against capacities, times and counts that overflow or that no machine has.
+TEST(WorkerEntryMessage, RejectsNumbersOutOfRange)
+{
+    const std::string digits(10000, '9');
+    for (const std::string& number : { std::string("1e308"), std::string("9223372036854775808"),
+             std::string("18446744073709551615"), std::string("18446744073709551616"),
+             std::string("-9223372036854775808"), std::string("-1"), std::string("1e400"), std::string("-1e400"),
+             std::string("NaN"), std::string("Infinity"), std::string("\"NaN\""), std::string("\"8\""),
+             std::string("true"), std::string("[]"), std::string("0.5"), std::string("9007199254740993"), digits }) {
+        for (const char* field : { "cpu", "memMb", "gpu" }) {
+            const std::string text = absl::StrCat(R"({"service":"s","address":"10.0.0.1:80","zone":"z",)",
+                R"("state":"ready","capacity":{")", field, "\":", number, "}}");
+            EXPECT_FALSE(workerEntryFromJson("i-1", text).ok()) << field << " " << number.substr(0, 40);
+        }
+        const std::string text = absl::StrCat(R"({"service":"s","address":"10.0.0.1:80","zone":"z",)",
+            R"("state":"ready","capacity":{},"born":)", number, "}");
+        const absl::Status born = workerEntryFromJson("i-1", text).status();
+        EXPECT_FALSE(born.ok()) << "born " << number.substr(0, 40);
+        EXPECT_LE(born.message().size(), 200U);
+    }
+    nlohmann::json entry = usableEntry();
+    entry["remainingMs"] = -1;
+    EXPECT_FALSE(readEntry(entry).ok());
+    for (const auto& [field, tooLarge] :
+        { std::pair("cpu", 2147483648), std::pair("memMb", 8796093022208), std::pair("gpu", 4294967297) }) {
+        entry = usableEntry();
+        entry["capacity"][field] = tooLarge;
+        EXPECT_FALSE(readEntry(entry).ok()) << field;
+    }
+}
+
 // Guards against a parser whose memory or stack grows with the nesting of a text.
 TEST(JsonText, RejectsDeepNesting)
 {
