--- a/tests/platform/message_test.cpp
+++ b/tests/platform/message_test.cpp
@@ -156,6 +156,34 @@
     }
 }
 
+// Guards against an entry that is used although fields that the node does not need show another writer.
+TEST(WorkerEntryMessage, RejectsUnusedFieldsOfAnotherType)
+{
+    for (const char* field : { "version", "slots", "coldLeftMs", "clockMs", "seqNo" }) {
+        nlohmann::json entry = usableEntry();
+        entry.erase(field);
+        EXPECT_TRUE(readEntry(entry).ok()) << field;
+        entry[field] = nlohmann::json::array();
+        EXPECT_FALSE(readEntry(entry).ok()) << field;
+    }
+}
+
+// Guards against a node that runs out of memory or time with an entry as large as the store allows.
+TEST(WorkerEntryMessage, RejectsLargeEntries)
+{
+    nlohmann::json entry = usableEntry();
+    entry["later"] = std::string(1 << 20, 'a');
+    EXPECT_FALSE(readEntry(entry).ok());
+    entry = usableEntry();
+    entry["labels"] = std::vector<std::string>(2000, "a");
+    EXPECT_FALSE(readEntry(entry).ok());
+    for (const char* field : { "service", "zone" }) {
+        entry = usableEntry();
+        entry[field] = std::string(1000, 'a');
+        EXPECT_FALSE(readEntry(entry).ok()) << field;
+    }
+}
+
 // Guards against a parser whose memory or stack grows with the nesting of a text.
 TEST(JsonText, RejectsDeepNesting)
 {
