--- a/tests/platform/platform_standin_base.cpp
+++ b/tests/platform/platform_standin_base.cpp
@@ -64,14 +64,9 @@
     if (absl::Status status = m_storeServer.start(loopback, storePort); !status.ok())
         return status;
     for (int worker = 0; worker < workers; ++worker) {
-        const std::string name = absl::StrCat("worker-", worker);
-        m_workerServers.push_back(std::make_unique<WorkerServer>(*this, name));
-        HttpServer& server = m_workerServers.back()->server();
-        if (absl::Status status = server.start(loopback, 0); !status.ok())
+        const std::string rack = absl::StrCat("rack-", worker * 2 / workers);
+        if (absl::Status status = addWorker(absl::StrCat("worker-", worker), rack); !status.ok())
             return status;
-        absl::MutexLock lock(&m_mutex);
-        m_workers.add(name, absl::StrCat("rack-", worker * 2 / workers), { 128000, std::int64_t { 1 } << 38, 8 },
-            absl::StrCat(loopback, ":", server.port()));
     }
     absl::MutexLock lock(&m_mutex);
     m_store.put({ batch::Collection::Manifest, "" }, makeManifest());
@@ -79,6 +74,42 @@
     return absl::OkStatus();
 }
 
+absl::Status PlatformStandin::addWorker(const std::string& name, const std::string& rack)
+{
+    m_workerServers.push_back(std::make_unique<WorkerServer>(*this, name));
+    HttpServer& server = m_workerServers.back()->server();
+    if (absl::Status status = server.start(loopback, 0); !status.ok())
+        return status;
+    absl::MutexLock lock(&m_mutex);
+    m_workers.add(name, rack, { 128000, std::int64_t { 1 } << 38, 8 }, absl::StrCat(loopback, ":", server.port()));
+    m_changed.Signal();
+    return absl::OkStatus();
+}
+
+void PlatformStandin::drainWorker(const std::string& name, absl::Duration after)
+{
+    absl::MutexLock lock(&m_mutex);
+    m_workers.drain(name, after);
+    m_changed.Signal();
+}
+
+void PlatformStandin::putEntryBytes(const std::string& name, const std::string& bytes)
+{
+    absl::MutexLock lock(&m_mutex);
+    const batch::RecordKey key { batch::Collection::Workers, name };
+    if (const batch::Record* found = m_store.find(key))
+        m_replacedEntries.emplace(name, found->value);
+    m_store.put(key, batch::UnreadableRecord { bytes });
+    m_changed.Signal();
+}
+
+void PlatformStandin::restoreEntry(const std::string& name)
+{
+    absl::MutexLock lock(&m_mutex);
+    m_store.put({ batch::Collection::Workers, name }, m_replacedEntries.at(name));
+    m_changed.Signal();
+}
+
 void PlatformStandin::stop()
 {
     {
--- a/tests/platform/platform_standin_base.h
+++ b/tests/platform/platform_standin_base.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <string>
 #include <thread>
@@ -32,6 +33,15 @@
 
     std::uint16_t storePort() const { return m_storeServer.port(); }
 
+    // Adds a worker while the stand-in runs; fails if its port cannot be listened on.
+    absl::Status addWorker(const std::string& name, const std::string& rack);
+    // Lets a worker drain; it is gone after the time.
+    void drainWorker(const std::string& name, absl::Duration after);
+    // Writes bytes as the entry of a worker, as another writer may do.
+    void putEntryBytes(const std::string& name, const std::string& bytes);
+    // Lets a worker write its own entry again, after putEntryBytes().
+    void restoreEntry(const std::string& name);
+
     // Sets how long tasks with the payload run.
     void setRunTime(const std::string& payload, absl::Duration time);
     // How many runs of the job's tasks the workers have started.
@@ -79,6 +89,8 @@
     batch::SimulatedWorkers m_workers ABSL_GUARDED_BY(m_mutex);
     bool m_isStopping ABSL_GUARDED_BY(m_mutex) = false;
     HttpServer m_storeServer;
+    // The workers' own entries that other bytes have replaced.
+    std::map<std::string, batch::RecordValue> m_replacedEntries ABSL_GUARDED_BY(m_mutex);
     std::vector<std::unique_ptr<WorkerServer>> m_workerServers;
     std::thread m_timelineThread;
 };
--- a/tests/platform/standin_json_func.cpp
+++ b/tests/platform/standin_json_func.cpp
@@ -54,6 +54,9 @@
         return toJsonText(toJson(*manifest));
     if (const auto* entry = std::get_if<batch::WorkerEntry>(&value))
         return toJsonText(toJson(*entry));
+    // Holds the bytes of another writer.
+    if (const auto* unreadable = std::get_if<batch::UnreadableRecord>(&value))
+        return unreadable->reason;
     return batch::encodeRecord(value);
 }
 
