--- a/tests/platform/message_test.cpp
+++ b/tests/platform/message_test.cpp
@@ -2,6 +2,7 @@
 #include "absl/strings/escaping.h"
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
+#include "adapters/json/json_text_func.h"
 #include "core/error_func.h"
 #include "platform/job_json_func.h"
 #include "platform/manifest_json_func.h"
@@ -77,6 +78,137 @@
         EXPECT_FALSE(workerEntryFromJson("i-1", text).ok()) << text;
 }
 
+// A usable entry as JSON, for the tests to change single fields of.
+nlohmann::json usableEntry()
+{
+    return { { "service", "s" }, { "address", "10.0.0.1:80" }, { "zone", "z" }, { "version", "v1" }, { "slots", 8 },
+        { "state", "ready" }, { "coldLeftMs", 0 }, { "remainingMs", 1 }, { "labels", { "a", "r1-3" } },
+        { "clockMs", 5 }, { "born", 77 }, { "seqNo", 4 },
+        { "capacity", { { "cpu", 16000 }, { "memMb", 2 }, { "gpu", 8 } } } };
+}
+
+absl::Status readEntry(const nlohmann::json& entry, absl::string_view name = "i-1")
+{
+    return workerEntryFromJson(name, entry.dump()).status();
+}
+
+// Guards against calls to a host, port or path that no worker has announced.
+TEST(WorkerEntryMessage, RejectsAddressesThatAreNotAnIpv4AddressAndPort)
+{
+    nlohmann::json entry = usableEntry();
+    for (const char* address : { "10.0.0.1:1", "10.0.0.1:65535", "127.0.0.1:8080" }) {
+        entry["address"] = address;
+        EXPECT_TRUE(readEntry(entry).ok()) << address;
+    }
+    for (const std::string& address : { std::string(), std::string("10.0.0.1"), std::string("10.0.0.1:"),
+             std::string("10.0.0.1:0"), std::string("10.0.0.1:65536"), std::string("10.0.0.1:99999"),
+             std::string("10.0.0.1:-1"), std::string("10.0.0.1:+80"), std::string("10.0.0.1:text"),
+             std::string("10.0.0.1:4294967376"), std::string("10.0.0.1:80 "), std::string(" 10.0.0.1:80"),
+             std::string("10.0.0.1: 80"), std::string("10.0.0.1:80/path"), std::string("10.0.0.1:80?query"),
+             std::string("10.0.0.1:80#fragment"), std::string("user:key@10.0.0.1:80"),
+             std::string("10.0.0.1:80\r\nHost: other"), std::string("10.0.0.1:80\0", 12),
+             std::string("10.0.0.1\0:80", 12), std::string("http://10.0.0.1:80"), std::string("[::1]:80"),
+             std::string("::1:80"), std::string("localhost:80"), std::string("10.0.0.256:80"), std::string("10.1:80"),
+             std::string("010.0.0.1:80"), std::string("10.0.0.1:80:80"), std::string(10000, '1') }) {
+        entry["address"] = address;
+        EXPECT_EQ(errorKindOf(readEntry(entry)), ErrorKind::MalformedBody) << absl::CEscape(address.substr(0, 40));
+    }
+}
+
+// Guards against calls whose header for the worker's name is empty, cut short or split in two.
+TEST(WorkerEntryMessage, RejectsNamesThatCannotStandInAHeader)
+{
+    EXPECT_TRUE(readEntry(usableEntry(), "i-7f3a91c2").ok());
+    for (const std::string& name :
+        { std::string(), std::string("a b"), std::string("a\r\nHost: other"), std::string("a\tb"),
+            std::string("a\0b", 3), std::string("\xc3\xa9"), std::string("a\x7f"), std::string(201, 'a') })
+        EXPECT_EQ(errorKindOf(readEntry(usableEntry(), name)), ErrorKind::MalformedBody) << absl::CEscape(name);
+}
+
+// Guards against capacities, times and counts that overflow or that no machine has.
+TEST(WorkerEntryMessage, RejectsNumbersOutOfRange)
+{
+    const std::string digits(10000, '9');
+    for (const std::string& number : { std::string("1e308"), std::string("9223372036854775808"),
+             std::string("18446744073709551615"), std::string("18446744073709551616"),
+             std::string("-9223372036854775808"), std::string("-1"), std::string("1e400"), std::string("-1e400"),
+             std::string("NaN"), std::string("Infinity"), std::string("\"NaN\""), std::string("\"8\""),
+             std::string("true"), std::string("[]"), std::string("0.5"), std::string("9007199254740993"), digits }) {
+        for (const char* field : { "cpu", "memMb", "gpu" }) {
+            const std::string text = absl::StrCat(R"({"service":"s","address":"10.0.0.1:80","zone":"z",)",
+                R"("state":"ready","capacity":{")", field, "\":", number, "}}");
+            EXPECT_FALSE(workerEntryFromJson("i-1", text).ok()) << field << " " << number.substr(0, 40);
+        }
+        const std::string text = absl::StrCat(R"({"service":"s","address":"10.0.0.1:80","zone":"z",)",
+            R"("state":"ready","capacity":{},"born":)", number, "}");
+        const absl::Status born = workerEntryFromJson("i-1", text).status();
+        EXPECT_FALSE(born.ok()) << "born " << number.substr(0, 40);
+        EXPECT_LE(born.message().size(), 200U);
+    }
+    nlohmann::json entry = usableEntry();
+    entry["remainingMs"] = -1;
+    EXPECT_FALSE(readEntry(entry).ok());
+    for (const auto& [field, tooLarge] :
+        { std::pair("cpu", 2147483648), std::pair("memMb", 8796093022208), std::pair("gpu", 4294967297) }) {
+        entry = usableEntry();
+        entry["capacity"][field] = tooLarge;
+        EXPECT_FALSE(readEntry(entry).ok()) << field;
+    }
+}
+
+// Guards against an entry that is used although fields that the node does not need show another writer.
+TEST(WorkerEntryMessage, RejectsUnusedFieldsOfAnotherType)
+{
+    for (const char* field : { "version", "slots", "coldLeftMs", "clockMs", "seqNo" }) {
+        nlohmann::json entry = usableEntry();
+        entry.erase(field);
+        EXPECT_TRUE(readEntry(entry).ok()) << field;
+        entry[field] = nlohmann::json::array();
+        EXPECT_FALSE(readEntry(entry).ok()) << field;
+    }
+}
+
+// Guards against a node that runs out of memory or time with an entry as large as the store allows.
+TEST(WorkerEntryMessage, RejectsLargeEntries)
+{
+    nlohmann::json entry = usableEntry();
+    entry["later"] = std::string(1 << 20, 'a');
+    EXPECT_FALSE(readEntry(entry).ok());
+    entry = usableEntry();
+    entry["labels"] = std::vector<std::string>(2000, "a");
+    EXPECT_FALSE(readEntry(entry).ok());
+    for (const char* field : { "service", "zone" }) {
+        entry = usableEntry();
+        entry[field] = std::string(1000, 'a');
+        EXPECT_FALSE(readEntry(entry).ok()) << field;
+    }
+}
+
+// Guards against a parser whose memory or stack grows with the nesting of a text.
+TEST(JsonText, RejectsDeepNesting)
+{
+    constexpr std::size_t maxValueBytes = std::size_t { 1 } << 20U;
+    for (const std::size_t depth : { std::size_t { 1000 }, std::size_t { 100000 }, maxValueBytes / 2 }) {
+        const std::string closed = absl::StrCat(std::string(depth, '['), std::string(depth, ']'));
+        std::string objects;
+        for (std::size_t level = 0; level < depth / 3; ++level)
+            absl::StrAppend(&objects, R"({"":)");
+        for (const std::string& text : { closed, std::string(depth * 2, '['), objects,
+                 absl::StrCat(R"({"later":)", closed, "}"), absl::StrCat(R"(["\\\"]",)", closed, "]") }) {
+            const absl::Status status = parseJson(text).status();
+            EXPECT_EQ(errorKindOf(status), ErrorKind::MalformedBody);
+            EXPECT_TRUE(absl::StrContains(status.message(), "nested")) << status.message();
+        }
+    }
+    EXPECT_TRUE(parseJson(absl::StrCat(std::string(10, '['), std::string(10, ']'))).ok());
+    // Brackets in strings, and those of neighbours, do not nest.
+    EXPECT_TRUE(parseJson(absl::StrCat("[\"", std::string(1000, '['), "\\\"", std::string(1000, '{'), "\"]")).ok());
+    std::string neighbours = "[0";
+    for (int count = 0; count < 1000; ++count)
+        absl::StrAppend(&neighbours, ",[]");
+    EXPECT_TRUE(parseJson(absl::StrCat(neighbours, "]")).ok());
+}
+
 TEST(JobMessage, ReadsAllStepFields)
 {
     const absl::StatusOr<batch::JobSpec> spec = jobSpecFromJson(R"({"spec":"text","repeatCount":3,"startAtMs":5000,
@@ -106,6 +238,19 @@
         EXPECT_FALSE(jobSpecFromJson(text).ok()) << text;
 }
 
+// Guards against a job that is stored with other numbers than its caller gave, because they overflowed.
+TEST(JobMessage, RejectsNumbersThatOverflow)
+{
+    for (const char* number : { "8796093022208", "17592186044416", "9223372036854775807", "18446744073709551615",
+             "1e18", "1e308", "1e400", "-8796093022209" }) {
+        const std::string text = absl::StrCat(R"({"phases":[{"count":1,"memMb":)", number, "}]}");
+        EXPECT_EQ(errorKindOf(jobSpecFromJson(text).status()), ErrorKind::MalformedBody) << number;
+    }
+    EXPECT_FALSE(jobSpecFromJson(R"({"phases":[{"count":1},{"count":1,"after":[4294967296]}]})").ok());
+    EXPECT_FALSE(jobSpecFromJson(R"({"phases":[{"count":18446744073709551615}]})").ok());
+    EXPECT_FALSE(jobSpecFromJson(R"({"startAtMs":18446744073709551615,"phases":[{"count":1}]})").ok());
+}
+
 TEST(StoreMessage, ReadsARecordAndItsAbsence)
 {
     const batch::StoreRequest request = batch::ReadRecord { { Collection::Cancellations, "00a1" } };
@@ -175,6 +320,15 @@
     EXPECT_FALSE(decodePage(responseOf(200, R"({"items":[{"key":3}]})")).reply.status.ok());
 }
 
+// Guards against a list that is never read to its end because the last key of a page has bytes with a meaning in a URL.
+TEST(StoreMessage, EscapesKeysInUrls)
+{
+    const HttpRequest page = encodePageRequest(Collection::Workers, "servers/a b&c#d%41+?\n\xc3\xa9", "h:1");
+    EXPECT_EQ(page.url, "http://h:1/v1/kv-range?pathPrefix=servers/&after=servers/a%20b%26c%23d%2541%2b%3f%0a%c3%a9");
+    const HttpRequest read = encodeStoreRequest(batch::ReadRecord { { Collection::Jobs, "a&b" } }, "h:1");
+    EXPECT_EQ(read.url, "http://h:1/v1/kv-key?key=mangohall/jobs/a%26b/job");
+}
+
 TEST(StoreMessage, RecordKeysSurviveRoundTrip)
 {
     for (const batch::RecordKey& key : { batch::RecordKey { Collection::Manifest, "" }, { Collection::Workers, "i-1" },
@@ -211,6 +365,37 @@
     EXPECT_EQ(reply.ended[0].number, 58);
 }
 
+// Guards against a run that is taken for another one because its number was cut to fewer bits.
+TEST(WorkerMessage, SkipsRowsWithNumbersOutOfRange)
+{
+    const batch::WorkerReply reply = decodeWorkerReply(responseOf(200,
+        R"({"clockMs":1,"running":[["00a1.0.1.1",4294967297,"",41],["00a1.0.1.2",18446744073709551615,"",41],
+            ["00a1.0.1.3",1,"",1e308],["00a1.0.1.4",1,"",-1e308],["00a1.0.1.5",1,"",18446744073709551615],
+            ["00a1.0.-1.6",1,"",41],["00a1.0.1.4294967303",1,"",41],["00a1.0.1.8",-1,"",41],["00a1.0.1.9",1.5,"",41]],
+            "finished":[[18446744073709551615,"00a1.0.1.1",1,"done",""],[1,"00a1.0.1.2",4294967297,"done",""],
+            [-1,"00a1.0.1.3",1,"done",""],[0,"00a1.0.1.4",1,"done",""],[1e30,"00a1.0.1.5",1,"done",""]]})"));
+    ASSERT_TRUE(reply.status.ok()) << reply.status;
+    ASSERT_EQ(reply.running.size(), 3U);
+    for (std::size_t row = 0; row < reply.running.size(); ++row) {
+        EXPECT_EQ(reply.running[row].run.task.task.index, static_cast<std::int32_t>(row) + 3);
+        EXPECT_EQ(reply.running[row].percent, 0);
+    }
+    EXPECT_TRUE(reply.ended.empty());
+}
+
+// Guards against a lease or a restart that is derived from a worker's clock or start which no worker has.
+TEST(WorkerMessage, RejectsClocksOutOfRange)
+{
+    for (const char* field : { "clockMs", "born" }) {
+        for (const char* number : { "-1", "9223372036854775807", "18446744073709551615", "9007199254740993", "1e308",
+                 "-9223372036854775808", "0.5", "1e400", "\"5\"" }) {
+            const batch::WorkerReply reply
+                = decodeWorkerReply(responseOf(200, absl::StrCat("{\"", field, "\":", number, "}")));
+            EXPECT_EQ(errorKindOf(reply.status), ErrorKind::OutcomeUnknown) << field << " " << number;
+        }
+    }
+}
+
 TEST(WorkerMessage, ReadsRefusalReasons)
 {
     const auto refusalOf
