Change: the log tells what became of start commands, and how an end was concluded

A late start could not be told from a repeated one, nor an end that the worker listed from one that the owner concluded: the log had no line for a start command at all, and runEnded named no evidence.

startSent (first or repeated), startUnanswered and startBarred, one line a start event, through the bounded log. runEnded has a reason where the worker has not listed the end. No logic changes.

--- a/src/adapters/observe/decision_log_base.cpp
+++ b/src/adapters/observe/decision_log_base.cpp
@@ -24,10 +24,10 @@
 constexpr absl::Duration slowAllocationThreshold = absl::Milliseconds(20);
 
 // The names of `DecisionEffect::Kind`, in the order of its enumerators.
-constexpr absl::string_view kindNames[]
-    = { "submitted", "queried", "cancelled", "refused", "jobLearned", "jobEnded", "jobGuaranteed", "reclaimDue",
-          "choiceMade", "runPlaced", "runEnded", "runEvicted", "runStopped", "workerFound", "workerLost",
-          "ownershipTaken", "ownershipLost", "manifestTaken", "storeLost", "storeRegained", "recordUnreadable" };
+constexpr absl::string_view kindNames[] = { "submitted", "queried", "cancelled", "refused", "jobLearned", "jobEnded",
+    "jobGuaranteed", "reclaimDue", "choiceMade", "runPlaced", "runEnded", "runEvicted", "runStopped", "workerFound",
+    "workerLost", "ownershipTaken", "ownershipLost", "manifestTaken", "storeLost", "storeRegained", "recordUnreadable",
+    "startSent", "startUnanswered", "startBarred" };
 
 void setUnlessEmpty(nlohmann::json& line, const char* field, const std::string& text)
 {
--- a/src/adapters/observe/decision_log_base.h
+++ b/src/adapters/observe/decision_log_base.h
@@ -54,7 +54,7 @@
     };
 
     // The number of enumerators of `DecisionEffect::Kind`.
-    static constexpr std::size_t kindCount = 21;
+    static constexpr std::size_t kindCount = 24;
 
     // Adds the name of the node and the time to the line and logs it.
     void write(nlohmann::json line, absl::Time now) const;
--- a/src/batch/node/event_type.h
+++ b/src/batch/node/event_type.h
@@ -184,6 +184,13 @@
         StoreLost,
         StoreRegained,
         RecordUnreadable,
+        // A start command was sent to a worker for the first time, or again.
+        StartSent,
+        // A start command got no reply, so that it may still be executed.
+        StartUnanswered,
+        // The worker has confirmed the stop of a run whose start it had not confirmed: it refuses that start from now
+        // on.
+        StartBarred,
     };
     Kind kind = Kind::Submitted;
     std::string job;
--- a/src/batch/owner/owner_log_cmd.cpp
+++ b/src/batch/owner/owner_log_cmd.cpp
@@ -8,8 +8,8 @@
 
 namespace mangohall::batch {
 
-void OwnerPart::logRun(
-    DecisionEffect::Kind kind, const RunKey& run, const WorkerName& worker, absl::string_view outcome)
+void OwnerPart::logRun(DecisionEffect::Kind kind, const RunKey& run, const WorkerName& worker,
+    absl::string_view outcome, absl::string_view reason)
 {
     DecisionEffect decision;
     decision.kind = kind;
@@ -17,6 +17,7 @@
     decision.run = runName(run);
     decision.worker = worker.str();
     decision.outcome = std::string(outcome);
+    decision.reason = std::string(reason);
     decision.epoch = m_ownership.epoch();
     m_outbox.log(std::move(decision));
 }
@@ -73,6 +74,14 @@
     }
 }
 
+void OwnerPart::logStart(const WorkerUpdate& update)
+{
+    if (update.session.unansweredStart)
+        logRun(DecisionEffect::Kind::StartUnanswered, *update.session.unansweredStart, update.worker);
+    if (update.session.barredStart)
+        logRun(DecisionEffect::Kind::StartBarred, *update.session.barredStart, update.worker);
+}
+
 void OwnerPart::logWorker(const WorkerUpdate& update)
 {
     DecisionEffect decision;
--- a/src/batch/owner/owner_part_base.h
+++ b/src/batch/owner/owner_part_base.h
@@ -85,11 +85,13 @@
     void advanceDrain() ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     absl::Time nextDue(absl::Time now) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void logJobEnd(const JobEntry& entry, absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
-    void logRun(DecisionEffect::Kind kind, const RunKey& run, const WorkerName& worker, absl::string_view outcome)
-        ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    void logRun(DecisionEffect::Kind kind, const RunKey& run, const WorkerName& worker, absl::string_view outcome = "",
+        absl::string_view reason = "") ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void logAllocation(const Allocation& allocation, const AllocationInput& input, absl::Duration took, absl::Time now)
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void logGuarantees(const AllocationInput& input, absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    // Logs what became of a start command.
+    void logStart(const WorkerUpdate& update) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void logWorker(const WorkerUpdate& update) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void logUnreadable(const Record& record) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     StartRun describeStart(const RunKey& run) const override ABSL_NO_THREAD_SAFETY_ANALYSIS;
--- a/src/batch/owner/owner_run_cmd.cpp
+++ b/src/batch/owner/owner_run_cmd.cpp
@@ -57,6 +57,7 @@
             m_ownership.lose(absl::StrCat(update.worker.text(), " has seen a larger epoch"), now), now);
         return;
     }
+    logStart(update);
     if (update.session.isLost || update.session.isFound)
         logWorker(update);
     if (update.session.isFound)
@@ -96,7 +97,8 @@
 {
     m_isAllocationDue = true;
     recordHealth(ended, update.worker, now);
-    logRun(DecisionEffect::Kind::RunEnded, ended.run, update.worker, runEndName(ended.end));
+    logRun(DecisionEffect::Kind::RunEnded, ended.run, update.worker, runEndName(ended.end),
+        endEvidenceName(ended.evidence));
     JobEntry* entry = m_jobs.find(ended.run.task.job);
     const TaskRef& task = ended.run.task.task;
     const bool wasFinal = entry != nullptr && entry->progress.isFinal();
--- a/src/batch/owner/run_name_func.cpp
+++ b/src/batch/owner/run_name_func.cpp
@@ -31,4 +31,25 @@
     return "notStarted";
 }
 
+absl::string_view endEvidenceName(EndEvidence evidence)
+{
+    switch (evidence) {
+    case EndEvidence::Listed:
+        break;
+    case EndEvidence::AbsentFromPoll:
+        return "absentFromPoll";
+    case EndEvidence::StartRefused:
+        return "startRefused";
+    case EndEvidence::NeverSent:
+        return "neverSent";
+    case EndEvidence::ProcessReplaced:
+        return "processReplaced";
+    case EndEvidence::WorkerLeft:
+        return "workerLeft";
+    case EndEvidence::LeaseExpired:
+        return "leaseExpired";
+    }
+    return "";
+}
+
 } // namespace mangohall::batch
--- a/src/batch/owner/run_name_func.h
+++ b/src/batch/owner/run_name_func.h
@@ -5,6 +5,7 @@
 
 #include "absl/strings/string_view.h"
 #include "batch/job/job_type.h"
+#include "batch/worker/worker_session_base.h"
 
 namespace mangohall::batch {
 
@@ -12,5 +13,7 @@
 std::string runName(const RunKey& run);
 // The name of the way in which a run ended.
 absl::string_view runEndName(RunEnd end);
+// The name of the evidence for an end that the worker has not listed; empty for a listed end.
+absl::string_view endEvidenceName(EndEvidence evidence);
 
 } // namespace mangohall::batch
--- a/src/batch/owner/worker_registry_base.cpp
+++ b/src/batch/owner/worker_registry_base.cpp
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "batch/owner/run_name_func.h"
+
 namespace mangohall::batch {
 
 void WorkerRegistry::reset(Epoch epoch)
@@ -111,8 +113,10 @@
         return;
     }
     for (DueCall& due : session.takeDueCalls(now)) {
-        if (due.context.kind == SessionCall::Kind::Start)
+        if (due.context.kind == SessionCall::Kind::Start) {
             due.call.command = source.describeStart(due.context.run);
+            logStartSent(worker, due.context, outbox);
+        }
         if (due.context.kind == SessionCall::Kind::Poll && isInitial)
             m_initialPolls.recordPoll(worker);
         const CallId call = outbox.toWorker(std::move(due.call));
@@ -121,6 +125,18 @@
     m_due.set(worker, session.nextDue());
 }
 
+void WorkerRegistry::logStartSent(const WorkerName& worker, const SessionCall& context, Outbox& outbox) const
+{
+    DecisionEffect decision;
+    decision.kind = DecisionEffect::Kind::StartSent;
+    decision.job = context.run.task.job.str();
+    decision.run = runName(context.run);
+    decision.worker = worker.str();
+    decision.outcome = context.isRepeated ? "repeated" : "first";
+    decision.epoch = m_epoch;
+    outbox.log(std::move(decision));
+}
+
 WorkerUpdate WorkerRegistry::handleReply(CallId call, const WorkerReply& reply, absl::Time now)
 {
     const auto found = m_calls.find(call);
--- a/src/batch/owner/worker_registry_base.h
+++ b/src/batch/owner/worker_registry_base.h
@@ -76,6 +76,7 @@
     std::vector<EndedRun> applyEntry(const WorkerEntry& entry, absl::Time now);
     void markChanged(const WorkerName& worker) { m_changed.insert(worker); }
     void markDueChanged(absl::Time now);
+    void logStartSent(const WorkerName& worker, const SessionCall& context, Outbox& outbox) const;
     void makeCalls(
         const WorkerName& worker, WorkerSession& session, const StartSource& source, Outbox& outbox, absl::Time now);
 
--- a/src/batch/worker/worker_session_base.cpp
+++ b/src/batch/worker/worker_session_base.cpp
@@ -76,13 +76,13 @@
             ++it;
             continue;
         }
-        ended.push_back({ it->first, RunEnd::LeaseLapsed, "", 0 });
+        ended.push_back({ it->first, RunEnd::LeaseLapsed, "", 0, EndEvidence::ProcessReplaced });
         it = m_runs.erase(it);
     }
     return ended;
 }
 
-std::vector<EndedRun> WorkerSession::endAllRuns(RunEnd end)
+std::vector<EndedRun> WorkerSession::endAllRuns(EndEvidence evidence)
 {
     std::vector<EndedRun> ended;
     for (auto it = m_runs.begin(); it != m_runs.end();) {
@@ -92,7 +92,7 @@
             ++it;
             continue;
         }
-        ended.push_back({ it->first, end, "", 0 });
+        ended.push_back({ it->first, RunEnd::LeaseLapsed, "", 0, evidence });
         it = m_runs.erase(it);
     }
     return ended;
@@ -163,7 +163,7 @@
     const bool isUnsent = slot.stage == RunSlot::Stage::Starting && slot.startSentAt == absl::InfinitePast();
     if (slot.stage == RunSlot::Stage::Reserved || isUnsent) {
         m_runs.erase(found);
-        return EndedRun { run, RunEnd::NotStarted, "", 0 };
+        return EndedRun { run, RunEnd::NotStarted, "", 0, EndEvidence::NeverSent };
     }
     if (!slot.isStopWanted) {
         slot.isStopWanted = true;
@@ -230,9 +230,11 @@
 
 std::vector<EndedRun> WorkerSession::takeLapsedRuns(absl::Time now)
 {
-    if (m_failedCalls == 0 || (now < m_leaseBound && !hasLeft()))
+    if (m_failedCalls == 0)
         return {};
-    return endAllRuns(RunEnd::LeaseLapsed);
+    if (now >= m_leaseBound)
+        return endAllRuns(EndEvidence::LeaseExpired);
+    return hasLeft() ? endAllRuns(EndEvidence::WorkerLeft) : std::vector<EndedRun>();
 }
 
 } // namespace mangohall::batch
--- a/src/batch/worker/worker_session_base.h
+++ b/src/batch/worker/worker_session_base.h
@@ -60,6 +60,24 @@
     absl::Time percentChangedAt = absl::InfiniteFuture();
 };
 
+// From what the owner has concluded that a run no longer uses capacity of its worker.
+enum class EndEvidence {
+    // The worker lists the end.
+    Listed,
+    // The worker's reply to a poll lists the run neither as running nor as ended.
+    AbsentFromPoll,
+    // The worker has refused the start.
+    StartRefused,
+    // No start was sent.
+    NeverSent,
+    // Another process of the worker has replaced the one that had confirmed the run.
+    ProcessReplaced,
+    // The worker has left after it had drained.
+    WorkerLeft,
+    // All leases that were granted to the worker must have expired.
+    LeaseExpired,
+};
+
 // A run that no longer uses capacity of its worker.
 struct EndedRun {
     RunKey run;
@@ -67,6 +85,7 @@
     std::string checkpoint;
     // The sequence number in the worker's list of ends; 0 if the worker has not listed the end.
     std::int64_t number = 0;
+    EndEvidence evidence = EndEvidence::Listed;
 };
 
 // The changes that follow from one reply or from a missing reply.
@@ -74,6 +93,10 @@
     std::vector<EndedRun> ended;
     // The runs that the worker lists as running; filled in by the reply to a poll only.
     std::vector<RunningRow> running;
+    // A run whose start got no reply, so that it may still be executed.
+    absl::optional<RunKey> unansweredStart;
+    // A run that the worker has barred by a stop before its start was confirmed.
+    absl::optional<RunKey> barredStart;
     // The worker has seen a larger epoch, so another node is the owner.
     bool isFenced = false;
     // The worker replied to a poll for the first time, or for the first time after a failed call.
@@ -94,6 +117,8 @@
     absl::Time sentAt;
     // When the called process started, in Unix milliseconds.
     std::int64_t processStartMs = 0;
+    // The same start was sent before.
+    bool isRepeated = false;
 };
 
 // A call that is due. The caller of `takeDueCalls` fills in the payload and checkpoint of a start.
@@ -176,7 +201,7 @@
 
 private:
     void handleStartReply(const SessionCall& context, const WorkerReply& reply, absl::Time now, SessionUpdate& update);
-    void handleStopReply(const SessionCall& context, const WorkerReply& reply, absl::Time now);
+    void handleStopReply(const SessionCall& context, const WorkerReply& reply, absl::Time now, SessionUpdate& update);
     void handlePollReply(const SessionCall& context, const WorkerReply& reply, absl::Time now, SessionUpdate& update);
     // Records a call without a usable reply.
     void recordFailedCall(const absl::Status& status, SessionUpdate& update);
@@ -184,7 +209,7 @@
     // Records the worker's clock and process, and that it has replied if the call was a poll.
     void recordAnswer(const SessionCall& context, const WorkerReply& reply, absl::Time now, SessionUpdate& update);
     void applyProcessStart(std::int64_t processStartMs, std::vector<EndedRun>& ended);
-    std::vector<EndedRun> endAllRuns(RunEnd end);
+    std::vector<EndedRun> endAllRuns(EndEvidence evidence);
     std::vector<EndedRun> endConfirmedRuns();
     void stopUnansweredStarts();
     void recordUnansweredStart(const SessionCall& context, absl::Time now);
--- a/src/batch/worker/worker_session_call_cmd.cpp
+++ b/src/batch/worker/worker_session_call_cmd.cpp
@@ -79,9 +79,11 @@
         if (commandDueAt(slot) > now)
             continue;
         const auto kind = slot.isStopWanted ? SessionCall::Kind::Stop : SessionCall::Kind::Start;
+        const bool isRepeated = kind == SessionCall::Kind::Start && slot.startSentAt != absl::InfinitePast();
         (slot.isStopWanted ? slot.stopSentAt : slot.startSentAt) = now;
         (slot.isStopWanted ? slot.isStopPending : slot.isStartPending) = true;
         calls.push_back(makeRunCall(kind, run, now));
+        calls.back().context.isRepeated = isRepeated;
     }
     if (isPollDue(now))
         calls.push_back(makePoll(now));
--- a/src/batch/worker/worker_session_reply_cmd.cpp
+++ b/src/batch/worker/worker_session_reply_cmd.cpp
@@ -32,8 +32,10 @@
         return update;
     }
     if (!reply.status.ok() || reply.refusal == WorkerRefusal::OtherProcess || isPollRefused) {
-        if (context.kind == SessionCall::Kind::Start && !reply.status.ok())
+        if (context.kind == SessionCall::Kind::Start && !reply.status.ok()) {
             recordUnansweredStart(context, now);
+            update.unansweredStart = context.run;
+        }
         recordFailedCall(reply.status, update);
         return update;
     }
@@ -46,7 +48,7 @@
         handleStartReply(context, reply, now, update);
         break;
     case SessionCall::Kind::Stop:
-        handleStopReply(context, reply, now);
+        handleStopReply(context, reply, now, update);
         break;
     case SessionCall::Kind::Poll:
         handlePollReply(context, reply, now, update);
@@ -115,15 +117,18 @@
         slot.isStopWanted = true;
         return;
     }
-    update.ended.push_back({ context.run, RunEnd::NotStarted, "", 0 });
+    update.ended.push_back({ context.run, RunEnd::NotStarted, "", 0, EndEvidence::StartRefused });
     m_runs.erase(found);
 }
 
-void WorkerSession::handleStopReply(const SessionCall& context, const WorkerReply& reply, absl::Time now)
+void WorkerSession::handleStopReply(
+    const SessionCall& context, const WorkerReply& reply, absl::Time now, SessionUpdate& update)
 {
     const auto found = m_runs.find(context.run);
     if (found == m_runs.end() || reply.refusal != WorkerRefusal::None)
         return;
+    if (found->second.stage == RunSlot::Stage::Starting)
+        update.barredStart = context.run;
     found->second.isStopConfirmed = true;
     found->second.confirmedAt = now;
 }
@@ -193,7 +198,7 @@
         const RunEnd end = isAdopted ? RunEnd::NotStarted
             : slot.isStopConfirmed   ? RunEnd::Stopped
                                      : RunEnd::LeaseLapsed;
-        update.ended.push_back({ it->first, end, "", 0 });
+        update.ended.push_back({ it->first, end, "", 0, EndEvidence::AbsentFromPoll });
         it = m_runs.erase(it);
     }
 }
--- a/tests/batch/batch_cluster_base.cpp
+++ b/tests/batch/batch_cluster_base.cpp
@@ -195,6 +195,7 @@
     } else if (const auto* ready = std::get_if<ReadyEffect>(&effect)) {
         m_nodes.at(node).isReady = ready->isReady;
     } else if (const auto* decision = std::get_if<DecisionEffect>(&effect)) {
+        m_decisions.push_back(*decision);
         if (m_isTraced)
             trace(node, *decision);
     } else if (std::holds_alternative<DrainedEffect>(effect)) {
--- a/tests/batch/batch_cluster_base.h
+++ b/tests/batch/batch_cluster_base.h
@@ -61,6 +61,8 @@
     int owner() const;
 
     void putManifest(const Manifest& manifest) { m_store.put({ Collection::Manifest, "" }, manifest); }
+    // All decisions that the nodes have logged, in order.
+    const std::vector<DecisionEffect>& decisions() const { return m_decisions; }
     const Manifest& manifest() const { return m_manifest; }
 
     BatchStore& store() { return m_store; }
@@ -111,6 +113,7 @@
     std::map<int, NodeSlot> m_nodes;
     std::map<CallerId, CallerLog> m_logs;
     CallerId m_lastCaller = 0;
+    std::vector<DecisionEffect> m_decisions;
     bool m_isTraced = false;
     // Process starts so far; each process gets its count as seed.
     std::uint64_t m_starts = 0;
--- a/tests/batch/batch_worker_fault_test.cpp
+++ b/tests/batch/batch_worker_fault_test.cpp
@@ -98,6 +98,33 @@
     EXPECT_EQ(cluster.phaseOf(path), JobPhase::Completed);
 }
 
+// The log tells the first start command of a run from a repeated one, and says which got no reply and which was barred.
+TEST(BatchWorkerFault, LogsWhatBecameOfStartCommands)
+{
+    BatchCluster cluster;
+    cluster.workers().setLateCommands(0.5);
+    cluster.submit(0, path, tasksOf("p", 16, 1));
+    cluster.runFor(absl::Seconds(2));
+    cluster.workers().setLateCommands(0);
+    cluster.cancel(0, path);
+    cluster.runFor(absl::Seconds(15));
+    std::set<std::string> sent;
+    int repeated = 0;
+    int unanswered = 0;
+    int barred = 0;
+    for (const DecisionEffect& decision : cluster.decisions()) {
+        if (decision.kind == DecisionEffect::Kind::StartSent) {
+            EXPECT_EQ(decision.outcome, sent.insert(decision.run).second ? "first" : "repeated");
+            repeated += decision.outcome == "repeated" ? 1 : 0;
+        }
+        unanswered += decision.kind == DecisionEffect::Kind::StartUnanswered ? 1 : 0;
+        barred += decision.kind == DecisionEffect::Kind::StartBarred ? 1 : 0;
+    }
+    EXPECT_GT(repeated, 0);
+    EXPECT_GE(unanswered, repeated);
+    EXPECT_GT(barred, 0);
+}
+
 // Start and stop commands that got no reply are executed seconds later, during evictions and changes of owner.
 TEST(BatchWorkerFault, RunsNothingTwiceWhenCommandsAreExecutedLate)
 {
--- a/tests/batch/worker_session_test.cpp
+++ b/tests/batch/worker_session_test.cpp
@@ -123,6 +123,7 @@
     const absl::optional<EndedRun> ended = m_session.stop(runOf(0), m_now);
     ASSERT_TRUE(ended);
     EXPECT_EQ(ended->end, RunEnd::NotStarted);
+    EXPECT_EQ(ended->evidence, EndEvidence::NeverSent);
     EXPECT_EQ(m_session.freeCapacity().accelerators, 8);
 }
 
@@ -141,9 +142,11 @@
     settle();
     const SessionCall first = startRun(runOf(0));
     m_now += absl::Milliseconds(800);
-    m_session.handleReply(first, noAnswer(), m_now);
+    EXPECT_FALSE(first.isRepeated);
+    EXPECT_EQ(m_session.handleReply(first, noAnswer(), m_now).unansweredStart, runOf(0));
     m_session.handleReply(due(SessionCall::Kind::Poll).context, answerOf(6000), m_now);
     const DueCall again = due(SessionCall::Kind::Start);
+    EXPECT_TRUE(again.context.isRepeated);
     WorkerReply refusal = answerOf(6100);
     refusal.refusal = WorkerRefusal::InsufficientCapacity;
     EXPECT_TRUE(m_session.handleReply(again.context, refusal, m_now).ended.empty());
@@ -151,12 +154,13 @@
     // A poll that was sent before the stop was confirmed does not prove it either.
     const DueCall early = due(SessionCall::Kind::Poll);
     m_now += absl::Milliseconds(2);
-    m_session.handleReply(stop.context, answerOf(6200), m_now);
+    EXPECT_EQ(m_session.handleReply(stop.context, answerOf(6200), m_now).barredStart, runOf(0));
     EXPECT_TRUE(m_session.handleReply(early.context, answerOf(6250), m_now).ended.empty());
     m_now += absl::Milliseconds(2);
     const DueCall proof = due(SessionCall::Kind::Poll);
     const SessionUpdate update = m_session.handleReply(proof.context, answerOf(6300), m_now);
     ASSERT_EQ(update.ended.size(), 1U);
+    EXPECT_EQ(update.ended.front().evidence, EndEvidence::AbsentFromPoll);
     EXPECT_TRUE(m_session.runs().empty());
 }
 
@@ -175,14 +179,18 @@
         EXPECT_TRUE(m_session.takeLapsedRuns(m_now).empty());
     }
     m_now = lastRenewal + absl::Seconds(12);
-    EXPECT_EQ(m_session.takeLapsedRuns(m_now).size(), 1U);
+    const std::vector<EndedRun> lapsed = m_session.takeLapsedRuns(m_now);
+    ASSERT_EQ(lapsed.size(), 1U);
+    EXPECT_EQ(lapsed.front().evidence, EndEvidence::LeaseExpired);
 }
 
 TEST_F(WorkerSessionTest, LosesRunsOfADrainedWorkerThatIsGoneAtOnce)
 {
     drainWithARun();
     m_session.handleReply(due(SessionCall::Kind::Poll).context, noAnswer(ErrorKind::OwnerUnreachable), m_now);
-    EXPECT_EQ(m_session.takeLapsedRuns(m_now).size(), 1U);
+    const std::vector<EndedRun> lost = m_session.takeLapsedRuns(m_now);
+    ASSERT_EQ(lost.size(), 1U);
+    EXPECT_EQ(lost.front().evidence, EndEvidence::WorkerLeft);
 }
 
 // The poll was pending when the worker's process ended.
@@ -233,7 +241,9 @@
     m_session.handleReply(startCall, answerOf(5100), m_now);
     WorkerEntry restarted = makeWorkerEntry("w");
     restarted.processStartMs = processStartMs + 1;
-    ASSERT_EQ(m_session.update(restarted, m_now).size(), 1U);
+    const std::vector<EndedRun> ended = m_session.update(restarted, m_now);
+    ASSERT_EQ(ended.size(), 1U);
+    EXPECT_EQ(ended.front().evidence, EndEvidence::ProcessReplaced);
     EXPECT_FALSE(m_session.acceptsWork(m_now));
 }
 
