Change: a test for a draining worker that neither the nodes nor the store reach

It fails: the owner takes a draining worker for gone once its entry has expired and its address refuses, and starts its runs elsewhere while they go on.

--- a/tests/batch/batch_worker_fault_test.cpp
+++ b/tests/batch/batch_worker_fault_test.cpp
@@ -98,6 +98,24 @@
     EXPECT_EQ(cluster.phaseOf(path), JobPhase::Completed);
 }
 
+// Guards against a second run of a task: a draining worker whose entry is removed because the store does not hear it,
+// and whose address refuses, runs on.
+TEST(BatchWorkerFault, RunsNothingTwiceWhenADrainingWorkerIsIsolated)
+{
+    BatchCluster cluster;
+    cluster.workers().setRunTime("long", absl::Seconds(9));
+    cluster.submit(0, path, tasksOf("long", 1, 1, absl::Seconds(9)));
+    cluster.runFor(absl::Seconds(1));
+    ASSERT_EQ(cluster.workers().recordedRuns().size(), 1U);
+    const std::string worker = cluster.workers().recordedRuns().front().worker;
+    cluster.workers().drain(worker, absl::Seconds(30));
+    cluster.runFor(absl::Milliseconds(200));
+    cluster.workers().isolate(worker);
+    cluster.runFor(absl::Seconds(40));
+    EXPECT_EQ(cluster.phaseOf(path), JobPhase::Completed);
+    EXPECT_TRUE(cluster.workers().violations().empty()) << cluster.workers().violations().front();
+}
+
 // The log tells the first start command of a run from a repeated one, and says which got no reply and which was barred.
 TEST(BatchWorkerFault, LogsWhatBecameOfStartCommands)
 {
--- a/tests/batch/simulated_workers_base.cpp
+++ b/tests/batch/simulated_workers_base.cpp
@@ -18,6 +18,8 @@
 constexpr absl::Duration maxLease = absl::Seconds(10);
 constexpr absl::Duration stopTime = absl::Milliseconds(300);
 constexpr absl::Duration defaultRunTime = absl::Seconds(1);
+// How long a worker is silent until the store removes its entry.
+constexpr absl::Duration entryTimeout = absl::Milliseconds(4500);
 
 std::string nameOf(const RunKey& run)
 {
@@ -77,7 +79,8 @@
         const absl::Duration lateness = minLateness + latenessSpread * m_random.uniform();
         m_timeline.after(lateness, [this, call, processStartMs = m_workers.at(call.worker.str()).entry.processStartMs] {
             Worker& worker = m_workers.at(call.worker.str());
-            if (worker.entry.processStartMs == processStartMs && !worker.isCutOff && !worker.isGone)
+            const bool isReachable = !worker.isCutOff && !worker.isGone && !worker.isIsolated;
+            if (worker.entry.processStartMs == processStartMs && isReachable)
                 carryOut(worker, call, true);
         });
         return;
@@ -86,7 +89,7 @@
         Worker& worker = m_workers.at(call.worker.str());
         if (worker.isCutOff)
             return;
-        if (worker.isGone) {
+        if (worker.isGone || worker.isIsolated) {
             WorkerReply refused;
             refused.status = makeError(ErrorKind::OwnerUnreachable, "nobody listens");
             once(refused);
@@ -248,7 +251,7 @@
 
 void SimulatedWorkers::answerPolls(Worker& worker)
 {
-    if (worker.isCutOff)
+    if (worker.isCutOff || worker.isIsolated)
         return;
     for (const PendingPoll& held : std::exchange(worker.polls, {}))
         m_timeline.after(callDelay, [answer = report(worker), reply = held.reply] { reply(answer); });
@@ -333,10 +336,27 @@
         endAllRuns(later, RunEnd::LeaseLapsed);
         later.isGone = true;
         later.polls.clear();
-        m_store.remove({ Collection::Workers, name });
+        if (!later.isIsolated)
+            m_store.remove({ Collection::Workers, name });
     });
 }
 
+void SimulatedWorkers::isolate(const std::string& name)
+{
+    Worker& worker = m_workers.at(name);
+    worker.isIsolated = true;
+    breakPolls(worker);
+    m_timeline.after(entryTimeout, [this, name] { m_store.remove({ Collection::Workers, name }); });
+}
+
+void SimulatedWorkers::breakPolls(Worker& worker)
+{
+    WorkerReply broken;
+    broken.status = makeError(ErrorKind::PeerGone, "the connection was closed");
+    for (const PendingPoll& held : std::exchange(worker.polls, {}))
+        m_timeline.after(callDelay, [broken, reply = held.reply] { reply(broken); });
+}
+
 int SimulatedWorkers::doneCount(const TaskKey& task) const
 {
     return static_cast<int>(
--- a/tests/batch/simulated_workers_base.h
+++ b/tests/batch/simulated_workers_base.h
@@ -48,6 +48,9 @@
 
     // While it is cut off, no call reaches the worker and no reply is returned; its runs go on.
     void setCutOff(const std::string& name, bool isCutOff) { m_workers.at(name).isCutOff = isCutOff; }
+    // Cuts the worker off from the nodes and from the store: calls to it are refused at its address and pending polls
+    // are broken off, its runs go on, and its entry is removed once it has been silent for the entry timeout.
+    void isolate(const std::string& name);
     // Ends the worker's process and starts another one under the same name.
     void restart(const std::string& name);
     // Marks the worker as draining; it is gone after the time.
@@ -92,6 +95,8 @@
         WorkerEntry entry;
         bool isCutOff = false;
         bool isGone = false;
+        // Calls to the address are refused, although the worker runs on.
+        bool isIsolated = false;
         Epoch epoch = 0;
         absl::Time leaseUntil = absl::InfinitePast();
         absl::Time startedAt;
@@ -112,6 +117,7 @@
     void acknowledgeEnds(Worker& worker, std::int64_t acknowledged);
     void markEndsForgotten(Worker& worker);
     void answerPolls(Worker& worker);
+    void breakPolls(Worker& worker);
     std::int32_t percentOf(const Running& running) const;
     WorkerReply report(const Worker& worker) const;
     void finish(const std::string& name, std::int64_t processStartMs, const RunKey& run);
