Fix: a draining worker whose entry has expired is not taken for gone

What callers saw: a task that ran twice at the same time. A draining worker that is not listed and whose address refuses counted as gone, with all its runs. A worker behind a cut that refuses looks the same: its reports do not reach the store either, so that its entry expires after three silent heartbeat intervals, while it serves on past its drain time.

Now its runs count as over at once only if the worker itself has removed its entry: it was removed sooner after the last known report than it can expire (three intervals of heartbeatMs, less a margin). A report in a watch's reply was made after the time up to which all changes were known before. Otherwise the runs wait for the lease bound. An unreadable entry is no evidence either.

--- a/src/batch/owner/worker_registry_base.cpp
+++ b/src/batch/owner/worker_registry_base.cpp
@@ -39,35 +39,44 @@
     return session;
 }
 
-std::vector<EndedRun> WorkerRegistry::applyEntry(const WorkerEntry& entry, absl::Time now)
+std::vector<EndedRun> WorkerRegistry::applyEntry(const WorkerEntry& entry, absl::Time reportedAfter, absl::Time now)
 {
     markChanged(entry.name);
     WorkerSession& session = m_sessions.try_emplace(entry.name, entry, m_epoch, m_settings).first->second;
-    return session.update(entry, now);
+    return session.update(entry, reportedAfter, now);
 }
 
-std::vector<WorkerUpdate> WorkerRegistry::applyRecords(
-    absl::Span<const Record> records, bool isComplete, absl::Time now)
+void WorkerRegistry::applyMissingEntry(const Record& record, absl::Time now)
+{
+    WorkerSession* session = find(WorkerName(record.key.name));
+    if (session == nullptr)
+        return;
+    // An unreadable row may come from another writer, so it does not show that the worker has left.
+    if (std::holds_alternative<UnreadableRecord>(record.value))
+        session->markUnlisted();
+    else
+        session->markRemoved(now);
+}
+
+std::vector<WorkerUpdate> WorkerRegistry::applyRecords(const CollectionUpdate& update, absl::Time now)
 {
     std::vector<WorkerUpdate> updates;
-    if (isComplete) {
+    if (update.isComplete) {
         for (auto& [name, session] : m_sessions) {
-            session.markUnlisted();
+            session.markRemoved(now);
             markChanged(name);
         }
     }
-    for (const Record& record : records) {
+    for (const Record& record : update.records) {
         const auto* entry = std::get_if<WorkerEntry>(&record.value);
         if (entry == nullptr) {
-            // The row was deleted or is unreadable, so the worker is not used.
-            if (WorkerSession* session = find(WorkerName(record.key.name)))
-                session->markUnlisted();
+            applyMissingEntry(record, now);
             continue;
         }
-        WorkerUpdate update { entry->name, entry->processStartMs, {} };
-        update.session.ended = applyEntry(*entry, now);
-        if (!update.session.ended.empty())
-            updates.push_back(std::move(update));
+        WorkerUpdate changed { entry->name, entry->processStartMs, {} };
+        changed.session.ended = applyEntry(*entry, update.changedAfter, now);
+        if (!changed.session.ended.empty())
+            updates.push_back(std::move(changed));
     }
     return updates;
 }
--- a/src/batch/owner/worker_registry_base.h
+++ b/src/batch/owner/worker_registry_base.h
@@ -8,6 +8,7 @@
 #include "batch/node/outbox_base.h"
 #include "batch/owner/due_index_base.h"
 #include "batch/owner/initial_poll_queue_base.h"
+#include "batch/store/collection_follower_base.h"
 #include "batch/store/record_type.h"
 #include "batch/worker/worker_session_base.h"
 
@@ -39,9 +40,9 @@
     // Removes all workers. Workers that are added later are called with the epoch.
     void reset(Epoch epoch);
 
-    // Applies rows of the worker list; `isComplete` says that a worker without a row is not listed any more. Returns
-    // the runs that ended because their worker's process was replaced.
-    std::vector<WorkerUpdate> applyRecords(absl::Span<const Record> records, bool isComplete, absl::Time now);
+    // Applies rows of the worker list; if they are complete, a worker without a row is not listed any more. Returns the
+    // runs that ended because their worker's process was replaced.
+    std::vector<WorkerUpdate> applyRecords(const CollectionUpdate& update, absl::Time now);
 
     // The session of the worker, which the caller may change; nullptr if the registry does not have the worker.
     WorkerSession* find(const WorkerName& worker);
@@ -73,7 +74,9 @@
         SessionCall context;
     };
 
-    std::vector<EndedRun> applyEntry(const WorkerEntry& entry, absl::Time now);
+    std::vector<EndedRun> applyEntry(const WorkerEntry& entry, absl::Time reportedAfter, absl::Time now);
+    // Records that no row of the list names the worker.
+    void applyMissingEntry(const Record& record, absl::Time now);
     void markChanged(const WorkerName& worker) { m_changed.insert(worker); }
     void markDueChanged(absl::Time now);
     void logStartSent(const WorkerName& worker, const SessionCall& context, Outbox& outbox) const;
--- a/src/batch/store/collection_follower_base.cpp
+++ b/src/batch/store/collection_follower_base.cpp
@@ -84,13 +84,14 @@
 
 CollectionUpdate CollectionFollower::applyChanges(const StoreReply& reply, absl::Time now)
 {
+    CollectionUpdate update;
+    update.changedAfter = m_confirmedAt;
     m_readRevision = std::max(m_readRevision, reply.revision);
     // A watch that ended without changes shows that there were none until its wait was over.
     const bool hasWaited = reply.records.empty() && now >= m_sentAt + m_wait;
     m_confirmedAt = std::max(m_confirmedAt, hasWaited ? m_sentAt + m_wait : m_sentAt);
     if (!reply.records.empty())
         m_retryAt = now + m_pause;
-    CollectionUpdate update;
     update.isConfirmed = true;
     update.records = reply.records;
     return update;
--- a/src/batch/store/collection_follower_base.h
+++ b/src/batch/store/collection_follower_base.h
@@ -14,6 +14,8 @@
     // The records are the whole collection: a record that is not among them is absent.
     bool isComplete = false;
     std::vector<Record> records;
+    // Records that are changes were written after this time; the infinite past for a whole collection.
+    absl::Time changedAfter = absl::InfinitePast();
     // The store replied: the state of the collection is known up to `CollectionFollower::confirmedAt`.
     bool isConfirmed = false;
     // The store gave no reply, or refused the call.
--- a/src/batch/worker/worker_session_base.cpp
+++ b/src/batch/worker/worker_session_base.cpp
@@ -11,6 +11,8 @@
 constexpr double clockDrift = 0.025;
 // Added to the latest end of a worker's lease, on top of the clock drift.
 constexpr absl::Duration leaseMargin = absl::Milliseconds(300);
+// Subtracted from the entry timeout, since workers and the platform keep their intervals only approximately.
+constexpr absl::Duration entryTimeoutMargin = absl::Milliseconds(300);
 // One percent of the longest task takes less than this, even far from its data.
 constexpr absl::Duration stallTimeout = absl::Milliseconds(1200);
 
@@ -23,7 +25,7 @@
 {
 }
 
-std::vector<EndedRun> WorkerSession::update(const WorkerEntry& entry, absl::Time now)
+std::vector<EndedRun> WorkerSession::update(const WorkerEntry& entry, absl::Time reportedAfter, absl::Time now)
 {
     std::vector<EndedRun> ended;
     applyProcessStart(entry.processStartMs, ended);
@@ -31,11 +33,21 @@
     m_entry = entry;
     m_entry.processStartMs = processStartMs;
     m_isListed = true;
+    m_hasDeregistered = false;
+    m_reportedAfter = std::max(m_reportedAfter, reportedAfter);
     // A row may arrive late, so a later row does not extend the time that is left.
     m_leavesAt = entry.isDraining ? std::min(m_leavesAt, now + entry.remaining) : absl::InfiniteFuture();
     return ended;
 }
 
+// A row that is removed sooner after a report than it can expire was removed by the worker itself.
+void WorkerSession::markRemoved(absl::Time now)
+{
+    if (m_isListed)
+        m_hasDeregistered = now - m_reportedAfter < m_settings.entryTimeout - entryTimeoutMargin;
+    m_isListed = false;
+}
+
 // The new process of a restarted worker has none of the runs of the old one.
 void WorkerSession::applyProcessStart(std::int64_t processStartMs, std::vector<EndedRun>& ended)
 {
@@ -221,11 +233,12 @@
     return stalled;
 }
 
-// A worker that was draining, is no longer listed and has no process at its address is gone, with all its runs. It
-// stops accepting connections before it replies to the pending poll, so that poll has to end first.
+// A worker that was draining, has removed its row and has no process at its address is gone, with all its runs. It
+// stops accepting connections before it replies to the pending poll, so that poll has to end first. A row that has
+// expired shows nothing: a worker that neither the store nor this node reaches runs on.
 bool WorkerSession::hasLeft() const
 {
-    return m_entry.isDraining && !m_isListed && m_isUnreachable && !m_isPollPending;
+    return m_entry.isDraining && m_hasDeregistered && m_isUnreachable && !m_isPollPending;
 }
 
 std::vector<EndedRun> WorkerSession::takeLapsedRuns(absl::Time now)
--- a/src/batch/worker/worker_session_base.h
+++ b/src/batch/worker/worker_session_base.h
@@ -21,6 +21,8 @@
     absl::Duration maxLease = absl::Seconds(10);
     // How long the worker may hold a poll open until a run ends.
     absl::Duration pollWait = absl::Milliseconds(700);
+    // The silence after which the platform removes a worker's entry.
+    absl::Duration entryTimeout = absl::Milliseconds(4500);
 };
 
 // A run that uses capacity of a worker, with the state of its start and stop commands.
@@ -139,10 +141,13 @@
     const WorkerHealth& health() const { return m_health; }
     const absl::btree_map<RunKey, RunSlot>& runs() const { return m_runs; }
 
-    // Applies a new row of the worker list. Returns the runs that ended because the worker's process was replaced.
-    std::vector<EndedRun> update(const WorkerEntry& entry, absl::Time now);
-    // Records that the worker list has no row of the worker any more.
+    // Applies a new row of the worker list. The worker has reported the row after `reportedAfter`, which is the
+    // infinite past if that is unknown. Returns the runs that ended because the worker's process was replaced.
+    std::vector<EndedRun> update(const WorkerEntry& entry, absl::Time reportedAfter, absl::Time now);
+    // Records that the worker list has no usable row of the worker.
     void markUnlisted() { m_isListed = false; }
+    // Records that the worker's row was removed, by the worker itself or since it had expired.
+    void markRemoved(absl::Time now);
     bool isListed() const { return m_isListed; }
     // The earliest time at which a draining worker may be gone; the infinite future for a worker that stays.
     absl::Time leavesAt() const { return m_leavesAt; }
@@ -237,6 +242,10 @@
     const Epoch m_epoch;
     const SessionSettings m_settings;
     bool m_isListed = true;
+    // The worker's last known report was made after this time.
+    absl::Time m_reportedAfter = absl::InfinitePast();
+    // The row was removed by the worker itself, which does so as it leaves.
+    bool m_hasDeregistered = false;
     bool m_hasAnswered = false;
     absl::btree_map<RunKey, RunSlot> m_runs;
 
--- a/tests/batch/run_review_test.cpp
+++ b/tests/batch/run_review_test.cpp
@@ -46,7 +46,7 @@
         WorkerEntry entry = makeWorkerEntry("w");
         entry.isDraining = true;
         entry.remaining = remaining;
-        m_session.update(entry, m_now);
+        m_session.update(entry, m_now, m_now);
     }
 
     std::vector<RunKey> toRelocate() { return reviewRuns(m_session, m_jobs, m_now).toRelocate; }
--- a/tests/batch/worker_registry_test.cpp
+++ b/tests/batch/worker_registry_test.cpp
@@ -33,6 +33,14 @@
     return rows;
 }
 
+CollectionUpdate workerList(int count)
+{
+    CollectionUpdate list;
+    list.isComplete = true;
+    list.records = workerRows(count);
+    return list;
+}
+
 // The calls to workers among the effects, in order.
 std::vector<CallId> callsIn(const Effects& effects)
 {
@@ -50,7 +58,7 @@
     void settle(int workers)
     {
         m_workers.reset(1);
-        m_workers.applyRecords(workerRows(workers), true, begin);
+        m_workers.applyRecords(workerList(workers), begin);
         m_workers.advance(m_source, m_outbox, begin);
         EXPECT_FALSE(m_workers.hasEveryWorkerAnswered());
         WorkerReply reply;
@@ -92,7 +100,9 @@
 {
     settle(3);
     EXPECT_TRUE(m_workers.hasEveryWorkerAnswered());
-    m_workers.applyRecords(workerRows(4), false, begin);
+    CollectionUpdate changes;
+    changes.records = workerRows(4);
+    m_workers.applyRecords(changes, begin);
     m_workers.advance(m_source, m_outbox, begin);
     EXPECT_FALSE(m_workers.hasEveryWorkerAnswered());
 }
@@ -100,7 +110,7 @@
 TEST_F(WorkerRegistryTest, RemovesAWorkerThatIsNotListedAndRunsNothing)
 {
     settle(3);
-    m_workers.applyRecords(workerRows(2), true, begin);
+    m_workers.applyRecords(workerList(2), begin);
     m_workers.advance(m_source, m_outbox, begin);
     EXPECT_EQ(m_workers.sessions().size(), 2U);
 }
@@ -123,7 +133,7 @@
     constexpr std::size_t workers = 3000;
     constexpr std::size_t mostAtATime = 64;
     m_workers.reset(1);
-    m_workers.applyRecords(workerRows(workers), true, begin);
+    m_workers.applyRecords(workerList(workers), begin);
     m_workers.advance(m_source, m_outbox, begin);
     std::vector<CallId> calls = callsIn(m_outbox.take());
     EXPECT_EQ(calls.size(), mostAtATime);
@@ -149,7 +159,7 @@
 {
     constexpr int workers = 200;
     m_workers.reset(1);
-    m_workers.applyRecords(workerRows(workers), true, begin);
+    m_workers.applyRecords(workerList(workers), begin);
     WorkerReply noReply;
     noReply.status = absl::UnavailableError("nothing came");
     std::size_t polls = 0;
--- a/tests/batch/worker_session_test.cpp
+++ b/tests/batch/worker_session_test.cpp
@@ -54,17 +54,18 @@
         return {};
     }
 
-    // Makes the worker draining and no longer listed, with one run.
-    void drainWithARun()
+    // Makes the worker draining, with one run, and removes its row some time after it has reported that.
+    void drainWithARun(absl::Duration removedAfter = absl::Seconds(3))
     {
         settle();
         const SessionCall startCall = startRun(runOf(0));
         m_session.handleReply(startCall, answerOf(5100), m_now);
         WorkerEntry draining = makeWorkerEntry("w");
         draining.isDraining = true;
-        m_session.update(draining, m_now);
+        m_session.update(draining, m_now, m_now);
         EXPECT_FALSE(m_session.acceptsWork(m_now));
-        m_session.markUnlisted();
+        m_now += removedAfter;
+        m_session.markRemoved(m_now);
     }
 
     bool isDue(SessionCall::Kind kind)
@@ -193,6 +194,34 @@
     EXPECT_EQ(lost.front().evidence, EndEvidence::WorkerLeft);
 }
 
+// Guards against a second run of a task: the row of a draining worker that can't reach the store expires, and a link
+// that is cut may refuse connections, while the worker runs on.
+TEST_F(WorkerSessionTest, KeepsRunsOfADrainingWorkerWhoseRowMayHaveExpired)
+{
+    const absl::Time lastRenewal = m_now;
+    drainWithARun(SessionSettings().entryTimeout);
+    m_session.handleReply(due(SessionCall::Kind::Poll).context, noAnswer(ErrorKind::OwnerUnreachable), m_now);
+    m_now = lastRenewal + SessionSettings().maxLease;
+    EXPECT_TRUE(m_session.takeLapsedRuns(m_now).empty());
+    m_now += absl::Seconds(1);
+    const std::vector<EndedRun> lapsed = m_session.takeLapsedRuns(m_now);
+    ASSERT_EQ(lapsed.size(), 1U);
+    EXPECT_EQ(lapsed.front().evidence, EndEvidence::LeaseExpired);
+}
+
+// Guards against taking a worker for gone because another writer has overwritten its row.
+TEST_F(WorkerSessionTest, KeepsRunsOfADrainingWorkerWhoseRowIsUnreadable)
+{
+    settle();
+    m_session.handleReply(startRun(runOf(0)), answerOf(5100), m_now);
+    WorkerEntry draining = makeWorkerEntry("w");
+    draining.isDraining = true;
+    m_session.update(draining, m_now, m_now);
+    m_session.markUnlisted();
+    m_session.handleReply(due(SessionCall::Kind::Poll).context, noAnswer(ErrorKind::OwnerUnreachable), m_now);
+    EXPECT_TRUE(m_session.takeLapsedRuns(m_now).empty());
+}
+
 // The poll was pending when the worker's process ended.
 TEST_F(WorkerSessionTest, LosesRunsOfADrainedWorkerThatIsGoneDuringAPoll)
 {
@@ -227,7 +256,7 @@
     // The worker list shows another process first, so the run counts as lost.
     WorkerEntry restarted = makeWorkerEntry("w");
     restarted.processStartMs = processStartMs + 1;
-    m_session.update(restarted, m_now);
+    m_session.update(restarted, m_now, m_now);
     m_session.markUnlisted();
     EXPECT_FALSE(m_session.isRemovable());
     m_session.handleReply(poll.context, noAnswer(ErrorKind::PeerGone), m_now);
@@ -241,7 +270,7 @@
     m_session.handleReply(startCall, answerOf(5100), m_now);
     WorkerEntry restarted = makeWorkerEntry("w");
     restarted.processStartMs = processStartMs + 1;
-    const std::vector<EndedRun> ended = m_session.update(restarted, m_now);
+    const std::vector<EndedRun> ended = m_session.update(restarted, m_now, m_now);
     ASSERT_EQ(ended.size(), 1U);
     EXPECT_EQ(ended.front().evidence, EndEvidence::ProcessReplaced);
     EXPECT_FALSE(m_session.acceptsWork(m_now));
--- a/tests/platform/message_test.cpp
+++ b/tests/platform/message_test.cpp
@@ -229,10 +229,11 @@
 {
     const NodeSettingsResult good = parseNodeSettings(R"({"node":"n","dataCentre":"z","callers":"1.2.3.4:1",
         "readiness":"1.2.3.4:2","store":"1.2.3.4:3","maxWorkerLeaseMs":6000,"guaranteeBoundMs":2700,"stopGraceMs":5000,
-        "processorShare":0.25,"openFiles":4100})");
+        "processorShare":0.25,"openFiles":4100,"heartbeatMs":700})");
     EXPECT_TRUE(good.faults.empty());
     EXPECT_EQ(good.settings.maxWorkerLease, absl::Seconds(6));
     EXPECT_EQ(good.settings.guaranteeBound, absl::Milliseconds(2700));
+    EXPECT_EQ(good.settings.heartbeatPeriod, absl::Milliseconds(700));
     EXPECT_EQ(good.settings.processorShare, 0.25);
     EXPECT_EQ(good.settings.openFiles, 4100);
     EXPECT_EQ(parseNodeSettings(R"({"processorShare":0})").faults.size(),
