Fix: no start is sent again to a draining worker

What callers saw: a task that began on a worker long after it was acknowledged as draining. A start without a reply was sent again each 250 ms, also to a worker that had begun to drain meanwhile.

Such a run is now barred by a stop; once the worker has confirmed it and a later poll does not list the run, it is placed elsewhere. WorkerSessionTest.SendsNoStartAgainToADrainingWorker failed before (a start was due, and no stop).

--- a/src/batch/worker/worker_session_base.h
+++ b/src/batch/worker/worker_session_base.h
@@ -217,6 +217,7 @@
     std::vector<EndedRun> endAllRuns(EndEvidence evidence);
     std::vector<EndedRun> endConfirmedRuns();
     void stopUnansweredStarts();
+    void barStartsWhileDraining(absl::Time now);
     void recordUnansweredStart(const SessionCall& context, absl::Time now);
     void handleRunningRow(const RunningRow& row, absl::Time now);
     void handleEndedRow(const EndedRow& row, SessionUpdate& update);
--- a/src/batch/worker/worker_session_call_cmd.cpp
+++ b/src/batch/worker/worker_session_call_cmd.cpp
@@ -72,8 +72,22 @@
     return absl::InfiniteFuture();
 }
 
+// A draining worker is sent no start. One that it has not confirmed may still be executed, so it is barred by a stop.
+void WorkerSession::barStartsWhileDraining(absl::Time now)
+{
+    if (!m_entry.isDraining)
+        return;
+    for (auto& [run, slot] : m_runs) {
+        if (slot.stage != RunSlot::Stage::Starting || slot.isStartPending || slot.isStopWanted)
+            continue;
+        slot.isStopWanted = true;
+        slot.since = now;
+    }
+}
+
 std::vector<DueCall> WorkerSession::takeDueCalls(absl::Time now)
 {
+    barStartsWhileDraining(now);
     std::vector<DueCall> calls;
     for (auto& [run, slot] : m_runs) {
         if (commandDueAt(slot) > now)
--- a/tests/batch/worker_session_test.cpp
+++ b/tests/batch/worker_session_test.cpp
@@ -165,6 +165,28 @@
     EXPECT_TRUE(m_session.runs().empty());
 }
 
+// Guards against a task that begins on a worker long after it was known to drain.
+TEST_F(WorkerSessionTest, SendsNoStartAgainToADrainingWorker)
+{
+    settle();
+    const SessionCall first = startRun(runOf(0));
+    WorkerEntry draining = makeWorkerEntry("w");
+    draining.isDraining = true;
+    m_session.update(draining, m_now, m_now);
+    m_now += absl::Milliseconds(800);
+    m_session.handleReply(first, noAnswer(), m_now);
+    m_session.handleReply(due(SessionCall::Kind::Poll).context, answerOf(6000), m_now);
+    m_now += absl::Seconds(1);
+    EXPECT_FALSE(isDue(SessionCall::Kind::Start));
+    EXPECT_EQ(m_session.handleReply(due(SessionCall::Kind::Stop).context, answerOf(7000), m_now).barredStart, runOf(0));
+    m_now += absl::Milliseconds(2);
+    m_session.handleReply(due(SessionCall::Kind::Poll).context, answerOf(7000), m_now);
+    m_now += absl::Milliseconds(2);
+    const SessionUpdate update = m_session.handleReply(due(SessionCall::Kind::Poll).context, answerOf(7100), m_now);
+    ASSERT_EQ(update.ended.size(), 1U);
+    EXPECT_EQ(update.ended.front().end, RunEnd::Stopped);
+}
+
 // Guards against a lease that never ends: renewals may reach a worker whose replies are lost, so they have to cease.
 TEST_F(WorkerSessionTest, LetsTheLeaseOfASilentWorkerLapse)
 {
