Fix: no lease is granted on the clock of a worker's earlier process

After a worker's entry had shown a new process, polls still carried a lease end on the clock of the old one, which lies far in the new one's future. Such a poll, executed seconds late, grants the longest lease from then on, beyond the lease bound.

The clock is now unknown until the new process has replied. WorkerSessionTest.GrantsANewProcessNoLeaseOnTheClockOfTheOldOne failed before (lease end 15000 instead of none). Found by reading; no play has shown it.

--- a/src/batch/worker/worker_session_base.cpp
+++ b/src/batch/worker/worker_session_base.cpp
@@ -60,6 +60,8 @@
         m_acknowledgedEnd = 0;
         m_sentAcknowledgedEnd = 0;
         m_hasAnswered = false;
+        m_workerClock = 0;
+        m_clockReadAt = absl::InfinitePast();
     }
     m_entry.processStartMs = processStartMs;
 }
--- a/tests/batch/worker_session_test.cpp
+++ b/tests/batch/worker_session_test.cpp
@@ -298,6 +298,16 @@
     EXPECT_FALSE(m_session.acceptsWork(m_now));
 }
 
+// Guards against a lease beyond the bound: the clock of a new process starts anew.
+TEST_F(WorkerSessionTest, GrantsANewProcessNoLeaseOnTheClockOfTheOldOne)
+{
+    settle();
+    WorkerEntry restarted = makeWorkerEntry("w");
+    restarted.processStartMs = processStartMs + 1;
+    m_session.update(restarted, m_now, m_now);
+    EXPECT_EQ(due(SessionCall::Kind::Poll).call.leaseUntil, 0);
+}
+
 TEST_F(WorkerSessionTest, AcknowledgesEndsOnlyInOrderAndOnceTheyAreDurable)
 {
     settle();
