Fix: the lease bound counts how old the reading of the worker's clock is

A lease end is reckoned from the worker's clock as it was last read, as if that clock had gone at full speed since. An idle worker is not polled, so that the reading may be minutes old; a clock that is 2% slow reaches the lease end that much later, and a start executed late may hold until then, beyond the lease bound.

The bound now allows for the drift over the age of the reading too. The lease end itself stays as it was: reckoned at the slowest speed, the first lease of a worker that was idle for minutes would be too short to be renewed in time. WorkerSessionTest.WaitsLongerForALeaseThatWasReckonedFromAnOldClock failed before (ended too early after 40 s idle).

--- a/src/batch/worker/worker_session_base.cpp
+++ b/src/batch/worker/worker_session_base.cpp
@@ -162,10 +162,13 @@
     extendLeaseBound(now);
 }
 
-// The lease may be renewed now, or may have been renewed by an earlier owner just before.
+// The lease may be renewed now, or may have been renewed by an earlier owner just before. Its end is reckoned from the
+// worker's clock when that was last read, and the clock may have gone slower since.
 void WorkerSession::extendLeaseBound(absl::Time now)
 {
-    m_leaseBound = std::max(m_leaseBound, now + m_settings.maxLease * (1 + clockDrift) + leaseMargin);
+    const absl::Duration clockAge = m_clockReadAt == absl::InfinitePast() ? absl::ZeroDuration() : now - m_clockReadAt;
+    const absl::Duration drift = (m_settings.maxLease + clockAge) * clockDrift;
+    m_leaseBound = std::max(m_leaseBound, now + m_settings.maxLease + drift + leaseMargin);
 }
 
 absl::optional<EndedRun> WorkerSession::stop(const RunKey& run, absl::Time now)
--- a/tests/batch/worker_session_test.cpp
+++ b/tests/batch/worker_session_test.cpp
@@ -308,6 +308,23 @@
     EXPECT_EQ(due(SessionCall::Kind::Poll).call.leaseUntil, 0);
 }
 
+// Guards against a second run of a task: the lease end was reckoned from an old time of a clock that has gone slower
+// since, and the worker may have executed the start late.
+TEST_F(WorkerSessionTest, WaitsLongerForALeaseThatWasReckonedFromAnOldClock)
+{
+    settle();
+    m_now += absl::Seconds(40);
+    const SessionCall startCall = startRun(runOf(0));
+    const absl::Time grantedAt = m_now;
+    m_session.handleReply(startCall, noAnswer(), m_now);
+    m_session.handleReply(due(SessionCall::Kind::Poll).context, noAnswer(), m_now);
+    // The end on a clock that is 2% slow.
+    m_now = grantedAt + (SessionSettings().maxLease + absl::Milliseconds(800)) / 0.98;
+    EXPECT_TRUE(m_session.takeLapsedRuns(m_now).empty());
+    m_now += absl::Seconds(1);
+    EXPECT_EQ(m_session.takeLapsedRuns(m_now).size(), 1U);
+}
+
 TEST_F(WorkerSessionTest, AcknowledgesEndsOnlyInOrderAndOnceTheyAreDurable)
 {
     settle();
