--- a/src/batch/worker/worker_session_base.cpp
+++ b/src/batch/worker/worker_session_base.cpp
@@ -11,6 +11,8 @@
 constexpr double clockDrift = 0.025;
 // Added to the latest end of a worker's lease, on top of the clock drift.
 constexpr absl::Duration leaseMargin = absl::Milliseconds(300);
+// Subtracted from the entry timeout, since workers and the platform keep their intervals only approximately.
+constexpr absl::Duration entryTimeoutMargin = absl::Milliseconds(300);
 // One percent of the longest task takes less than this, even far from its data.
 constexpr absl::Duration stallTimeout = absl::Milliseconds(1200);
 
@@ -23,7 +25,7 @@
 {
 }
 
-std::vector<EndedRun> WorkerSession::update(const WorkerEntry& entry, absl::Time now)
+std::vector<EndedRun> WorkerSession::update(const WorkerEntry& entry, absl::Time reportedAfter, absl::Time now)
 {
     std::vector<EndedRun> ended;
     applyProcessStart(entry.processStartMs, ended);
@@ -31,11 +33,21 @@
     m_entry = entry;
     m_entry.processStartMs = processStartMs;
     m_isListed = true;
+    m_hasDeregistered = false;
+    m_reportedAfter = std::max(m_reportedAfter, reportedAfter);
     // A row may arrive late, so a later row does not extend the time that is left.
     m_leavesAt = entry.isDraining ? std::min(m_leavesAt, now + entry.remaining) : absl::InfiniteFuture();
     return ended;
 }
 
+// A row that is removed sooner after a report than it can expire was removed by the worker itself.
+void WorkerSession::markRemoved(absl::Time now)
+{
+    if (m_isListed)
+        m_hasDeregistered = now - m_reportedAfter < m_settings.entryTimeout - entryTimeoutMargin;
+    m_isListed = false;
+}
+
 // The new process of a restarted worker has none of the runs of the old one.
 void WorkerSession::applyProcessStart(std::int64_t processStartMs, std::vector<EndedRun>& ended)
 {
@@ -48,6 +60,8 @@
         m_acknowledgedEnd = 0;
         m_sentAcknowledgedEnd = 0;
         m_hasAnswered = false;
+        m_workerClock = 0;
+        m_clockReadAt = absl::InfinitePast();
     }
     m_entry.processStartMs = processStartMs;
 }
@@ -76,13 +90,13 @@
             ++it;
             continue;
         }
-        ended.push_back({ it->first, RunEnd::LeaseLapsed, "", 0 });
+        ended.push_back({ it->first, RunEnd::LeaseLapsed, "", 0, EndEvidence::ProcessReplaced });
         it = m_runs.erase(it);
     }
     return ended;
 }
 
-std::vector<EndedRun> WorkerSession::endAllRuns(RunEnd end)
+std::vector<EndedRun> WorkerSession::endAllRuns(EndEvidence evidence)
 {
     std::vector<EndedRun> ended;
     for (auto it = m_runs.begin(); it != m_runs.end();) {
@@ -92,7 +106,7 @@
             ++it;
             continue;
         }
-        ended.push_back({ it->first, end, "", 0 });
+        ended.push_back({ it->first, RunEnd::LeaseLapsed, "", 0, evidence });
         it = m_runs.erase(it);
     }
     return ended;
@@ -148,10 +162,13 @@
     extendLeaseBound(now);
 }
 
-// The lease may be renewed now, or may have been renewed by an earlier owner just before.
+// The lease may be renewed now, or may have been renewed by an earlier owner just before. Its end is reckoned from the
+// worker's clock when that was last read, and the clock may have gone slower since.
 void WorkerSession::extendLeaseBound(absl::Time now)
 {
-    m_leaseBound = std::max(m_leaseBound, now + m_settings.maxLease * (1 + clockDrift) + leaseMargin);
+    const absl::Duration clockAge = m_clockReadAt == absl::InfinitePast() ? absl::ZeroDuration() : now - m_clockReadAt;
+    const absl::Duration drift = (m_settings.maxLease + clockAge) * clockDrift;
+    m_leaseBound = std::max(m_leaseBound, now + m_settings.maxLease + drift + leaseMargin);
 }
 
 absl::optional<EndedRun> WorkerSession::stop(const RunKey& run, absl::Time now)
@@ -163,7 +180,7 @@
     const bool isUnsent = slot.stage == RunSlot::Stage::Starting && slot.startSentAt == absl::InfinitePast();
     if (slot.stage == RunSlot::Stage::Reserved || isUnsent) {
         m_runs.erase(found);
-        return EndedRun { run, RunEnd::NotStarted, "", 0 };
+        return EndedRun { run, RunEnd::NotStarted, "", 0, EndEvidence::NeverSent };
     }
     if (!slot.isStopWanted) {
         slot.isStopWanted = true;
@@ -221,18 +238,21 @@
     return stalled;
 }
 
-// A worker that was draining, is no longer listed and has no process at its address is gone, with all its runs. It
-// stops accepting connections before it replies to the pending poll, so that poll has to end first.
+// A worker that was draining, has removed its row and has no process at its address is gone, with all its runs. It
+// stops accepting connections before it replies to the pending poll, so that poll has to end first. A row that has
+// expired shows nothing: a worker that neither the store nor this node reaches runs on.
 bool WorkerSession::hasLeft() const
 {
-    return m_entry.isDraining && !m_isListed && m_isUnreachable && !m_isPollPending;
+    return m_entry.isDraining && m_hasDeregistered && m_isUnreachable && !m_isPollPending;
 }
 
 std::vector<EndedRun> WorkerSession::takeLapsedRuns(absl::Time now)
 {
-    if (m_failedCalls == 0 || (now < m_leaseBound && !hasLeft()))
+    if (m_failedCalls == 0)
         return {};
-    return endAllRuns(RunEnd::LeaseLapsed);
+    if (now >= m_leaseBound)
+        return endAllRuns(EndEvidence::LeaseExpired);
+    return hasLeft() ? endAllRuns(EndEvidence::WorkerLeft) : std::vector<EndedRun>();
 }
 
 } // namespace mangohall::batch
--- a/src/batch/worker/worker_session_base.h
+++ b/src/batch/worker/worker_session_base.h
@@ -21,6 +21,8 @@
     absl::Duration maxLease = absl::Seconds(10);
     // How long the worker may hold a poll open until a run ends.
     absl::Duration pollWait = absl::Milliseconds(700);
+    // The silence after which the platform removes a worker's entry.
+    absl::Duration entryTimeout = absl::Milliseconds(4500);
 };
 
 // A run that uses capacity of a worker, with the state of its start and stop commands.
@@ -60,6 +62,24 @@
     absl::Time percentChangedAt = absl::InfiniteFuture();
 };
 
+// From what the owner has concluded that a run no longer uses capacity of its worker.
+enum class EndEvidence {
+    // The worker lists the end.
+    Listed,
+    // The worker's reply to a poll lists the run neither as running nor as ended.
+    AbsentFromPoll,
+    // The worker has refused the start.
+    StartRefused,
+    // No start was sent.
+    NeverSent,
+    // Another process of the worker has replaced the one that had confirmed the run.
+    ProcessReplaced,
+    // The worker has left after it had drained.
+    WorkerLeft,
+    // All leases that were granted to the worker must have expired.
+    LeaseExpired,
+};
+
 // A run that no longer uses capacity of its worker.
 struct EndedRun {
     RunKey run;
@@ -67,6 +87,7 @@
     std::string checkpoint;
     // The sequence number in the worker's list of ends; 0 if the worker has not listed the end.
     std::int64_t number = 0;
+    EndEvidence evidence = EndEvidence::Listed;
 };
 
 // The changes that follow from one reply or from a missing reply.
@@ -74,6 +95,10 @@
     std::vector<EndedRun> ended;
     // The runs that the worker lists as running; filled in by the reply to a poll only.
     std::vector<RunningRow> running;
+    // A run whose start got no reply, so that it may still be executed.
+    absl::optional<RunKey> unansweredStart;
+    // A run that the worker has barred by a stop before its start was confirmed.
+    absl::optional<RunKey> barredStart;
     // The worker has seen a larger epoch, so another node is the owner.
     bool isFenced = false;
     // The worker replied to a poll for the first time, or for the first time after a failed call.
@@ -94,6 +119,8 @@
     absl::Time sentAt;
     // When the called process started, in Unix milliseconds.
     std::int64_t processStartMs = 0;
+    // The same start was sent before.
+    bool isRepeated = false;
 };
 
 // A call that is due. The caller of `takeDueCalls` fills in the payload and checkpoint of a start.
@@ -114,10 +141,13 @@
     const WorkerHealth& health() const { return m_health; }
     const absl::btree_map<RunKey, RunSlot>& runs() const { return m_runs; }
 
-    // Applies a new row of the worker list. Returns the runs that ended because the worker's process was replaced.
-    std::vector<EndedRun> update(const WorkerEntry& entry, absl::Time now);
-    // Records that the worker list has no row of the worker any more.
+    // Applies a new row of the worker list. The worker has reported the row after `reportedAfter`, which is the
+    // infinite past if that is unknown. Returns the runs that ended because the worker's process was replaced.
+    std::vector<EndedRun> update(const WorkerEntry& entry, absl::Time reportedAfter, absl::Time now);
+    // Records that the worker list has no usable row of the worker.
     void markUnlisted() { m_isListed = false; }
+    // Records that the worker's row was removed, by the worker itself or since it had expired.
+    void markRemoved(absl::Time now);
     bool isListed() const { return m_isListed; }
     // The earliest time at which a draining worker may be gone; the infinite future for a worker that stays.
     absl::Time leavesAt() const { return m_leavesAt; }
@@ -176,7 +206,7 @@
 
 private:
     void handleStartReply(const SessionCall& context, const WorkerReply& reply, absl::Time now, SessionUpdate& update);
-    void handleStopReply(const SessionCall& context, const WorkerReply& reply, absl::Time now);
+    void handleStopReply(const SessionCall& context, const WorkerReply& reply, absl::Time now, SessionUpdate& update);
     void handlePollReply(const SessionCall& context, const WorkerReply& reply, absl::Time now, SessionUpdate& update);
     // Records a call without a usable reply.
     void recordFailedCall(const absl::Status& status, SessionUpdate& update);
@@ -184,9 +214,10 @@
     // Records the worker's clock and process, and that it has replied if the call was a poll.
     void recordAnswer(const SessionCall& context, const WorkerReply& reply, absl::Time now, SessionUpdate& update);
     void applyProcessStart(std::int64_t processStartMs, std::vector<EndedRun>& ended);
-    std::vector<EndedRun> endAllRuns(RunEnd end);
+    std::vector<EndedRun> endAllRuns(EndEvidence evidence);
     std::vector<EndedRun> endConfirmedRuns();
     void stopUnansweredStarts();
+    void barStartsWhileDraining(absl::Time now);
     void recordUnansweredStart(const SessionCall& context, absl::Time now);
     void handleRunningRow(const RunningRow& row, absl::Time now);
     void handleEndedRow(const EndedRow& row, SessionUpdate& update);
@@ -212,6 +243,10 @@
     const Epoch m_epoch;
     const SessionSettings m_settings;
     bool m_isListed = true;
+    // The worker's last known report was made after this time.
+    absl::Time m_reportedAfter = absl::InfinitePast();
+    // The row was removed by the worker itself, which does so as it leaves.
+    bool m_hasDeregistered = false;
     bool m_hasAnswered = false;
     absl::btree_map<RunKey, RunSlot> m_runs;
 
--- a/src/batch/worker/worker_session_call_cmd.cpp
+++ b/src/batch/worker/worker_session_call_cmd.cpp
@@ -72,16 +72,32 @@
     return absl::InfiniteFuture();
 }
 
+// A draining worker is sent no start. One that it has not confirmed may still be executed, so it is barred by a stop.
+void WorkerSession::barStartsWhileDraining(absl::Time now)
+{
+    if (!m_entry.isDraining)
+        return;
+    for (auto& [run, slot] : m_runs) {
+        if (slot.stage != RunSlot::Stage::Starting || slot.isStartPending || slot.isStopWanted)
+            continue;
+        slot.isStopWanted = true;
+        slot.since = now;
+    }
+}
+
 std::vector<DueCall> WorkerSession::takeDueCalls(absl::Time now)
 {
+    barStartsWhileDraining(now);
     std::vector<DueCall> calls;
     for (auto& [run, slot] : m_runs) {
         if (commandDueAt(slot) > now)
             continue;
         const auto kind = slot.isStopWanted ? SessionCall::Kind::Stop : SessionCall::Kind::Start;
+        const bool isRepeated = kind == SessionCall::Kind::Start && slot.startSentAt != absl::InfinitePast();
         (slot.isStopWanted ? slot.stopSentAt : slot.startSentAt) = now;
         (slot.isStopWanted ? slot.isStopPending : slot.isStartPending) = true;
         calls.push_back(makeRunCall(kind, run, now));
+        calls.back().context.isRepeated = isRepeated;
     }
     if (isPollDue(now))
         calls.push_back(makePoll(now));
--- a/tests/batch/worker_session_test.cpp
+++ b/tests/batch/worker_session_test.cpp
@@ -54,17 +54,18 @@
         return {};
     }
 
-    // Makes the worker draining and no longer listed, with one run.
-    void drainWithARun()
+    // Makes the worker draining, with one run, and removes its row some time after it has reported that.
+    void drainWithARun(absl::Duration removedAfter = absl::Seconds(3))
     {
         settle();
         const SessionCall startCall = startRun(runOf(0));
         m_session.handleReply(startCall, answerOf(5100), m_now);
         WorkerEntry draining = makeWorkerEntry("w");
         draining.isDraining = true;
-        m_session.update(draining, m_now);
+        m_session.update(draining, m_now, m_now);
         EXPECT_FALSE(m_session.acceptsWork(m_now));
-        m_session.markUnlisted();
+        m_now += removedAfter;
+        m_session.markRemoved(m_now);
     }
 
     bool isDue(SessionCall::Kind kind)
@@ -123,6 +124,7 @@
     const absl::optional<EndedRun> ended = m_session.stop(runOf(0), m_now);
     ASSERT_TRUE(ended);
     EXPECT_EQ(ended->end, RunEnd::NotStarted);
+    EXPECT_EQ(ended->evidence, EndEvidence::NeverSent);
     EXPECT_EQ(m_session.freeCapacity().accelerators, 8);
 }
 
@@ -141,9 +143,11 @@
     settle();
     const SessionCall first = startRun(runOf(0));
     m_now += absl::Milliseconds(800);
-    m_session.handleReply(first, noAnswer(), m_now);
+    EXPECT_FALSE(first.isRepeated);
+    EXPECT_EQ(m_session.handleReply(first, noAnswer(), m_now).unansweredStart, runOf(0));
     m_session.handleReply(due(SessionCall::Kind::Poll).context, answerOf(6000), m_now);
     const DueCall again = due(SessionCall::Kind::Start);
+    EXPECT_TRUE(again.context.isRepeated);
     WorkerReply refusal = answerOf(6100);
     refusal.refusal = WorkerRefusal::InsufficientCapacity;
     EXPECT_TRUE(m_session.handleReply(again.context, refusal, m_now).ended.empty());
@@ -151,15 +155,38 @@
     // A poll that was sent before the stop was confirmed does not prove it either.
     const DueCall early = due(SessionCall::Kind::Poll);
     m_now += absl::Milliseconds(2);
-    m_session.handleReply(stop.context, answerOf(6200), m_now);
+    EXPECT_EQ(m_session.handleReply(stop.context, answerOf(6200), m_now).barredStart, runOf(0));
     EXPECT_TRUE(m_session.handleReply(early.context, answerOf(6250), m_now).ended.empty());
     m_now += absl::Milliseconds(2);
     const DueCall proof = due(SessionCall::Kind::Poll);
     const SessionUpdate update = m_session.handleReply(proof.context, answerOf(6300), m_now);
     ASSERT_EQ(update.ended.size(), 1U);
+    EXPECT_EQ(update.ended.front().evidence, EndEvidence::AbsentFromPoll);
     EXPECT_TRUE(m_session.runs().empty());
 }
 
+// Guards against a task that begins on a worker long after it was known to drain.
+TEST_F(WorkerSessionTest, SendsNoStartAgainToADrainingWorker)
+{
+    settle();
+    const SessionCall first = startRun(runOf(0));
+    WorkerEntry draining = makeWorkerEntry("w");
+    draining.isDraining = true;
+    m_session.update(draining, m_now, m_now);
+    m_now += absl::Milliseconds(800);
+    m_session.handleReply(first, noAnswer(), m_now);
+    m_session.handleReply(due(SessionCall::Kind::Poll).context, answerOf(6000), m_now);
+    m_now += absl::Seconds(1);
+    EXPECT_FALSE(isDue(SessionCall::Kind::Start));
+    EXPECT_EQ(m_session.handleReply(due(SessionCall::Kind::Stop).context, answerOf(7000), m_now).barredStart, runOf(0));
+    m_now += absl::Milliseconds(2);
+    m_session.handleReply(due(SessionCall::Kind::Poll).context, answerOf(7000), m_now);
+    m_now += absl::Milliseconds(2);
+    const SessionUpdate update = m_session.handleReply(due(SessionCall::Kind::Poll).context, answerOf(7100), m_now);
+    ASSERT_EQ(update.ended.size(), 1U);
+    EXPECT_EQ(update.ended.front().end, RunEnd::Stopped);
+}
+
 // Guards against a lease that never ends: renewals may reach a worker whose replies are lost, so they have to cease.
 TEST_F(WorkerSessionTest, LetsTheLeaseOfASilentWorkerLapse)
 {
@@ -175,14 +202,46 @@
         EXPECT_TRUE(m_session.takeLapsedRuns(m_now).empty());
     }
     m_now = lastRenewal + absl::Seconds(12);
-    EXPECT_EQ(m_session.takeLapsedRuns(m_now).size(), 1U);
+    const std::vector<EndedRun> lapsed = m_session.takeLapsedRuns(m_now);
+    ASSERT_EQ(lapsed.size(), 1U);
+    EXPECT_EQ(lapsed.front().evidence, EndEvidence::LeaseExpired);
 }
 
 TEST_F(WorkerSessionTest, LosesRunsOfADrainedWorkerThatIsGoneAtOnce)
 {
     drainWithARun();
     m_session.handleReply(due(SessionCall::Kind::Poll).context, noAnswer(ErrorKind::OwnerUnreachable), m_now);
-    EXPECT_EQ(m_session.takeLapsedRuns(m_now).size(), 1U);
+    const std::vector<EndedRun> lost = m_session.takeLapsedRuns(m_now);
+    ASSERT_EQ(lost.size(), 1U);
+    EXPECT_EQ(lost.front().evidence, EndEvidence::WorkerLeft);
+}
+
+// Guards against a second run of a task: the row of a draining worker that can't reach the store expires, and a link
+// that is cut may refuse connections, while the worker runs on.
+TEST_F(WorkerSessionTest, KeepsRunsOfADrainingWorkerWhoseRowMayHaveExpired)
+{
+    const absl::Time lastRenewal = m_now;
+    drainWithARun(SessionSettings().entryTimeout);
+    m_session.handleReply(due(SessionCall::Kind::Poll).context, noAnswer(ErrorKind::OwnerUnreachable), m_now);
+    m_now = lastRenewal + SessionSettings().maxLease;
+    EXPECT_TRUE(m_session.takeLapsedRuns(m_now).empty());
+    m_now += absl::Seconds(1);
+    const std::vector<EndedRun> lapsed = m_session.takeLapsedRuns(m_now);
+    ASSERT_EQ(lapsed.size(), 1U);
+    EXPECT_EQ(lapsed.front().evidence, EndEvidence::LeaseExpired);
+}
+
+// Guards against taking a worker for gone because another writer has overwritten its row.
+TEST_F(WorkerSessionTest, KeepsRunsOfADrainingWorkerWhoseRowIsUnreadable)
+{
+    settle();
+    m_session.handleReply(startRun(runOf(0)), answerOf(5100), m_now);
+    WorkerEntry draining = makeWorkerEntry("w");
+    draining.isDraining = true;
+    m_session.update(draining, m_now, m_now);
+    m_session.markUnlisted();
+    m_session.handleReply(due(SessionCall::Kind::Poll).context, noAnswer(ErrorKind::OwnerUnreachable), m_now);
+    EXPECT_TRUE(m_session.takeLapsedRuns(m_now).empty());
 }
 
 // The poll was pending when the worker's process ended.
@@ -219,7 +278,7 @@
     // The worker list shows another process first, so the run counts as lost.
     WorkerEntry restarted = makeWorkerEntry("w");
     restarted.processStartMs = processStartMs + 1;
-    m_session.update(restarted, m_now);
+    m_session.update(restarted, m_now, m_now);
     m_session.markUnlisted();
     EXPECT_FALSE(m_session.isRemovable());
     m_session.handleReply(poll.context, noAnswer(ErrorKind::PeerGone), m_now);
@@ -233,10 +292,39 @@
     m_session.handleReply(startCall, answerOf(5100), m_now);
     WorkerEntry restarted = makeWorkerEntry("w");
     restarted.processStartMs = processStartMs + 1;
-    ASSERT_EQ(m_session.update(restarted, m_now).size(), 1U);
+    const std::vector<EndedRun> ended = m_session.update(restarted, m_now, m_now);
+    ASSERT_EQ(ended.size(), 1U);
+    EXPECT_EQ(ended.front().evidence, EndEvidence::ProcessReplaced);
     EXPECT_FALSE(m_session.acceptsWork(m_now));
 }
 
+// Guards against a lease beyond the bound: the clock of a new process starts anew.
+TEST_F(WorkerSessionTest, GrantsANewProcessNoLeaseOnTheClockOfTheOldOne)
+{
+    settle();
+    WorkerEntry restarted = makeWorkerEntry("w");
+    restarted.processStartMs = processStartMs + 1;
+    m_session.update(restarted, m_now, m_now);
+    EXPECT_EQ(due(SessionCall::Kind::Poll).call.leaseUntil, 0);
+}
+
+// Guards against a second run of a task: the lease end was reckoned from an old time of a clock that has gone slower
+// since, and the worker may have executed the start late.
+TEST_F(WorkerSessionTest, WaitsLongerForALeaseThatWasReckonedFromAnOldClock)
+{
+    settle();
+    m_now += absl::Seconds(40);
+    const SessionCall startCall = startRun(runOf(0));
+    const absl::Time grantedAt = m_now;
+    m_session.handleReply(startCall, noAnswer(), m_now);
+    m_session.handleReply(due(SessionCall::Kind::Poll).context, noAnswer(), m_now);
+    // The end on a clock that is 2% slow.
+    m_now = grantedAt + (SessionSettings().maxLease + absl::Milliseconds(800)) / 0.98;
+    EXPECT_TRUE(m_session.takeLapsedRuns(m_now).empty());
+    m_now += absl::Seconds(1);
+    EXPECT_EQ(m_session.takeLapsedRuns(m_now).size(), 1U);
+}
+
 TEST_F(WorkerSessionTest, AcknowledgesEndsOnlyInOrderAndOnceTheyAreDurable)
 {
     settle();
