Fix: do not call workers whose address is not known

Six owners in turn lost it 2.6 to 3.2 s after they had taken it, and gangs that were broken never started again (LOST).

Cause: a new owner makes a session for the worker of each stored run. A worker that is not in the list at that time has no address there, and was called all the same. Its URL, "http:///v1/hold", has no host, so that libcurl takes "v1" for a host name and looks it up on a thread (the curl program says "Could not resolve host: v1"). When the call times out, curl_multi_remove_handle waits for that lookup, and the one thread of the HTTP client serves nothing meanwhile. Lease renewals are sent by that thread. The next owner adopts the same runs.

Then the removal of timed-out calls takes 200 ms and up to 999 ms each time, all of them calls with an empty host, and renewals are accepted up to 1,000 ms late.

The runs of such a worker lapse with its lease, as before. The worker is called as soon as it is listed.

The simulated workers found a worker by its name whatever the address, which hid the fault: they answer no call without one now.

--- a/src/batch/worker/worker_session_base.cpp
+++ b/src/batch/worker/worker_session_base.cpp
@@ -230,7 +230,7 @@
 
 std::vector<EndedRun> WorkerSession::takeLapsedRuns(absl::Time now)
 {
-    if (m_failedCalls == 0 || (now < m_leaseBound && !hasLeft()))
+    if (isReachable() || (now < m_leaseBound && !hasLeft()))
         return {};
     return endAllRuns(RunEnd::LeaseLapsed);
 }
--- a/src/batch/worker/worker_session_base.h
+++ b/src/batch/worker/worker_session_base.h
@@ -181,6 +181,11 @@
     // Records a call without a usable reply.
     void recordFailedCall(const absl::Status& status, SessionUpdate& update);
     bool hasLeft() const;
+    // Whether the address of the worker is known. It is not if only the progress of an earlier owner names the worker;
+    // such a worker is not called until it is listed again.
+    bool hasAddress() const { return !m_entry.address.empty(); }
+    // Whether the worker can be called and no call has failed since its last reply to a poll.
+    bool isReachable() const { return hasAddress() && m_failedCalls == 0; }
     // Records the worker's clock and process, and that it has replied if the call was a poll.
     void recordAnswer(const SessionCall& context, const WorkerReply& reply, absl::Time now, SessionUpdate& update);
     void applyProcessStart(std::int64_t processStartMs, std::vector<EndedRun>& ended);
--- a/src/batch/worker/worker_session_call_cmd.cpp
+++ b/src/batch/worker/worker_session_call_cmd.cpp
@@ -27,7 +27,7 @@
 
 absl::Time WorkerSession::nextPollAt() const
 {
-    if (m_isPollPending)
+    if (m_isPollPending || !hasAddress())
         return absl::InfiniteFuture();
     if (m_failedCalls > 0) {
         // A worker that does not reply, is no longer listed and runs nothing is not polled any more.
@@ -62,6 +62,8 @@
 
 absl::Time WorkerSession::commandDueAt(const RunSlot& slot) const
 {
+    if (!hasAddress())
+        return absl::InfiniteFuture();
     // A stop does not wait for the reply to the start: it bars a start that has not arrived.
     if (slot.isStopWanted)
         return slot.isStopPending || slot.isStopConfirmed ? absl::InfiniteFuture()
@@ -93,7 +95,7 @@
     absl::Time due = nextPollAt();
     for (const auto& [run, slot] : m_runs)
         due = std::min(due, commandDueAt(slot));
-    if (m_failedCalls > 0 && hasLiveRuns())
+    if (!isReachable() && hasLiveRuns())
         due = std::min(due, m_leaseBound);
     return due;
 }
--- a/tests/batch/owner_load_test.cpp
+++ b/tests/batch/owner_load_test.cpp
@@ -83,5 +83,31 @@
     EXPECT_EQ(site.epoch(), epoch);
 }
 
+// Guards against an ownership that no node could keep: after an outage of the store, workers with runs of the backlog
+// were not listed any more, and each new owner called them at an unknown address.
+TEST(OwnerLoad, CallsNoUnlistedWorkerAfterTakingOverABacklog)
+{
+    constexpr int workers = 8;
+    const std::string job = "00000000000000a1";
+    BatchCluster cluster;
+    cluster.workers().setRunTime("long", absl::Seconds(6));
+    cluster.submit(0, absl::StrCat("/batch/", job), tasksOf("long", workers, 8, absl::Seconds(6)));
+    cluster.runFor(absl::Seconds(2));
+    ASSERT_EQ(cluster.workers().startCount(job), workers);
+    const std::vector<Record> listed = cluster.store().list(Collection::Workers);
+    ASSERT_EQ(listed.size(), std::size_t { workers });
+    for (std::size_t index = 0; index < workers / 2; ++index)
+        cluster.store().remove(listed[index].key);
+    cluster.kill(cluster.owner());
+    cluster.runFor(absl::Seconds(4));
+    EXPECT_GE(cluster.owner(), 0);
+    EXPECT_EQ(cluster.workers().unaddressedCallCount(), 0);
+    for (std::size_t index = 0; index < workers / 2; ++index)
+        cluster.store().put(listed[index].key, listed[index].value);
+    cluster.runFor(absl::Seconds(40));
+    EXPECT_EQ(cluster.phaseOf(absl::StrCat("/batch/", job)), JobPhase::Completed);
+    EXPECT_TRUE(cluster.workers().violations().empty());
+}
+
 } // namespace
 } // namespace mangohall::batch
--- a/tests/batch/simulated_workers_base.cpp
+++ b/tests/batch/simulated_workers_base.cpp
@@ -72,6 +72,10 @@
         none.status = makeError(ErrorKind::TimedOut, "no answer in time");
         once(none);
     });
+    if (call.address.empty()) {
+        ++m_unaddressedCalls;
+        return;
+    }
     const bool isStartOrStop = !std::holds_alternative<PollRuns>(call.command);
     if (isStartOrStop && m_random.uniform() < m_lateCommands) {
         const absl::Duration lateness = minLateness + latenessSpread * m_random.uniform();
--- a/tests/batch/simulated_workers_base.h
+++ b/tests/batch/simulated_workers_base.h
@@ -72,6 +72,8 @@
     int aloneCount() const;
     // The number of polls so far.
     int pollCount() const { return m_pollCount; }
+    // The number of calls so far that named no address; they reach no worker.
+    int unaddressedCallCount() const { return m_unaddressedCalls; }
 
 private:
     // A run in progress; `recordIndex` is its index in `m_recordedRuns`.
@@ -135,6 +137,7 @@
     std::vector<RecordedRun> m_recordedRuns;
     std::vector<std::string> m_violations;
     int m_pollCount = 0;
+    int m_unaddressedCalls = 0;
     std::uint64_t m_lastPollId = 0;
 };
 
--- a/tests/batch/worker_session_test.cpp
+++ b/tests/batch/worker_session_test.cpp
@@ -161,6 +161,39 @@
 }
 
 // Guards against a lease that never ends: renewals may reach a worker whose replies are lost, so they have to cease.
+// Guards against calls to a worker that only the progress of an earlier owner names: the HTTP client looked up a host
+// name for them, and held up the calls to the store until an owner had lost its lease.
+TEST_F(WorkerSessionTest, CallsNoWorkerWhoseAddressIsUnknown)
+{
+    WorkerEntry unlisted = makeWorkerEntry("w");
+    unlisted.address.clear();
+    WorkerSession session(unlisted, 1, SessionSettings());
+    session.markUnlisted();
+    session.adopt(runOf(0), { 100, 100, 4 }, m_now);
+    session.adopt(runOf(1), { 100, 100, 4 }, m_now);
+    session.stop(runOf(1), m_now);
+    EXPECT_TRUE(session.takeDueCalls(m_now).empty());
+    const absl::Time lapse = session.nextDue();
+    EXPECT_GT(lapse, m_now + SessionSettings().maxLease);
+    EXPECT_TRUE(session.takeLapsedRuns(lapse - absl::Milliseconds(1)).empty());
+    EXPECT_TRUE(session.takeDueCalls(lapse - absl::Milliseconds(1)).empty());
+    EXPECT_EQ(session.takeLapsedRuns(lapse).size(), 2U);
+}
+
+TEST_F(WorkerSessionTest, CallsAWorkerAsSoonAsItsAddressIsKnown)
+{
+    WorkerEntry unlisted = makeWorkerEntry("w");
+    unlisted.address.clear();
+    WorkerSession session(unlisted, 1, SessionSettings());
+    session.markUnlisted();
+    session.adopt(runOf(0), { 100, 100, 4 }, m_now);
+    session.update(makeWorkerEntry("w"), m_now);
+    const std::vector<DueCall> calls = session.takeDueCalls(m_now);
+    ASSERT_EQ(calls.size(), 1U);
+    EXPECT_EQ(calls.front().context.kind, SessionCall::Kind::Poll);
+    EXPECT_EQ(calls.front().call.address, "w");
+}
+
 TEST_F(WorkerSessionTest, LetsTheLeaseOfASilentWorkerLapse)
 {
     settle();
