Fix: do not wait for a name lookup when a call ends

A call to a host name that is not answered in time held up every other call of the node, the renewal of the owner's lease among them.

Cause: libcurl 7.88 joins the thread of a pending name lookup when the transfer is removed, and the HTTP client removes timed-out transfers on its only thread. CURLOPT_QUICK_EXIT lets the lookup end by itself.

This acts for any address with a host name, not only for calls without an address: an entry of another writer may name one.

Test: CurlNameLookup.DoesNotHoldUpOtherCallsAfterATimeout replaces getaddrinfo and holds the lookup.

--- a/src/adapters/http/curl_transfer_base.cpp
+++ b/src/adapters/http/curl_transfer_base.cpp
@@ -87,6 +87,8 @@
     curl_easy_setopt(m_handle, CURLOPT_PROTOCOLS_STR, "http,https");
     curl_easy_setopt(m_handle, CURLOPT_PROXY, "");
     curl_easy_setopt(m_handle, CURLOPT_NOSIGNAL, 1L);
+    // The end of a transfer does not wait for its name lookup, which would hold up all other transfers.
+    curl_easy_setopt(m_handle, CURLOPT_QUICK_EXIT, 1L);
     if (m_request.method != "GET" || !m_request.body.empty()) {
         curl_easy_setopt(m_handle, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(m_request.body.size()));
         curl_easy_setopt(m_handle, CURLOPT_POSTFIELDS, m_request.body.data());
