--- a/src/batch/worker/worker_session_base.cpp
+++ b/src/batch/worker/worker_session_base.cpp
@@ -248,7 +248,7 @@
 
 std::vector<EndedRun> WorkerSession::takeLapsedRuns(absl::Time now)
 {
-    if (m_failedCalls == 0)
+    if (isReachable())
         return {};
     if (now >= m_leaseBound)
         return endAllRuns(EndEvidence::LeaseExpired);
