Fix: an ownership is kept only with the lease of its own claim

Not seen by a caller; found by reading while the incident of a task that ran twice was traced. A claim whose reply was lost may be executed under a lease that the node has given up for another one. The next claim, with the same epoch, then met its own record and took the ownership with the later lease, though the store deletes the record with the earlier one. For up to two seconds more two nodes owned the jobs; the deposed one went on renewing the leases of workers that its successor took for lapsed.

A claim under another lease has an epoch of its own, and an owner gives up as soon as its watch shows that the store no longer names it. Both tests fail on the code before (OwnershipTest, compiled alone): IsNotTakenByAClaimUnderAnEarlierLease, IsLostOnceTheStoreDeletesTheHolder. No run of whole nodes has shown the fault.

--- a/src/batch/owner/ownership_base.cpp
+++ b/src/batch/owner/ownership_base.cpp
@@ -81,13 +81,16 @@
 
 void Ownership::claim(Outbox& outbox, absl::Time now)
 {
-    m_epoch = m_knownEpoch + 1;
+    // The record of an earlier claim under another lease must not be taken for that of this claim.
+    const Epoch unusedEpoch = m_lease == m_claimLease ? m_epoch : m_epoch + 1;
+    m_epoch = std::max(m_knownEpoch + 1, unusedEpoch);
     const RecordKey holder { Collection::Holder, "" };
     const RecordKey epoch { Collection::Epoch, "" };
     CommitRecords commit;
     commit.expected = { { holder, 0 }, { epoch, m_knownEpochRevision } };
     commit.writes
         = { { holder, HolderRecord { m_self, m_epoch }, m_lease }, { epoch, EpochRecord { m_epoch, m_self }, 0 } };
+    m_claimLease = m_lease;
     sendStep(Step::Claiming, std::move(commit), outbox, now);
 }
 
@@ -95,6 +98,8 @@
 {
     if (m_follower.ownsCall(call)) {
         applyRecords(m_follower.handleReply(reply, now), now);
+        if (m_isOwner && !namesThisClaim(m_holder))
+            return lose("the store no longer names this node as the holder", now);
         return adoptOwnRecord(now);
     }
     m_call = 0;
@@ -157,7 +162,7 @@
 {
     const ErrorKind kind = errorKindOf(reply.status);
     if (kind == ErrorKind::None)
-        return becomeOwner(reply.revision);
+        return becomeOwner(reply.revision, now);
     if (kind == ErrorKind::RevisionConflict) {
         for (const Record& record : reply.records) {
             if (record.key.collection == Collection::Holder)
@@ -172,19 +177,27 @@
     return adoptOwnRecord(now);
 }
 
+bool Ownership::namesThisClaim(const absl::optional<HolderRecord>& holder) const
+{
+    return holder && holder->node == m_self && holder->epoch == m_epoch;
+}
+
 // A claim whose reply was lost may have been executed; then the holder's record names this node with the claim's epoch.
+// The record is deleted with the lease of that claim, so the ownership is not kept with a later lease.
 OwnershipUpdate Ownership::adoptOwnRecord(absl::Time now)
 {
-    const bool isOwn = m_holder && m_holder->node == m_self && m_holder->epoch == m_epoch;
-    if (m_isOwner || !isOwn || m_lease == 0 || m_step == Step::Claiming || now >= leaseEnd())
+    const bool hasClaimLease = m_lease != 0 && m_lease == m_claimLease;
+    if (m_isOwner || !namesThisClaim(m_holder) || !hasClaimLease || m_step == Step::Claiming || now >= leaseEnd())
         return {};
     if (m_knownEpoch != m_epoch)
         return {};
-    return becomeOwner(m_knownEpochRevision);
+    return becomeOwner(m_knownEpochRevision, now);
 }
 
-OwnershipUpdate Ownership::becomeOwner(Revision epochRevision)
+OwnershipUpdate Ownership::becomeOwner(Revision epochRevision, absl::Time now)
 {
+    // A pending read may still show the records as they were before the claim.
+    m_follower.startAfter(epochRevision, now);
     m_isOwner = true;
     m_epochRevision = epochRevision;
     m_knownEpoch = m_epoch;
--- a/src/batch/owner/ownership_base.h
+++ b/src/batch/owner/ownership_base.h
@@ -64,7 +64,9 @@
     OwnershipUpdate handleGrantReply(const StoreReply& reply, absl::Time now);
     OwnershipUpdate handleClaimReply(const StoreReply& reply, absl::Time now);
     OwnershipUpdate handleRenewalReply(const StoreReply& reply, absl::Time now);
-    OwnershipUpdate becomeOwner(Revision epochRevision);
+    OwnershipUpdate becomeOwner(Revision epochRevision, absl::Time now);
+    // Whether the record is the one that this node's last claim writes.
+    bool namesThisClaim(const absl::optional<HolderRecord>& holder) const;
     // Becomes the owner if the holder's record in the store shows that this node's claim was executed.
     OwnershipUpdate adoptOwnRecord(absl::Time now);
     void sendStep(Step step, StoreRequest request, Outbox& outbox, absl::Time now);
@@ -92,6 +94,8 @@
     absl::Time m_nextTryAt = absl::InfinitePast();
     // The lease of this node; 0 if there is none.
     std::int64_t m_lease = 0;
+    // The lease of the last claim, with which the record that it writes is deleted.
+    std::int64_t m_claimLease = 0;
     // The lease of an ownership that was lost, still to be revoked. A delayed renewal may keep it alive in the store,
     // and other nodes waiting.
     std::int64_t m_leaseToRevoke = 0;
--- a/tests/batch/ownership_test.cpp
+++ b/tests/batch/ownership_test.cpp
@@ -78,5 +78,43 @@
     findCall<RevokeLease>();
 }
 
+// Guards against a second owner beside the next one: a claim whose reply was lost is executed under a lease that the
+// node no longer renews, and the record is found when the node already has another lease.
+TEST_F(OwnershipTest, IsNotTakenByAClaimUnderAnEarlierLease)
+{
+    answer<ReadCollection>({});
+    m_now += absl::Milliseconds(200);
+    StoreReply granted;
+    granted.lease = lease;
+    answer<GrantLease>(granted);
+    const CallId claim = findCall<CommitRecords>();
+    m_now += absl::Milliseconds(1300);
+    StoreReply noReply;
+    noReply.status = makeError(ErrorKind::TimedOut, "nothing came");
+    m_ownership.handleReply(claim, noReply, m_now);
+    m_now += absl::Milliseconds(600);
+    granted.lease = lease + 1;
+    answer<GrantLease>(granted);
+    StoreReply executed;
+    executed.status = makeError(ErrorKind::RevisionConflict, "the holder exists");
+    executed.records = { { { Collection::Holder, "" }, 5, HolderRecord { NodeName("n"), 1 } },
+        { { Collection::Epoch, "" }, 5, EpochRecord { 1, NodeName("n") } } };
+    EXPECT_FALSE(answer<CommitRecords>(executed).isTaken);
+    EXPECT_FALSE(m_ownership.isOwner());
+}
+
+// Guards against an owner that goes on renewing the leases of workers although the store has ended its ownership.
+TEST_F(OwnershipTest, IsLostOnceTheStoreDeletesTheHolder)
+{
+    becomeOwner();
+    // The watch of before the claim is abandoned.
+    findCall<WatchCollection>();
+    StoreReply deleted;
+    deleted.revision = 6;
+    deleted.records = { { { Collection::Holder, "" }, 6, std::monostate() } };
+    EXPECT_TRUE(answer<WatchCollection>(deleted).isLost);
+    EXPECT_FALSE(m_ownership.isOwner());
+}
+
 } // namespace
 } // namespace mangohall::batch
