Fix: a draining worker is polled before its listed ends are durable

The next poll of a worker that has listed ends waited until these were durable, up to 600 ms; the end of another run in that time is never heard of if the worker exits with it.

A draining worker with live runs is polled again after 50 ms.

--- a/src/batch/worker/worker_session_call_cmd.cpp
+++ b/src/batch/worker/worker_session_call_cmd.cpp
@@ -14,6 +14,8 @@
 constexpr absl::Duration unreachablePollPeriod = absl::Milliseconds(500);
 // How long the next poll waits for listed ends to become durable, so that it can acknowledge them.
 constexpr absl::Duration durableEndTimeout = absl::Milliseconds(600);
+// The same for a draining worker, which may exit as soon as its last run has ended.
+constexpr absl::Duration drainingPollPeriod = absl::Milliseconds(50);
 // How long the last acknowledgement of an idle worker waits for another reason to poll.
 constexpr absl::Duration idleAcknowledgementDelay = absl::Milliseconds(700);
 
@@ -36,7 +38,7 @@
     if (!m_hasAnswered)
         return m_isListed || hasLiveRuns() ? m_polledAt : absl::InfiniteFuture();
     if (!m_listedEnds.empty())
-        return m_polledAt + durableEndTimeout;
+        return m_polledAt + (m_entry.isDraining && hasLiveRuns() ? drainingPollPeriod : durableEndTimeout);
     if (hasLiveRuns())
         return m_polledAt;
     if (m_acknowledgedEnd > m_sentAcknowledgedEnd)
--- a/tests/batch/worker_session_test.cpp
+++ b/tests/batch/worker_session_test.cpp
@@ -379,6 +379,25 @@
     EXPECT_EQ(std::get<PollRuns>(late.call.command).acknowledgedEnd, 2);
 }
 
+// Guards against a task that is started again after it was done: its worker exits with its last run, while the owner
+// waits for the end of another run to become durable and has no poll there.
+TEST_F(WorkerSessionTest, PollsADrainingWorkerBeforeItsListedEndsAreDurable)
+{
+    constexpr absl::Duration longestGap = absl::Milliseconds(50);
+    settle();
+    for (const int index : { 0, 1 })
+        m_session.handleReply(startRun(runOf(index)), answerOf(5100), m_now);
+    WorkerEntry draining = makeWorkerEntry("w");
+    draining.isDraining = true;
+    m_session.update(draining, m_now, m_now);
+    WorkerReply reply = answerOf(5200);
+    reply.running = { { runOf(1), "", 90 } };
+    reply.ended = { { 1, runOf(0), RunEnd::Done, "" } };
+    m_session.handleReply(due(SessionCall::Kind::Poll).context, reply, m_now);
+    m_now += longestGap;
+    EXPECT_TRUE(isDue(SessionCall::Kind::Poll));
+}
+
 TEST_F(WorkerSessionTest, ListsStalledRuns)
 {
     settle();
