Fix: a reply that names no process is taken for one of the called process

Found by review, not seen by a caller. Replies to starts and stops do not name their process. One of a worker's earlier process that arrives after the owner knows of the new one set the clock of the earlier process again, so that a poll could grant the new one a lease far longer than the owner believes; a late reply to a stop made the new process count as having barred the run.

The process that was called is known, so its replies are told from those of its successor. WorkerSessionTest.TakesNoClockFromALateReplyOfAnEarlierProcess failed before (a lease on the old clock; compiled alone).

--- a/src/batch/worker/worker_session_reply_cmd.cpp
+++ b/src/batch/worker/worker_session_reply_cmd.cpp
@@ -39,8 +39,10 @@
         recordFailedCall(reply.status, update);
         return update;
     }
-    // The reply comes from an earlier process of the worker.
-    if (reply.processStartMs != 0 && reply.processStartMs < m_entry.processStartMs)
+    // The reply comes from an earlier process of the worker. One that does not name its process is taken for a reply of
+    // the called one.
+    const std::int64_t repliedBy = reply.processStartMs != 0 ? reply.processStartMs : context.processStartMs;
+    if (repliedBy != 0 && repliedBy < m_entry.processStartMs)
         return update;
     recordAnswer(context, reply, now, update);
     switch (context.kind) {
--- a/tests/batch/worker_session_test.cpp
+++ b/tests/batch/worker_session_test.cpp
@@ -398,6 +398,21 @@
     EXPECT_TRUE(isDue(SessionCall::Kind::Poll));
 }
 
+// Guards against a lease on the clock of an earlier process: its reply to a start names no process and comes late.
+TEST_F(WorkerSessionTest, TakesNoClockFromALateReplyOfAnEarlierProcess)
+{
+    settle();
+    const SessionCall startCall = startRun(runOf(0));
+    m_session.handleReply(due(SessionCall::Kind::Poll).context, answerOf(5100), m_now);
+    WorkerEntry restarted = makeWorkerEntry("w");
+    restarted.processStartMs = processStartMs + 1;
+    m_session.update(restarted, m_now, m_now);
+    WorkerReply late;
+    late.clock = 900000;
+    m_session.handleReply(startCall, late, m_now);
+    EXPECT_EQ(due(SessionCall::Kind::Poll).call.leaseUntil, 0);
+}
+
 TEST_F(WorkerSessionTest, ListsStalledRuns)
 {
     settle();
