Fix: a worker's session is kept while one of its starts may still be executed

Found by reading, not seen by a caller. A start without a reply may be executed seconds later. The lease that its run was given may be over before that; the session of a worker that was not listed any more was then deleted, and with it what bars the start at a later process under the same name, whose clock starts anew so that it does not refuse the start as late.

The session is kept until such a start can't be executed any more.

--- a/src/batch/owner/worker_registry_base.cpp
+++ b/src/batch/owner/worker_registry_base.cpp
@@ -93,7 +93,7 @@
         markChanged(worker);
     for (const WorkerName& worker : std::exchange(m_changed, {})) {
         const auto found = m_sessions.find(worker);
-        const bool isGone = found == m_sessions.end() || found->second.isRemovable();
+        const bool isGone = found == m_sessions.end() || found->second.isRemovable(now);
         if (!isGone) {
             makeCalls(worker, found->second, source, outbox, now);
             continue;
--- a/src/batch/worker/worker_session_base.h
+++ b/src/batch/worker/worker_session_base.h
@@ -154,9 +154,9 @@
     bool isListed() const { return m_isListed; }
     // The earliest time at which a draining worker may be gone; the infinite future for a worker that stays.
     absl::Time leavesAt() const { return m_leavesAt; }
-    // Whether the session may be deleted: the worker is not listed, runs nothing, and no poll is pending whose reply
-    // may still list ends.
-    bool isRemovable() const { return !m_isListed && m_runs.empty() && !m_isPollPending; }
+    // Whether the session may be deleted: the worker is not listed, runs nothing, no poll is pending whose reply may
+    // still list ends, and no start may still be executed by a later process.
+    bool isRemovable(absl::Time now) const;
 
     // Whether the worker has replied to a poll with this owner's epoch.
     bool hasAnswered() const { return m_hasAnswered; }
@@ -227,6 +227,8 @@
     void stopUnansweredStarts();
     void barStartsWhileDraining(absl::Time now);
     void recordUnansweredStart(const SessionCall& context, absl::Time now);
+    // Until when one of the unanswered starts may still be executed; the infinite past if there is none.
+    absl::Time unansweredStartsEnd() const;
     void handleRunningRow(const RunningRow& row, absl::Time now);
     void handleEndedRow(const EndedRow& row, SessionUpdate& update);
     void dropUnlistedRuns(const SessionCall& context, const WorkerReply& reply, SessionUpdate& update);
--- a/src/batch/worker/worker_session_call_cmd.cpp
+++ b/src/batch/worker/worker_session_call_cmd.cpp
@@ -115,6 +115,9 @@
         due = std::min(due, commandDueAt(slot));
     if (!isReachable() && hasLiveRuns())
         due = std::min(due, m_leaseBound);
+    // An unlisted worker is removed then.
+    if (!m_isListed && m_runs.empty() && !m_isPollPending && !m_unansweredStarts.empty())
+        due = std::min(due, unansweredStartsEnd());
     return due;
 }
 
--- a/src/batch/worker/worker_session_reply_cmd.cpp
+++ b/src/batch/worker/worker_session_reply_cmd.cpp
@@ -1,6 +1,8 @@
 // How a worker's replies, and calls without a reply, change the state of its runs.
 #include "batch/worker/worker_session_base.h"
 
+#include <algorithm>
+
 #include "core/error_func.h"
 
 namespace mangohall::batch {
@@ -73,6 +75,19 @@
         slot->second.hasUnansweredStart = true;
 }
 
+absl::Time WorkerSession::unansweredStartsEnd() const
+{
+    absl::Time end = absl::InfinitePast();
+    for (const auto& [run, sentAt] : m_unansweredStarts)
+        end = std::max(end, sentAt + maxCommandDelay);
+    return end;
+}
+
+bool WorkerSession::isRemovable(absl::Time now) const
+{
+    return !m_isListed && m_runs.empty() && !m_isPollPending && unansweredStartsEnd() <= now;
+}
+
 void WorkerSession::recordFailedCall(const absl::Status& status, SessionUpdate& update)
 {
     const ErrorKind kind = errorKindOf(status);
--- a/tests/batch/worker_session_test.cpp
+++ b/tests/batch/worker_session_test.cpp
@@ -294,13 +294,13 @@
     m_session.stop(runOf(0), m_now);
     m_session.handleReply(due(SessionCall::Kind::Stop).context, noAnswer(ErrorKind::OwnerUnreachable), m_now);
     EXPECT_TRUE(m_session.takeLapsedRuns(m_now).empty());
-    EXPECT_FALSE(m_session.isRemovable());
+    EXPECT_FALSE(m_session.isRemovable(m_now));
     WorkerReply reply = answerOf(5200);
     reply.ended = { { 1, runOf(0), RunEnd::Done, "" } };
     const SessionUpdate update = m_session.handleReply(poll.context, reply, m_now);
     ASSERT_EQ(update.ended.size(), 1U);
     EXPECT_EQ(update.ended.front().end, RunEnd::Done);
-    EXPECT_TRUE(m_session.isRemovable());
+    EXPECT_TRUE(m_session.isRemovable(m_now));
 }
 
 TEST_F(WorkerSessionTest, IsNotRemovableWhileAPollIsPending)
@@ -313,9 +313,9 @@
     restarted.processStartMs = processStartMs + 1;
     m_session.update(restarted, m_now, m_now);
     m_session.markUnlisted();
-    EXPECT_FALSE(m_session.isRemovable());
+    EXPECT_FALSE(m_session.isRemovable(m_now));
     m_session.handleReply(poll.context, noAnswer(ErrorKind::PeerGone), m_now);
-    EXPECT_TRUE(m_session.isRemovable());
+    EXPECT_TRUE(m_session.isRemovable(m_now));
 }
 
 TEST_F(WorkerSessionTest, EndsRunsOfAnEarlierProcess)
@@ -456,6 +456,25 @@
     EXPECT_EQ(ended.front().end, RunEnd::LeaseLapsed);
 }
 
+// Guards against a second run of a task: a start that got no reply is executed by a later process of a worker whose
+// session was deleted meanwhile, so that nothing bars the run there.
+TEST_F(WorkerSessionTest, IsNotRemovableWhileAStartMayBeExecuted)
+{
+    settle();
+    const SessionCall startCall = startRun(runOf(0));
+    const absl::Time sentAt = m_now;
+    m_session.handleReply(startCall, noAnswer(), m_now);
+    m_session.handleReply(due(SessionCall::Kind::Poll).context, noAnswer(), m_now);
+    m_session.markUnlisted();
+    m_now = sentAt + absl::Seconds(11);
+    EXPECT_EQ(m_session.takeLapsedRuns(m_now).size(), 1U);
+    EXPECT_FALSE(m_session.isRemovable(m_now));
+    EXPECT_GT(m_session.nextDue(), m_now);
+    m_now = m_session.nextDue();
+    EXPECT_LE(m_now, sentAt + absl::Seconds(15));
+    EXPECT_TRUE(m_session.isRemovable(m_now));
+}
+
 TEST_F(WorkerSessionTest, ListsStalledRuns)
 {
     settle();
