Change: the random histories restart workers that report late

A restarted worker wrote its entry at once in all histories, which hid that its new process may take a start before the owner knows of it. It reports up to two seconds later now.

--- a/tests/batch/batch_fuzz_base.cpp
+++ b/tests/batch/batch_fuzz_base.cpp
@@ -187,7 +187,7 @@
         m_cluster.workers().setCutOff(workerName(worker), m_isCutOff[worker]);
         break;
     case 1:
-        m_cluster.workers().restart(workerName(worker));
+        m_cluster.workers().restart(workerName(worker), absl::Milliseconds(randomBelow(2000)));
         break;
     case 2:
         m_cluster.workers().setLateCommands(0.3);
