Fix: an end is acknowledged only until a reply shows that it was

What callers would see: a task that is done runs again. Each poll of a worker repeated the acknowledgement of its last known end. A new process under the worker's name counts its ends anew; one that the owner did not know of yet forgot an end that nobody had heard of, the run was then missing from its list, and the task was started again.

--- a/src/batch/worker/worker_session_base.cpp
+++ b/src/batch/worker/worker_session_base.cpp
@@ -66,6 +66,7 @@
         m_listedEnds.clear();
         m_acknowledgedEnd = 0;
         m_sentAcknowledgedEnd = 0;
+        m_confirmedAcknowledgement = 0;
         m_hasAnswered = false;
         m_workerClock = 0;
         m_clockReadAt = absl::InfinitePast();
--- a/src/batch/worker/worker_session_base.h
+++ b/src/batch/worker/worker_session_base.h
@@ -280,9 +280,11 @@
     absl::Time m_startsPausedUntil = absl::InfinitePast();
     // Ends that the worker lists and that are not acknowledged yet, and whether each is durable.
     std::map<std::int64_t, bool> m_listedEnds;
-    // The last end that may be acknowledged, and the last one acknowledged in a poll that was sent.
+    // The last end that may be acknowledged, the one that the last poll acknowledged, and the last one of a poll that
+    // was replied to.
     std::int64_t m_acknowledgedEnd = 0;
     std::int64_t m_sentAcknowledgedEnd = 0;
+    std::int64_t m_confirmedAcknowledgement = 0;
 };
 
 } // namespace mangohall::batch
--- a/src/batch/worker/worker_session_call_cmd.cpp
+++ b/src/batch/worker/worker_session_call_cmd.cpp
@@ -41,7 +41,7 @@
         return m_polledAt + (m_entry.isDraining && hasLiveRuns() ? drainingPollPeriod : durableEndTimeout);
     if (hasLiveRuns())
         return m_polledAt;
-    if (m_acknowledgedEnd > m_sentAcknowledgedEnd)
+    if (m_acknowledgedEnd > m_confirmedAcknowledgement)
         return m_polledAt + idleAcknowledgementDelay;
     return absl::InfiniteFuture();
 }
@@ -155,14 +155,16 @@
 {
     const absl::Duration wait = nextPollWait();
     DueCall due { { SessionCall::Kind::Poll, RunKey(), now, m_entry.processStartMs }, makeCall(wait + callTimeout) };
-    due.call.command = PollRuns { m_acknowledgedEnd, wait };
+    // A later process counts its ends anew: it would forget ends that nobody has heard of for an acknowledgement that
+    // the earlier one has received already.
+    m_sentAcknowledgedEnd = m_acknowledgedEnd > m_confirmedAcknowledgement ? m_acknowledgedEnd : 0;
+    due.call.command = PollRuns { m_sentAcknowledgedEnd, wait };
     // The lease of a worker that does not reply is not renewed, so that it expires: the renewal might arrive even
     // though the reply does not.
     if (m_failedCalls == 0)
         due.call.leaseUntil = leaseUntil(now);
     if (hasLiveRuns() && due.call.leaseUntil != 0)
         extendLeaseBound(now);
-    m_sentAcknowledgedEnd = m_acknowledgedEnd;
     m_isPollPending = true;
     m_polledAt = now;
     return due;
--- a/src/batch/worker/worker_session_reply_cmd.cpp
+++ b/src/batch/worker/worker_session_reply_cmd.cpp
@@ -155,6 +155,7 @@
 void WorkerSession::handlePollReply(
     const SessionCall& context, const WorkerReply& reply, absl::Time now, SessionUpdate& update)
 {
+    m_confirmedAcknowledgement = std::max(m_confirmedAcknowledgement, m_sentAcknowledgedEnd);
     for (const RunningRow& row : reply.running)
         handleRunningRow(row, now);
     for (const EndedRow& row : reply.ended)
--- a/tests/batch/worker_session_test.cpp
+++ b/tests/batch/worker_session_test.cpp
@@ -475,6 +475,29 @@
     EXPECT_TRUE(m_session.isRemovable(m_now));
 }
 
+// Guards against a task that is started again after it was done: a new process that the owner does not know of yet
+// counts its ends anew, and forgot an end that nobody had heard of for the acknowledgement of one of the earlier
+// process.
+TEST_F(WorkerSessionTest, AcknowledgesAnEndUntilAReplyOnly)
+{
+    settle();
+    m_session.handleReply(startRun(runOf(0)), answerOf(5100), m_now);
+    WorkerReply reply = answerOf(5200);
+    reply.ended = { { 1, runOf(0), RunEnd::Done, "" } };
+    m_session.handleReply(due(SessionCall::Kind::Poll).context, reply, m_now);
+    m_session.markEndDurable(1);
+    m_now += absl::Seconds(1);
+    const DueCall lost = due(SessionCall::Kind::Poll);
+    EXPECT_EQ(std::get<PollRuns>(lost.call.command).acknowledgedEnd, 1);
+    m_session.handleReply(lost.context, noAnswer(), m_now);
+    m_now += absl::Seconds(1);
+    const DueCall repeated = due(SessionCall::Kind::Poll);
+    EXPECT_EQ(std::get<PollRuns>(repeated.call.command).acknowledgedEnd, 1);
+    m_session.handleReply(repeated.context, answerOf(7200), m_now);
+    startRun(runOf(1));
+    EXPECT_EQ(std::get<PollRuns>(due(SessionCall::Kind::Poll).call.command).acknowledgedEnd, 0);
+}
+
 TEST_F(WorkerSessionTest, ListsStalledRuns)
 {
     settle();
