--- a/tests/batch/simulated_workers_base.cpp
+++ b/tests/batch/simulated_workers_base.cpp
@@ -78,14 +78,13 @@
         ++m_unaddressedCalls;
         return;
     }
-    const bool isStartOrStop = !std::holds_alternative<PollRuns>(call.command);
-    if (isStartOrStop && m_random.uniform() < m_lateCommands) {
+    if (m_random.uniform() < m_lateCommands) {
         const absl::Duration lateness = minLateness + latenessSpread * m_random.uniform();
         m_timeline.after(lateness, [this, call, processStartMs = m_workers.at(call.worker.str()).entry.processStartMs] {
             Worker& worker = m_workers.at(call.worker.str());
             const bool isReachable = !worker.isCutOff && !worker.isGone && !worker.isIsolated;
             if (worker.entry.processStartMs == processStartMs && isReachable)
-                carryOut(worker, call, true);
+                executeLate(worker, call);
         });
         return;
     }
@@ -112,6 +111,14 @@
     });
 }
 
+void SimulatedWorkers::executeLate(Worker& worker, const WorkerCall& call)
+{
+    const WorkerReply reply = carryOut(worker, call, true);
+    const auto* pollCall = std::get_if<PollRuns>(&call.command);
+    if (pollCall != nullptr && reply.refusal == WorkerRefusal::None)
+        acknowledge(worker, *pollCall);
+}
+
 WorkerReply SimulatedWorkers::carryOut(Worker& worker, const WorkerCall& call, bool /*isLate*/)
 {
     expireLease(worker);
@@ -201,10 +208,7 @@
 void SimulatedWorkers::poll(Worker& worker, const PollRuns& poll, const Reply& reply)
 {
     ++m_pollCount;
-    acknowledgeEnds(worker, poll.acknowledgedEnd);
-    worker.ends.erase(std::remove_if(worker.ends.begin(), worker.ends.end(),
-                          [&poll](const EndedRow& row) { return row.number <= poll.acknowledgedEnd; }),
-        worker.ends.end());
+    acknowledge(worker, poll);
     if (poll.wait == absl::ZeroDuration() || !worker.ends.empty()) {
         m_timeline.after(callDelay, [answer = report(worker), reply] { reply(answer); });
         return;
@@ -224,6 +228,14 @@
     });
 }
 
+void SimulatedWorkers::acknowledge(Worker& worker, const PollRuns& poll)
+{
+    acknowledgeEnds(worker, poll.acknowledgedEnd);
+    worker.ends.erase(std::remove_if(worker.ends.begin(), worker.ends.end(),
+                          [&poll](const EndedRow& row) { return row.number <= poll.acknowledgedEnd; }),
+        worker.ends.end());
+}
+
 void SimulatedWorkers::acknowledgeEnds(Worker& worker, std::int64_t acknowledged)
 {
     while (!worker.runOfEnd.empty() && worker.runOfEnd.begin()->first <= acknowledged) {
--- a/tests/batch/simulated_workers_base.h
+++ b/tests/batch/simulated_workers_base.h
@@ -116,6 +116,10 @@
     void start(Worker& worker, const StartRun& start, WorkerReply& reply);
     void stop(Worker& worker, const StopRun& stop);
     void poll(Worker& worker, const PollRuns& poll, const Reply& reply);
+    // Executes a command that got no reply.
+    void executeLate(Worker& worker, const WorkerCall& call);
+    // Forgets the ends that the poll acknowledges.
+    void acknowledge(Worker& worker, const PollRuns& poll);
     void acknowledgeEnds(Worker& worker, std::int64_t acknowledged);
     void markEndsForgotten(Worker& worker);
     void answerPolls(Worker& worker);
