Change: the simulated platform names the address that was called

The simulated workers answer no call without an address since calls of that kind were counted; the platform's messages carry none, so that the stand-in over loopback answered nothing and its tests failed (NodeLoopback.RunsAJobToItsEnd and others). A call that the stand-in has received has reached the worker's address.

--- a/tests/platform/platform_standin_base.cpp
+++ b/tests/platform/platform_standin_base.cpp
@@ -154,11 +154,12 @@
 
 void PlatformStandin::WorkerServer::handle(const ServedRequest& request, std::shared_ptr<Exchange> exchange)
 {
-    const absl::StatusOr<batch::WorkerCall> call = workerCallOf(m_name, request);
+    absl::StatusOr<batch::WorkerCall> call = workerCallOf(m_name, request);
     if (!call.ok()) {
         exchange->answer(malformedResponse(call.status()));
         return;
     }
+    call->address = absl::StrCat(loopback, ":", m_server.port());
     absl::MutexLock lock(&m_platform.m_mutex);
     m_platform.advanceTimeline();
     m_platform.m_workers.call(
