--- a/src/adapters/http/curl_http_client_base.cpp
+++ b/src/adapters/http/curl_http_client_base.cpp
@@ -18,8 +18,9 @@
 constexpr std::size_t maxGroups = 32;
 // A client that keeps fewer idle connections has fewer groups.
 constexpr std::size_t minIdlePerGroup = 32;
-// Some groups have more hosts than others.
-constexpr double unevenDistribution = 1.5;
+// Some groups have more hosts than others: a group may keep this share of its equal part, in percent.
+constexpr std::size_t largestGroupPercent = 150;
+constexpr std::size_t wholePercent = 100;
 
 std::size_t groupCountFor(std::size_t idleConnections)
 {
@@ -31,7 +32,7 @@
     const std::size_t groups = groupCountFor(idleConnections);
     if (groups == 1)
         return idleConnections;
-    return static_cast<std::size_t>(unevenDistribution * static_cast<double>(idleConnections / groups));
+    return idleConnections * largestGroupPercent / wholePercent / groups;
 }
 
 } // namespace
--- a/src/batch/worker/worker_session_base.cpp
+++ b/src/batch/worker/worker_session_base.cpp
@@ -29,7 +29,7 @@
 void WorkerSession::update(const WorkerEntry& entry, absl::Time reportedAfter, absl::Time now)
 {
     m_entry = entry;
-    doubtProcess(entry.processStartMs);
+    suspectRestart(entry.processStartMs);
     m_isListed = true;
     m_hasDeregistered = false;
     m_reportedAfter = std::max(m_reportedAfter, reportedAfter);
@@ -54,27 +54,27 @@
 
 std::int64_t WorkerSession::calledProcessStart() const
 {
-    if (m_isProcessDoubted)
-        return m_doubtedStartMs;
+    if (m_isRestartSuspected)
+        return m_suspectedStartMs;
     return m_processStartMs != 0 ? m_processStartMs : m_entry.processStartMs;
 }
 
 // A start that the worker has not confirmed when it was asked is not asked about again.
-void WorkerSession::doubtProcess(std::int64_t processStartMs)
+void WorkerSession::suspectRestart(std::int64_t processStartMs)
 {
-    if (m_processStartMs == 0 || processStartMs <= m_processStartMs || processStartMs == m_doubtedStartMs)
+    if (m_processStartMs == 0 || processStartMs <= m_processStartMs || processStartMs == m_suspectedStartMs)
         return;
-    m_doubtedStartMs = processStartMs;
-    m_isProcessDoubted = true;
+    m_suspectedStartMs = processStartMs;
+    m_isRestartSuspected = true;
     m_hasAnswered = false;
     m_workerClock = 0;
     m_clockReadAt = absl::InfinitePast();
 }
 
-void WorkerSession::resolveDoubt(const SessionCall& context)
+void WorkerSession::resolveSuspicion(const SessionCall& context)
 {
-    if (context.processStartMs >= m_doubtedStartMs)
-        m_isProcessDoubted = false;
+    if (context.processStartMs >= m_suspectedStartMs)
+        m_isRestartSuspected = false;
 }
 
 // The new process of a restarted worker has none of the runs of the old one.
@@ -98,8 +98,8 @@
         m_clockReadAt = absl::InfinitePast();
     }
     m_processStartMs = processStartMs;
-    if (processStartMs >= m_doubtedStartMs)
-        m_isProcessDoubted = false;
+    if (processStartMs >= m_suspectedStartMs)
+        m_isRestartSuspected = false;
 }
 
 // An unanswered start may still reach the new process, which does not know that the run has ended. The run is kept and
--- a/src/batch/worker/worker_session_base.h
+++ b/src/batch/worker/worker_session_base.h
@@ -232,9 +232,9 @@
     // When the process that is called now started, as far as its row or its replies show.
     std::int64_t calledProcessStart() const;
     // Asks the worker whether its process was replaced by one with this start.
-    void doubtProcess(std::int64_t processStartMs);
-    // Ends the doubt if the worker has replied to a poll that was sent after it began.
-    void resolveDoubt(const SessionCall& context);
+    void suspectRestart(std::int64_t processStartMs);
+    // Ends the suspicion if the worker has replied to a poll that was sent after it began.
+    void resolveSuspicion(const SessionCall& context);
     void applyProcessStart(std::int64_t processStartMs, absl::Time now, std::vector<EndedRun>& ended);
     std::vector<EndedRun> endAllRuns(EndEvidence evidence);
     std::vector<EndedRun> endRunsOfEarlierProcess();
@@ -269,9 +269,9 @@
     // The latest start that a reply of the worker has named; 0 if there was none.
     std::int64_t m_processStartMs = 0;
     // The last start that a row has named and that was later than that of the replies.
-    std::int64_t m_doubtedStartMs = 0;
+    std::int64_t m_suspectedStartMs = 0;
     // The worker has not replied yet since a row has named a later start.
-    bool m_isProcessDoubted = false;
+    bool m_isRestartSuspected = false;
     WorkerHealth m_health;
     absl::Time m_leavesAt = absl::InfiniteFuture();
     const Epoch m_epoch;
--- a/src/batch/worker/worker_session_reply_cmd.cpp
+++ b/src/batch/worker/worker_session_reply_cmd.cpp
@@ -109,12 +109,12 @@
 {
     applyProcessStart(reply.processStartMs, now, update.ended);
     // The row may have named a later process before the worker's first reply.
-    doubtProcess(m_entry.processStartMs);
+    suspectRestart(m_entry.processStartMs);
     const bool isPoll = context.kind == SessionCall::Kind::Poll;
     if (isPoll)
-        resolveDoubt(context);
+        resolveSuspicion(context);
     // The reply may have been sent by an earlier process, whose clock says nothing about the lease of the present one.
-    if (m_isProcessDoubted)
+    if (m_isRestartSuspected)
         return;
     if (reply.clock != 0) {
         m_workerClock = reply.clock;
--- a/tests/batch/batch_store_base.cpp
+++ b/tests/batch/batch_store_base.cpp
@@ -220,8 +220,7 @@
             continue;
         }
         watch->isOver = true;
-        m_timeline.after(
-            m_delay / 2 + m_watchDelays[watch->collection], [watch, update] { watch->reply(update); });
+        m_timeline.after(m_delay / 2 + m_watchDelays[watch->collection], [watch, update] { watch->reply(update); });
     }
     m_watches.insert(m_watches.end(), waiting.begin(), waiting.end());
 }
--- a/tests/batch/worker_session_test.cpp
+++ b/tests/batch/worker_session_test.cpp
@@ -360,7 +360,7 @@
     EXPECT_TRUE(m_session.handleReply(poll.context, reply, m_now).ended.empty());
     EXPECT_TRUE(m_session.runs().contains(runOf(0)));
     EXPECT_TRUE(m_session.acceptsWork(m_now));
-    // The same row again raises no new doubt.
+    // The same row again raises no new suspicion.
     nameLaterStart();
     EXPECT_TRUE(m_session.acceptsWork(m_now));
 }
