--- /dev/null
+++ b/tests/platform/caller_server_test.cpp
@@ -0,0 +1,81 @@
+// The HTTP front end for callers over a real connection.
+#include "platform/caller_server_base.h"
+
+#include <string>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "absl/strings/match.h"
+#include "absl/strings/str_cat.h"
+#include "absl/time/clock.h"
+#include "platform/listener_func.h"
+#include "standins/real_clock_base.h"
+#include "gtest/gtest.h"
+
+namespace mangohall::platform {
+namespace {
+
+// No other test uses this address.
+const char* const address = "127.0.0.1:18720";
+
+// Answers every request at once with the state of a job.
+class AnsweringSink : public batch::CallerSink {
+public:
+    void setServer(CallerServer& server) { m_server = &server; }
+    void post(batch::CallerEvent event) override { m_server->answer(event.caller, batch::JobStateAnswer()); }
+
+private:
+    CallerServer* m_server = nullptr;
+};
+
+// A client that keeps its connection between requests.
+class KeptConnection {
+public:
+    KeptConnection()
+        : m_socket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+    {
+        const sockaddr_in target = *parseSocketAddress(address);
+        EXPECT_EQ(::connect(m_socket, reinterpret_cast<const sockaddr*>(&target), sizeof(target)), 0);
+    }
+    ~KeptConnection() { ::close(m_socket); }
+    KeptConnection(const KeptConnection&) = delete;
+    KeptConnection& operator=(const KeptConnection&) = delete;
+
+    // Sends a request and returns what the server sends next; empty if it closes the connection.
+    std::string call()
+    {
+        const std::string request = absl::StrCat("GET /queue/1 HTTP/1.1\r\nHost: ", address, "\r\n\r\n");
+        ::send(m_socket, request.data(), request.size(), MSG_NOSIGNAL);
+        std::string answer(4096, '\0');
+        const ssize_t size = ::recv(m_socket, answer.data(), answer.size(), 0);
+        answer.resize(size < 0 ? 0 : static_cast<std::size_t>(size));
+        return answer;
+    }
+
+private:
+    const int m_socket;
+};
+
+// Guards against a request that is lost because the server closes its idle connection just then: a client that returns
+// after half a minute cannot tell a connection that is about to be closed from one that is not.
+TEST(CallerServer, KeepsTheIdleConnectionOfAClientThatReturns)
+{
+    constexpr absl::Duration pause = absl::Seconds(32);
+    RealClock clock;
+    AnsweringSink sink;
+    CallerServerSettings settings;
+    settings.address = address;
+    CallerServer server(settings, sink, clock);
+    sink.setServer(server);
+    ASSERT_TRUE(server.start().ok());
+    KeptConnection connection;
+    EXPECT_TRUE(absl::StartsWith(connection.call(), "HTTP/1.1 200"));
+    absl::SleepFor(pause);
+    EXPECT_TRUE(absl::StartsWith(connection.call(), "HTTP/1.1 200"));
+}
+
+} // namespace
+} // namespace mangohall::platform
