--- a/tests/batch/worker_session_test.cpp
+++ b/tests/batch/worker_session_test.cpp
@@ -498,6 +498,7 @@
     confirmed.clock = 50;
     m_session.handleReply(startCall, confirmed, m_now);
     nameLaterStart();
+    EXPECT_TRUE(m_session.runs().contains(runOf(0)));
     m_now += absl::Milliseconds(1);
     WorkerReply list;
     list.clock = 60;
@@ -517,6 +518,7 @@
     confirmed.clock = 5110;
     m_session.handleReply(startCall, confirmed, m_now);
     nameLaterStart();
+    EXPECT_TRUE(m_session.runs().contains(runOf(0)));
     m_now += absl::Milliseconds(1);
     WorkerReply list;
     list.clock = 60;
