--- a/review/platform_standin.py
+++ b/review/platform_standin.py
@@ -21,6 +21,7 @@
 HEARTBEAT_MS = 1500
 GANG_TIMEOUT_MS = 3000
 STORE_ANSWER_S = 0.004
+MAX_VALUE_BYTES = 1048576
 HOST = "desk.example"
 KEY = "key-large"
 
@@ -218,6 +219,12 @@
         for row in expected:
             if self.items.get(row["key"], {"revision": 0})["revision"] != row["revision"]:
                 return 412, {"items": current}
+        too_large = [write["key"] for write in content["write"]
+                     if len(base64.b64decode(write["value"])) > MAX_VALUE_BYTES]
+        if too_large:
+            self.record.write("store refuses a commit: larger than maxValueBytes:", too_large, "in the same commit:",
+                              [write["key"] for write in content["write"]])
+            return 400, {}
         if any(write.get("leaseId") and write["leaseId"] not in self.leases for write in content["write"]):
             return 404, {}
         for write in content["write"]:
