Review case 1: an acknowledgement for a worker's earlier process lets a task run twice

Cause: a poll without an answer is followed by one that repeats its acknowledgement, which another process of the worker may get; a start may have reached that process before.

--- a/review/platform_standin.py
+++ b/review/platform_standin.py
@@ -55,6 +55,14 @@
     return lines[0], headers, body
 
 
+async def reset_at_next_packet(reader, writer):
+    try:
+        await reader.read(1)
+    except ConnectionError:
+        pass
+    writer.transport.abort()
+
+
 class HttpServer:
     """Serves HTTP/1.1 with kept connections. `handle` gets method, target, headers, body and returns status and JSON."""
 
@@ -63,6 +71,8 @@
         self.server = None
         self.tasks = set()
         self.writers = set()
+        # The machine has lost its power: no connection is closed, and none of them answers.
+        self.has_lost_power = False
 
     async def start(self, port=0):
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", port, limit=1 << 24)
@@ -89,7 +99,10 @@
         finally:
             self.writers.discard(writer)
             self.tasks.discard(asyncio.current_task())
-            writer.close()
+            if self.has_lost_power:
+                asyncio.ensure_future(reset_at_next_packet(reader, writer))
+            else:
+                writer.close()
 
     async def stop(self):
         """Closes the listener and all connections at once, as the end of a process does."""
@@ -102,6 +115,14 @@
         for task in list(self.tasks):
             task.cancel()
 
+    async def lose_power(self):
+        """The machine is gone without a packet. Started again, it resets an old connection at its next packet."""
+        self.has_lost_power = True
+        self.server.close()
+        self.server = None
+        for task in list(self.tasks):
+            task.cancel()
+
 
 class Store:
     """The metadata store: revisions, conditions, leases and watches."""
@@ -296,16 +317,16 @@
         self.beat_task = asyncio.ensure_future(self.beat(first_beat_s))
         self.lease_task = asyncio.ensure_future(self.watch_lease())
 
-    async def crash(self):
-        """The process is gone, with all that runs on it. It sends nothing."""
+    async def crash(self, power=False):
+        """The process is gone, with all that runs on it. It sends nothing; without power its connections fall silent."""
         self.is_up = False
-        self.record.write("worker", self.name, "crashes; running:", list(self.runs))
+        self.record.write("worker", self.name, "loses power" if power else "crashes", "- running:", list(self.runs))
         for run in list(self.runs.values()):
             run["timer"].cancel()
         self.platform.lost(self)
         self.beat_task.cancel()
         self.lease_task.cancel()
-        await self.server.stop()
+        await (self.server.lose_power() if power else self.server.stop())
 
     async def beat(self, first_beat_s):
         await asyncio.sleep(first_beat_s)
@@ -413,6 +434,8 @@
 
     async def hold(self, content):
         self.extend(content)
+        self.record.write("worker", self.name, "born", self.born, "is polled: ackSeq", content.get("ackSeq", 0), "waitMs",
+                          content.get("waitMs", 0))
         for number in [number for number in self.ended if number <= content.get("ackSeq", 0)]:
             self.record.write("worker", self.name, "forgets the end", self.ended.pop(number))
         wait = content.get("waitMs", 0) / 1000
