--- a/review/platform_standin.py
+++ b/review/platform_standin.py
@@ -437,7 +437,9 @@
         self.record.write("worker", self.name, "born", self.born, "is polled: ackSeq", content.get("ackSeq", 0), "waitMs",
                           content.get("waitMs", 0))
         for number in [number for number in self.ended if number <= content.get("ackSeq", 0)]:
-            self.record.write("worker", self.name, "forgets the end", self.ended.pop(number))
+            end = self.ended.pop(number)
+            self.platform.acknowledged.append((self.record.now(), self.name, end[1], end[2], end[3]))
+            self.record.write("worker", self.name, "forgets the end", end)
         wait = content.get("waitMs", 0) / 1000
         if not self.ended and wait > 0:
             try:
@@ -467,6 +469,7 @@
         # Every start and every end, as the workers saw them.
         self.starts = []
         self.ends = []
+        self.acknowledged = []
         # The run time of a job's tasks, by the payload of the job; without an entry the worker's own.
         self.work_by_spec = {}
 
