Fix: an acknowledgement goes only to the process that has listed the end

Cause: a poll that acknowledges ends got no reply, and the next one repeated the acknowledgement. It reached the new process, which counts its ends anew and forgot its own end 1 that nobody had heard of; the run then looked lost. The same can happen to a first acknowledgement that waits until the end is durable.

Change: nothing is acknowledged after a failed call or a sign of a restart until the worker has replied to a poll; an unexpected clock in the reply to a start or stop is such a sign.

A check changed: AcknowledgesAnEndUntilAReplyOnly demanded that the poll after a lost one repeats the acknowledgement, which is the fault. Its successor demands none until a reply, through three lost polls, one after it, and none after that.

--- a/src/batch/worker/worker_session_base.cpp
+++ b/src/batch/worker/worker_session_base.cpp
@@ -13,6 +13,9 @@
 constexpr absl::Duration leaseMargin = absl::Milliseconds(300);
 // Subtracted from the entry timeout, since workers and the platform keep their intervals only approximately.
 constexpr absl::Duration entryTimeoutMargin = absl::Milliseconds(300);
+// Replies of one process show clocks that differ from the expected one by less than this, on top of the clock drift:
+// they are delayed, and overtake each other.
+constexpr absl::Duration clockTolerance = absl::Milliseconds(500);
 // One percent of the longest task takes less than this, even far from its data.
 constexpr absl::Duration stallTimeout = absl::Milliseconds(1200);
 
@@ -59,6 +62,17 @@
     return m_processStartMs != 0 ? m_processStartMs : m_entry.processStartMs;
 }
 
+// Each process has a clock of its own, and only the reply to a poll names the process. A process that was suspended has
+// an unexpected clock as well.
+bool WorkerSession::isClockUnexpected(WorkerMillis clock, absl::Time now) const
+{
+    if (clock == 0 || m_clockReadAt == absl::InfinitePast())
+        return false;
+    const absl::Duration elapsed = now - m_clockReadAt;
+    const absl::Duration difference = absl::Milliseconds(clock - m_workerClock) - elapsed;
+    return absl::AbsDuration(difference) > clockTolerance + elapsed * clockDrift;
+}
+
 // A start that the worker has not confirmed when it was asked is not asked about again.
 void WorkerSession::suspectRestart(std::int64_t processStartMs)
 {
@@ -154,7 +168,7 @@
 
 bool WorkerSession::acceptsWork(absl::Time now) const
 {
-    return m_isListed && m_hasAnswered && m_failedCalls == 0 && !m_entry.isDraining && now >= m_startsPausedUntil;
+    return m_isListed && isProcessCertain() && !m_entry.isDraining && now >= m_startsPausedUntil;
 }
 
 Resources WorkerSession::freeCapacity() const
--- a/src/batch/worker/worker_session_base.h
+++ b/src/batch/worker/worker_session_base.h
@@ -227,10 +227,15 @@
     bool hasAddress() const { return !m_entry.address.empty(); }
     // Whether the worker can be called and no call has failed since its last reply to a poll.
     bool isReachable() const { return hasAddress() && m_failedCalls == 0; }
+    // Whether nothing has happened since the last reply to a poll that another process of the worker may explain: a
+    // call without a reply, or a sign of a restart.
+    bool isProcessCertain() const { return m_hasAnswered && m_failedCalls == 0; }
     // Records the worker's clock and process, and that it has replied if the call was a poll.
     void recordAnswer(const SessionCall& context, const WorkerReply& reply, absl::Time now, SessionUpdate& update);
     // When the process that is called now started, as far as its row or its replies show.
     std::int64_t calledProcessStart() const;
+    // Whether the clock in a reply differs so much from the expected one that another process may have sent the reply.
+    bool isClockUnexpected(WorkerMillis clock, absl::Time now) const;
     // Asks the worker whether its process was replaced by one with this start.
     void suspectRestart(std::int64_t processStartMs);
     // Ends the suspicion if the worker has replied to a poll that was sent after it began.
@@ -243,6 +248,8 @@
     void recordUnansweredStart(const SessionCall& context, absl::Time now);
     // Until when one of the unanswered starts may still be executed; the infinite past if there is none.
     absl::Time unansweredStartsEnd() const;
+    // The end that the next poll acknowledges; 0 if none is to be acknowledged, or not yet.
+    std::int64_t nextAcknowledgement() const;
     // Until when the pending poll, or one that got no reply, may still acknowledge ends; the infinite past if none may.
     absl::Time lateAcknowledgementEnd() const;
     // Until when any command without a reply may still be executed by a later process of the worker.
--- a/src/batch/worker/worker_session_call_cmd.cpp
+++ b/src/batch/worker/worker_session_call_cmd.cpp
@@ -53,7 +53,7 @@
 
 absl::Duration WorkerSession::nextPollWait() const
 {
-    const bool mayWait = m_hasAnswered && m_failedCalls == 0 && m_listedEnds.empty() && hasLiveRuns();
+    const bool mayWait = isProcessCertain() && m_listedEnds.empty() && hasLiveRuns();
     // After a stop that was confirmed since the last poll there may be no end to wait for.
     const bool isStopNew = std::any_of(m_runs.begin(), m_runs.end(),
         [this](const auto& entry) { return entry.second.isStopConfirmed && entry.second.confirmedAt >= m_polledAt; });
@@ -73,7 +73,7 @@
                                                           : slot.stopSentAt + commandRetryPeriod;
     // A start renews the lease, so none is sent to a worker that does not reply: its lease has to expire.
     const bool isDue = slot.stage == RunSlot::Stage::Starting && !slot.isStartPending;
-    if (isDue && m_mayStart && m_hasAnswered && m_failedCalls == 0)
+    if (isDue && m_mayStart && isProcessCertain())
         return slot.startSentAt + commandRetryPeriod;
     return absl::InfiniteFuture();
 }
@@ -153,13 +153,18 @@
     return due;
 }
 
+// Another process counts its ends anew: it would forget ends that nobody has heard of for the acknowledgement of ends
+// of the present one. So an end is acknowledged until a reply confirms it, and only to a process that has replied.
+std::int64_t WorkerSession::nextAcknowledgement() const
+{
+    return isProcessCertain() && m_acknowledgedEnd > m_confirmedAcknowledgement ? m_acknowledgedEnd : 0;
+}
+
 DueCall WorkerSession::makePoll(absl::Time now)
 {
     const absl::Duration wait = nextPollWait();
     DueCall due { { SessionCall::Kind::Poll, RunKey(), now, calledProcessStart() }, makeCall(wait + callTimeout) };
-    // A later process counts its ends anew: it would forget ends that nobody has heard of for an acknowledgement that
-    // the earlier one has received already.
-    m_sentAcknowledgedEnd = m_acknowledgedEnd > m_confirmedAcknowledgement ? m_acknowledgedEnd : 0;
+    m_sentAcknowledgedEnd = nextAcknowledgement();
     due.call.command = PollRuns { m_sentAcknowledgedEnd, wait };
     // The lease of a worker that does not reply is not renewed, so that it expires: the renewal might arrive even
     // though the reply does not.
--- a/src/batch/worker/worker_session_reply_cmd.cpp
+++ b/src/batch/worker/worker_session_reply_cmd.cpp
@@ -110,6 +110,9 @@
     applyProcessStart(reply.processStartMs, now, update.ended);
     // The row may have named a later process before the worker's first reply.
     suspectRestart(m_entry.processStartMs);
+    // The reply names no process, so any later one may have sent it.
+    if (reply.processStartMs == 0 && isClockUnexpected(reply.clock, now))
+        suspectRestart(std::max(m_processStartMs, m_suspectedStartMs) + 1);
     const bool isPoll = context.kind == SessionCall::Kind::Poll;
     if (isPoll)
         resolveSuspicion(context);
--- a/tests/batch/batch_worker_fault_test.cpp
+++ b/tests/batch/batch_worker_fault_test.cpp
@@ -54,6 +54,27 @@
     EXPECT_TRUE(cluster.workers().violations().empty()) << cluster.workers().violations().front();
 }
 
+// Guards against a task that is started again after it was done: the poll that acknowledges an end of the earlier
+// process gets no reply, and the next one repeated the acknowledgement to the new process, which forgot its own end.
+TEST(BatchWorkerFault, StartsNothingAgainWhenAPollThatAcknowledgedEndsGotNoReply)
+{
+    BatchCluster cluster;
+    cluster.workers().setRunTime("long", absl::Seconds(9));
+    cluster.workers().setRunTime("short", absl::Milliseconds(300));
+    cluster.submit(0, "/batch/00000000000000b1", tasksOf("long", 8, 5, absl::Seconds(9)));
+    cluster.submit(0, "/batch/00000000000000b2", tasksOf("first", 8, 3));
+    cluster.runFor(absl::Milliseconds(1300));
+    ASSERT_EQ(cluster.phaseOf("/batch/00000000000000b2"), JobPhase::Completed);
+    for (int worker = 0; worker < 8; ++worker)
+        cluster.workers().losePower(absl::StrCat("w", worker / 4, worker % 4), absl::Milliseconds(1350));
+    cluster.runFor(absl::Milliseconds(100));
+    cluster.submit(0, path, tasksOf("short", 8, 3));
+    cluster.runFor(absl::Seconds(60));
+    EXPECT_EQ(cluster.phaseOf(path), JobPhase::Completed);
+    EXPECT_EQ(cluster.workers().startCount(id), 8);
+    EXPECT_TRUE(cluster.workers().violations().empty()) << cluster.workers().violations().front();
+}
+
 // A gang with a member on a draining worker is restarted on other workers soon after that worker is gone.
 TEST(BatchWorkerFault, RestartsAGangWhoseMembersWorkerLeft)
 {
--- a/tests/batch/simulated_workers_base.cpp
+++ b/tests/batch/simulated_workers_base.cpp
@@ -341,6 +341,12 @@
     m_timeline.after(untilReport, [this, name] { writeEntry(m_workers.at(name)); });
 }
 
+void SimulatedWorkers::losePower(const std::string& name, absl::Duration untilReport)
+{
+    m_workers.at(name).polls.clear();
+    restart(name, untilReport);
+}
+
 void SimulatedWorkers::drain(const std::string& name, absl::Duration after)
 {
     Worker& worker = m_workers.at(name);
--- a/tests/batch/simulated_workers_base.h
+++ b/tests/batch/simulated_workers_base.h
@@ -53,6 +53,8 @@
     void isolate(const std::string& name);
     // Ends the worker's process and starts another one under the same name, which writes its entry after the time.
     void restart(const std::string& name, absl::Duration untilReport = absl::ZeroDuration());
+    // As above, but the process ends without a word: pending polls get no reply.
+    void losePower(const std::string& name, absl::Duration untilReport);
     // Marks the worker as draining; it is gone after the time.
     void drain(const std::string& name, absl::Duration after);
     // Sets the share of start and stop commands that get no reply and are executed seconds later.
--- a/tests/batch/worker_session_test.cpp
+++ b/tests/batch/worker_session_test.cpp
@@ -88,6 +88,23 @@
         ASSERT_TRUE(m_session.acceptsWork(m_now));
     }
 
+    // Starts a run, which the worker lists as its end 1.
+    void listAnEnd()
+    {
+        m_session.handleReply(startRun(runOf(0)), answerOf(5100), m_now);
+        WorkerReply reply = answerOf(5200);
+        reply.ended = { { 1, runOf(0), RunEnd::Done, "" } };
+        m_session.handleReply(due(SessionCall::Kind::Poll).context, reply, m_now);
+    }
+
+    // As above, and the end is durable a second later.
+    void endARunDurably()
+    {
+        listAnEnd();
+        m_session.markEndDurable(1);
+        m_now += absl::Seconds(1);
+    }
+
     // Applies a row that names a later start of the worker's process.
     void nameLaterStart()
     {
@@ -391,18 +408,13 @@
 {
     constexpr absl::Duration longestDelay = absl::Seconds(14);
     settle();
-    m_session.handleReply(startRun(runOf(0)), answerOf(5100), m_now);
-    WorkerReply reply = answerOf(5200);
-    reply.ended = { { 1, runOf(0), RunEnd::Done, "" } };
-    m_session.handleReply(due(SessionCall::Kind::Poll).context, reply, m_now);
-    m_session.markEndDurable(1);
-    m_now += absl::Seconds(1);
+    endARunDurably();
     const DueCall lost = due(SessionCall::Kind::Poll);
     EXPECT_EQ(std::get<PollRuns>(lost.call.command).acknowledgedEnd, 1);
     m_session.handleReply(lost.context, noAnswer(), m_now);
     const absl::Time sentAt = m_now;
     m_now += absl::Seconds(1);
-    reply = answerOf(50);
+    WorkerReply reply = answerOf(50);
     reply.processStartMs = processStartMs + 1;
     m_session.handleReply(due(SessionCall::Kind::Poll).context, reply, m_now);
     EXPECT_FALSE(m_session.acceptsWork(sentAt + longestDelay - absl::Milliseconds(1)));
@@ -548,28 +560,92 @@
 }
 
 // Guards against a task that is started again after it was done: a new process that the owner does not know of yet
-// counts its ends anew, and forgot an end that nobody had heard of for the acknowledgement of one of the earlier
-// process.
-TEST_F(WorkerSessionTest, AcknowledgesAnEndUntilAReplyOnly)
+// counts its ends anew, and forgot an end that nobody had heard of for the repeated acknowledgement of one of the
+// earlier process.
+TEST_F(WorkerSessionTest, RepeatsAnAcknowledgementOnlyAfterAReply)
 {
     settle();
-    m_session.handleReply(startRun(runOf(0)), answerOf(5100), m_now);
-    WorkerReply reply = answerOf(5200);
-    reply.ended = { { 1, runOf(0), RunEnd::Done, "" } };
-    m_session.handleReply(due(SessionCall::Kind::Poll).context, reply, m_now);
-    m_session.markEndDurable(1);
-    m_now += absl::Seconds(1);
+    endARunDurably();
     const DueCall lost = due(SessionCall::Kind::Poll);
     EXPECT_EQ(std::get<PollRuns>(lost.call.command).acknowledgedEnd, 1);
     m_session.handleReply(lost.context, noAnswer(), m_now);
+    for (int tries = 0; tries < 3; ++tries) {
+        m_now += absl::Seconds(1);
+        const DueCall asking = due(SessionCall::Kind::Poll);
+        EXPECT_EQ(std::get<PollRuns>(asking.call.command).acknowledgedEnd, 0);
+        m_session.handleReply(asking.context, noAnswer(), m_now);
+    }
+    m_now += absl::Seconds(1);
+    // The worker lists the end again, which is durable already.
+    WorkerReply reply = answerOf(9200);
+    reply.ended = { { 1, runOf(0), RunEnd::Done, "" } };
+    EXPECT_TRUE(m_session.handleReply(due(SessionCall::Kind::Poll).context, reply, m_now).ended.empty());
     m_now += absl::Seconds(1);
     const DueCall repeated = due(SessionCall::Kind::Poll);
     EXPECT_EQ(std::get<PollRuns>(repeated.call.command).acknowledgedEnd, 1);
-    m_session.handleReply(repeated.context, answerOf(7200), m_now);
+    m_session.handleReply(repeated.context, answerOf(10200), m_now);
     startRun(runOf(1));
     EXPECT_EQ(std::get<PollRuns>(due(SessionCall::Kind::Poll).call.command).acknowledgedEnd, 0);
 }
 
+// Guards against a task that is started again after it was done: the worker is restarted before the listed end of its
+// earlier process is durable, and its new process takes a start. Only the clock in the reply shows the new process.
+TEST_F(WorkerSessionTest, AcknowledgesNothingAfterAReplyWithTheClockOfAnotherProcess)
+{
+    settle();
+    listAnEnd();
+    WorkerReply confirmed;
+    confirmed.clock = 50;
+    m_session.handleReply(startRun(runOf(1)), confirmed, m_now);
+    EXPECT_FALSE(m_session.acceptsWork(m_now));
+    m_session.markEndDurable(1);
+    m_now += absl::Seconds(1);
+    const DueCall asking = due(SessionCall::Kind::Poll);
+    EXPECT_EQ(std::get<PollRuns>(asking.call.command).acknowledgedEnd, 0);
+    EXPECT_EQ(std::get<PollRuns>(asking.call.command).wait, absl::ZeroDuration());
+    EXPECT_EQ(asking.call.leaseUntil, 0);
+    WorkerReply list;
+    list.clock = 1050;
+    list.processStartMs = processStartMs + 1;
+    list.ended = { { 1, runOf(1), RunEnd::Done, "" } };
+    const std::vector<EndedRun> ended = m_session.handleReply(asking.context, list, m_now).ended;
+    ASSERT_EQ(ended.size(), 1U);
+    EXPECT_EQ(ended.front().run, runOf(1));
+    EXPECT_EQ(ended.front().end, RunEnd::Done);
+}
+
+// A worker that was frozen has a clock that lags behind; it keeps its runs and takes work again once it was asked.
+TEST_F(WorkerSessionTest, KeepsRunsOfAWorkerWhoseClockHasStoodStill)
+{
+    settle();
+    m_session.handleReply(startRun(runOf(0)), answerOf(5100), m_now);
+    m_now += absl::Seconds(3);
+    WorkerReply confirmed;
+    confirmed.clock = 5200;
+    m_session.handleReply(startRun(runOf(1)), confirmed, m_now);
+    EXPECT_FALSE(m_session.acceptsWork(m_now));
+    m_session.handleReply(due(SessionCall::Kind::Poll).context, noAnswer(), m_now);
+    m_now += absl::Seconds(1);
+    WorkerReply list = answerOf(6200);
+    list.running = { { runOf(0), "", 10 }, { runOf(1), "", 1 } };
+    EXPECT_TRUE(m_session.handleReply(due(SessionCall::Kind::Poll).context, list, m_now).ended.empty());
+    EXPECT_EQ(m_session.runs().size(), 2U);
+    EXPECT_TRUE(m_session.acceptsWork(m_now));
+}
+
+// Replies on different connections may overtake each other, so a clock that differs little shows no other process.
+TEST_F(WorkerSessionTest, TakesAReplyThatWasOvertakenForOneOfTheSameProcess)
+{
+    settle();
+    const SessionCall startCall = startRun(runOf(0));
+    m_now += absl::Milliseconds(200);
+    m_session.handleReply(due(SessionCall::Kind::Poll).context, answerOf(5200), m_now);
+    WorkerReply overtaken;
+    overtaken.clock = 5010;
+    m_session.handleReply(startCall, overtaken, m_now);
+    EXPECT_TRUE(m_session.acceptsWork(m_now));
+}
+
 TEST_F(WorkerSessionTest, ListsStalledRuns)
 {
     settle();
