Fix: a failed attempt of a gang counts once

Cause: each member that ended failed counted as an attempt of the gang; two members failed in the same millisecond, before either worker had heard of the other. Evidence: the record, 3.887 s, both ends of attempt 1; 3.988 s, state failed.

Change: a member's record holds the last attempt in which it failed; a failed end counts only if no member has failed in that attempt yet. Written as a seventh field where it is set; records of six fields are read as before.

Failed before, pass now: JobProgress.CountsAFailedAttemptOfAGangOnce, BatchPath.FailsAGangOnlyAfterAllItsAttempts (2 starts instead of 4).

--- a/src/adapters/json/batch_record_json_func.cpp
+++ b/src/adapters/json/batch_record_json_func.cpp
@@ -147,35 +147,43 @@
 }
 
 // A task that was never placed, which is the most frequent case, is encoded as the number 0, the shortest text. Any
-// other task is encoded as a list of its six fields.
+// other task is encoded as a list of its fields. The last one is left out if it is 0, as it is in records of earlier
+// versions.
 json toJson(const TaskProgress& task)
 {
     if (task == TaskProgress())
         return 0;
-    return json::array({ static_cast<int>(task.phase), task.attempt, task.failures, task.checkpoint, task.worker.str(),
-        task.workerProcessStartMs });
+    json fields = json::array({ static_cast<int>(task.phase), task.attempt, task.failures, task.checkpoint,
+        task.worker.str(), task.workerProcessStartMs });
+    if (task.lastFailedAttempt != 0)
+        fields.push_back(task.lastFailedAttempt);
+    return fields;
 }
 
 absl::Status malformedTask()
 {
     return makeError(
-        ErrorKind::MalformedBody, "the progress of a task is not a list of six fields of the expected types");
+        ErrorKind::MalformedBody, "the progress of a task is not a list of six or seven fields of the expected types");
 }
 
 absl::Status taskFromJson(const json& source, TaskProgress& task)
 {
     if (source.is_number())
         return absl::OkStatus();
-    constexpr std::size_t fieldCount = 6;
-    const bool hasExpectedTypes
-        = source.is_array() && source.size() == fieldCount && source[3].is_string() && source[4].is_string();
+    constexpr std::size_t minFieldCount = 6;
+    constexpr std::size_t maxFieldCount = 7;
+    const bool hasExpectedTypes = source.is_array() && source.size() >= minFieldCount && source.size() <= maxFieldCount
+        && source[3].is_string() && source[4].is_string();
     if (!hasExpectedTypes)
         return malformedTask();
+    const bool hasLastFailedAttempt = source.size() == maxFieldCount;
     const absl::optional<std::int64_t> phase = integerInRange(source[0], 0, maxInt32);
     const absl::optional<std::int64_t> attempt = integerInRange(source[1], 0, maxInt32);
     const absl::optional<std::int64_t> failures = integerInRange(source[2], 0, maxInt32);
     const absl::optional<std::int64_t> processStart = integerInRange(source[5], 0, maxInt64);
-    if (!phase || !attempt || !failures || !processStart)
+    const absl::optional<std::int64_t> lastFailedAttempt
+        = hasLastFailedAttempt ? integerInRange(source[6], 0, maxInt32) : 0;
+    if (!phase || !attempt || !failures || !processStart || !lastFailedAttempt)
         return malformedTask();
     if (*phase > static_cast<int>(TaskProgress::Phase::Done))
         return makeError(ErrorKind::MalformedBody, "the phase of a task is unknown");
@@ -185,6 +193,7 @@
     task.checkpoint = source[3].get<std::string>();
     task.worker = WorkerName(source[4].get<std::string>());
     task.workerProcessStartMs = *processStart;
+    task.lastFailedAttempt = static_cast<std::int32_t>(*lastFailedAttempt);
     return absl::OkStatus();
 }
 
--- a/src/batch/job/job_progress_base.cpp
+++ b/src/batch/job/job_progress_base.cpp
@@ -1,6 +1,7 @@
 #include "batch/job/job_progress_base.h"
 
 #include <algorithm>
+#include <numeric>
 #include <utility>
 
 #include "batch/job/job_check_func.h"
@@ -261,14 +262,22 @@
         member.checkpoint = std::string(checkpoint);
 }
 
+std::int32_t JobProgress::countGangFailure(const TaskRef& member)
+{
+    const std::vector<TaskProgress>& members = findStep(member)->tasks;
+    TaskProgress& failed = *findTask(member);
+    const bool isCounted = std::any_of(members.begin(), members.end(),
+        [&failed](const TaskProgress& other) { return other.lastFailedAttempt == failed.attempt; });
+    failed.lastFailedAttempt = failed.attempt;
+    if (!isCounted)
+        ++failed.failures;
+    return std::accumulate(members.begin(), members.end(), 0,
+        [](std::int32_t sum, const TaskProgress& other) { return sum + other.failures; });
+}
+
 void JobProgress::recordFailure(const TaskRef& task, absl::Time now)
 {
-    std::int32_t failures = ++findTask(task)->failures;
-    if (stepSpec(task.step).isGang) {
-        failures = 0;
-        for (const TaskProgress& member : findStep(task)->tasks)
-            failures += member.failures;
-    }
+    const std::int32_t failures = stepSpec(task.step).isGang ? countGangFailure(task) : ++findTask(task)->failures;
     if (failures >= m_job.terms.maxAttempts && !isFinal())
         makeFinal(JobPhase::Failed, now);
 }
--- a/src/batch/job/job_progress_base.h
+++ b/src/batch/job/job_progress_base.h
@@ -106,8 +106,11 @@
     void releaseTask(const TaskRef& task, RunEnd end, absl::string_view checkpoint, absl::Time now);
     // Stores the checkpoint that the task resumes from; for a gang, that of all members.
     void setCheckpoint(const TaskRef& task, absl::string_view checkpoint);
-    // Counts a failed attempt. The job fails when the task or gang has used up its attempts.
+    // Counts the failed attempt of the task, or of its gang unless another member has failed in it before. The job
+    // fails when the task or gang has used up its attempts.
     void recordFailure(const TaskRef& task, absl::Time now);
+    // Records that the last attempt of the gang has failed, and returns in how many attempts it has.
+    std::int32_t countGangFailure(const TaskRef& member);
     // Completes the job if every task of every occurrence is done.
     void completeIfDone(absl::Time now);
     void makeFinal(JobPhase phase, absl::Time now);
--- a/src/batch/job/progress_record_type.h
+++ b/src/batch/job/progress_record_type.h
@@ -20,8 +20,10 @@
     Phase phase = Phase::Waiting;
     // The last attempt that was placed; 0 before the first.
     std::int32_t attempt = 0;
-    // The number of attempts that have ended as failed.
+    // The number of attempts that have ended as failed. A failed attempt of a gang counts for one member only.
     std::int32_t failures = 0;
+    // The last attempt in which the task, as a member of a gang, has ended as failed; 0 if there is none.
+    std::int32_t lastFailedAttempt = 0;
     // The worker that a placed task was placed on; empty for other tasks.
     WorkerName worker;
     // The start time of the worker's process, in Unix milliseconds. It tells apart processes of the same worker; 0
--- a/tests/batch/batch_path_test.cpp
+++ b/tests/batch/batch_path_test.cpp
@@ -139,6 +139,18 @@
     EXPECT_EQ(cluster.workers().startCount("00000000000000a1"), 2);
 }
 
+// Guards against a job that is reported as failed although its gang has attempts left: all members fail in the first
+// one.
+TEST(BatchPath, FailsAGangOnlyAfterAllItsAttempts)
+{
+    BatchCluster cluster;
+    cluster.workers().setFailing("failing");
+    cluster.submit(0, urgentPath, gangOf("failing", 2, 8));
+    cluster.runFor(absl::Seconds(5));
+    EXPECT_EQ(cluster.phaseOf(urgentPath), JobPhase::Failed);
+    EXPECT_EQ(cluster.workers().startCount("00000000000000a1"), 4);
+}
+
 TEST(BatchPath, StartsOccurrencesWhenTheyAreDue)
 {
     BatchCluster cluster;
--- a/tests/batch/job_progress_test.cpp
+++ b/tests/batch/job_progress_test.cpp
@@ -89,6 +89,29 @@
     EXPECT_EQ(progress.find({ 0, 0, 1 })->checkpoint, "saved");
 }
 
+// Guards against a job that is reported as failed after one failed attempt of its gang, in which several members
+// failed.
+TEST(JobProgress, CountsAFailedAttemptOfAGangOnce)
+{
+    StepSpec gang = stepOf(3);
+    gang.isGang = true;
+    JobProgress progress = openedProgressOf(jobOf({ gang }));
+    for (int index = 0; index < 3; ++index)
+        progress.place({ 0, 0, index }, 1, worker, 1);
+    progress.recordEnd({ 0, 0, 0 }, 1, RunEnd::Failed, "", start);
+    // The next owner goes on from the record.
+    JobProgress restored(progress.job());
+    ASSERT_TRUE(restored.restore(progress.record()));
+    restored.recordEnd({ 0, 0, 1 }, 1, RunEnd::Failed, "", start);
+    restored.recordEnd({ 0, 0, 2 }, 1, RunEnd::GangBroken, "", start);
+    EXPECT_EQ(restored.phase(), JobPhase::Active);
+    ASSERT_EQ(restored.readySteps().size(), 1U);
+    for (int index = 0; index < 3; ++index)
+        restored.place({ 0, 0, index }, 2, worker, 1);
+    restored.recordEnd({ 0, 0, 2 }, 2, RunEnd::Failed, "", start);
+    EXPECT_EQ(restored.phase(), JobPhase::Failed);
+}
+
 TEST(JobProgress, AcceptsALateDoneOfAnEarlierAttempt)
 {
     JobProgress progress = openedProgressOf(jobOf({ stepOf(1) }));
--- a/tests/platform/record_json_test.cpp
+++ b/tests/platform/record_json_test.cpp
@@ -50,7 +50,10 @@
     task.worker = WorkerName("w");
     task.workerProcessStartMs = 5;
     task.checkpoint = "saved";
-    record.occurrences = { { 0, { StepProgress { { TaskProgress(), task } } } }, { 1, { StepProgress { { task } } } } };
+    TaskProgress gangMember = task;
+    gangMember.lastFailedAttempt = 3;
+    record.occurrences
+        = { { 0, { StepProgress { { TaskProgress(), task } } } }, { 1, { StepProgress { { gangMember } } } } };
     return record;
 }
 
@@ -71,10 +74,26 @@
     expectRoundTrip(Collection::Epoch, EpochRecord { 4, NodeName("n") });
 }
 
+// Guards against a rolling update that loses the progress of jobs: records without the last failed attempt of a gang
+// come from earlier versions.
+TEST(RecordJson, ReadsTheProgressOfAnEarlierVersion)
+{
+    const absl::StatusOr<RecordValue> decoded
+        = decodeRecord(Collection::Progress, R"({"phase":"active","occurrences":[[[[1,4,2,"saved","w",5]]]]})");
+    ASSERT_TRUE(decoded.ok()) << decoded.status();
+    const TaskProgress& task = std::get<ProgressRecord>(*decoded).occurrences[0].steps[0].tasks[0];
+    EXPECT_EQ(task.attempt, 4);
+    EXPECT_EQ(task.lastFailedAttempt, 0);
+    EXPECT_EQ(task.workerProcessStartMs, 5);
+}
+
 TEST(RecordJson, RejectsMalformedRecords)
 {
     for (const char* text : { "", "7", "[]", R"({"phase":"odd"})", R"({"phase":"active","occurrences":[[[[1,2]]]]})",
-             R"({"phase":"active","occurrences":[[[[9,1,0,"","w",1]]]]})" })
+             R"({"phase":"active","occurrences":[[[[9,1,0,"","w",1]]]]})",
+             R"({"phase":"active","occurrences":[[[[1,1,0,"","w",1,"x"]]]]})",
+             R"({"phase":"active","occurrences":[[[[1,1,0,"","w",1,-1]]]]})",
+             R"({"phase":"active","occurrences":[[[[1,1,0,"","w",1,1,1]]]]})" })
         EXPECT_FALSE(decodeRecord(Collection::Progress, text).ok()) << text;
     for (const char* text : { "{}", R"({"steps":[{"tasks":1,"after":[5]}]})", R"({"steps":[{"tasks":"x"}]})" })
         EXPECT_FALSE(decodeRecord(Collection::Jobs, text).ok()) << text;
