Fix: the HTTP client sends a request once, unless it is a GET

Callers saw (REFUSED): jobs ran that had been refused with 503.

Cause: libcurl repeats a request by itself when a reused connection ends without a byte of a response. The response to the repetition, 503 "nothing was done", passed for that to the only sending. Evidence: a second commit 7 ms after the close, 65 ms before the node's own second try.

Change: the client ends the transfer when the library is about to send a second time; the outcome is unknown then. GETs may be repeated. A connection that the server has closed while it was idle is noticed before anything is sent.

--- a/src/adapters/http/curl_transfer_base.cpp
+++ b/src/adapters/http/curl_transfer_base.cpp
@@ -68,12 +68,15 @@
     // Closing a stream on request of its callback is not a failure.
     if (code == CURLE_OK || m_isClosedByReceiver)
         return absl::OkStatus();
+    if (code == CURLE_ABORTED_BY_CALLBACK)
+        return makeError(
+            ErrorKind::OutcomeUnknown, absl::StrCat(m_host, ": the connection was closed without a response"));
     const std::string message = absl::StrCat(m_host, ": ", curl_easy_strerror(code));
     if (code != CURLE_COULDNT_CONNECT && code != CURLE_COULDNT_RESOLVE_HOST)
         return makeError(ErrorKind::OutcomeUnknown, message);
     // If no connection was established, nothing was sent. However, when a reused connection is closed without a
-    // response, the library retries on a new connection by itself; the failure is then that of the retry, and the
-    // request may have been sent on the first connection.
+    // response, the library makes a new one by itself; the failure is then that of the new connection, and the request
+    // may have been sent on the first one.
     return makeError(m_mayHaveBeenSent ? ErrorKind::PeerGone : ErrorKind::OwnerUnreachable, message);
 }
 
@@ -166,10 +169,15 @@
     return static_cast<CurlSocketRegistry*>(registry)->close(socket);
 }
 
+// The library calls this each time it is about to send the request. It does so again by itself if a reused connection
+// is closed without a response; the request may have been executed then, and the response to the second sending would
+// pass for that to the only one.
 int CurlTransfer::onConnected(void* self, char* /*remoteIp*/, char* /*localIp*/, int /*remotePort*/, int localPort)
 {
-    // The connection may have been opened by an earlier transfer, so the socket is found by its local port.
     auto* transfer = static_cast<CurlTransfer*>(self);
+    if (transfer->m_mayHaveBeenSent && !transfer->isSafe())
+        return CURL_PREREQFUNC_ABORT;
+    // The connection may have been opened by an earlier transfer, so the socket is found by its local port.
     transfer->m_mayHaveBeenSent = true;
     transfer->m_socket = transfer->m_sockets->findByLocalPort(transfer->m_host, static_cast<std::uint16_t>(localPort));
     return CURL_PREREQFUNC_OK;
--- a/src/adapters/http/curl_transfer_base.h
+++ b/src/adapters/http/curl_transfer_base.h
@@ -41,7 +41,7 @@
     void finish(const absl::Status& status);
 
     // Converts a result code of the library into a status: OwnerUnreachable or PeerGone if the connection failed,
-    // OutcomeUnknown for other failures.
+    // OutcomeUnknown for other failures, among them a connection that was closed without a response.
     absl::Status statusOf(CURLcode code) const;
 
 private:
@@ -54,6 +54,8 @@
 
     void setRequest();
     void setCallbacks();
+    // Whether the request changes nothing, so that it may be sent more than once.
+    bool isSafe() const { return m_request.method == "GET"; }
     // Handles received body bytes; returns false to end the transfer.
     bool handleBody(absl::string_view data);
     // Handles one header line. A status line starts a new response and discards the headers received before it.
--- a/tests/adapters/http/curl_http_client_test.cpp
+++ b/tests/adapters/http/curl_http_client_test.cpp
@@ -156,6 +156,25 @@
     EXPECT_EQ(m_handler.connectionCount(), 1U);
 }
 
+// The usual end of an idle connection: the server closes it, and the next request needs a new one.
+TEST_F(CurlHttpClientTest, SendsOnANewConnectionAfterTheServerHasClosedTheIdleOne)
+{
+    CurlHttpClient client(m_clock, {});
+    auto closing = std::make_unique<HttpServer>(m_faulty);
+    ASSERT_TRUE(closing->start(m_address, 0).ok());
+    const std::uint16_t port = closing->port();
+    HttpRequest request = makeRequest("/echo", "first");
+    request.url = absl::StrCat("http://127.0.0.1:", port, "/echo");
+    ASSERT_TRUE(call(client, request).ok());
+    closing.reset();
+    HttpServer next(m_faulty);
+    ASSERT_TRUE(next.start(m_address, port).ok());
+    request.body = "second";
+    const absl::StatusOr<HttpResponse> response = call(client, request);
+    ASSERT_TRUE(response.ok()) << response.status();
+    EXPECT_EQ(response->body, "second");
+}
+
 // Load of a large site: an owner calls several hundred workers in turn. Guards against a limit of idle connections
 // below the number of hosts, which would make each call open a new connection.
 TEST_F(CurlManyHostsTest, KeepsAConnectionToEach)
