Fix: a running task is not given up because its repeated start is refused

Callers may see (TWICE, two runs at the same time): a worker executes a start and closes the kept connection without a response, and refuses starts with 503 for a second.

Cause: each refusal after an unanswered start was taken for "not there yet". Now a refusal with 503, 429 or without a known reason leaves it to the next poll; what that does not list is barred by a stop as before.

Failed before, passes now: WorkerSessionTest.KeepsARunWhoseRepeatedStartAnUnhealthyWorkerRefuses. BarsARunWhoseRefusedStartTheNextPollDoesNotShow shows what stays.

--- a/src/batch/worker/worker_session_base.h
+++ b/src/batch/worker/worker_session_base.h
@@ -60,6 +60,9 @@
     bool isStopConfirmed = false;
     // A start command got no reply and may still be executed.
     bool hasUnansweredStart = false;
+    // When the worker refused to repeat such a start for a reason that does not tell whether the run is there. The next
+    // poll tells it.
+    absl::Time repetitionRefusedAt = absl::InfiniteFuture();
     // Progress in percent, 0 to 100.
     std::int32_t percent = 0;
     // When the worker first reported the present percentage.
@@ -257,6 +260,8 @@
     void handleRunningRow(const RunningRow& row, absl::Time now);
     void handleEndedRow(const EndedRow& row, SessionUpdate& update);
     void dropUnlistedRuns(const SessionCall& context, const WorkerReply& reply, SessionUpdate& update);
+    // Stops the runs whose repeated start was refused and that the reply to this later poll did not list.
+    void stopRefusedStarts(const SessionCall& context, absl::Time now);
     bool isPollDue(absl::Time now) const;
     absl::Time nextPollAt() const;
     // Whether the session has a run that the worker may be running: any but the reserved ones.
--- a/src/batch/worker/worker_session_call_cmd.cpp
+++ b/src/batch/worker/worker_session_call_cmd.cpp
@@ -54,10 +54,15 @@
 absl::Duration WorkerSession::nextPollWait() const
 {
     const bool mayWait = isProcessCertain() && m_listedEnds.empty() && hasLiveRuns();
-    // After a stop that was confirmed since the last poll there may be no end to wait for.
-    const bool isStopNew = std::any_of(m_runs.begin(), m_runs.end(),
-        [this](const auto& entry) { return entry.second.isStopConfirmed && entry.second.confirmedAt >= m_polledAt; });
-    if (!mayWait || isStopNew)
+    // After a stop that was confirmed since the last poll there may be no end to wait for. A start that was refused
+    // since then is decided by the next poll.
+    const auto isDecidedByPoll = [this](const RunSlot& slot) {
+        const bool isStopNew = slot.isStopConfirmed && slot.confirmedAt >= m_polledAt;
+        return isStopNew || slot.repetitionRefusedAt != absl::InfiniteFuture();
+    };
+    const bool isPollAwaited
+        = std::any_of(m_runs.begin(), m_runs.end(), [&](const auto& entry) { return isDecidedByPoll(entry.second); });
+    if (!mayWait || isPollAwaited)
         return absl::ZeroDuration();
     // The runs of a draining worker have to be reviewed often.
     return m_entry.isDraining ? m_settings.pollWait : m_pollWait;
@@ -72,7 +77,8 @@
         return slot.isStopPending || slot.isStopConfirmed ? absl::InfiniteFuture()
                                                           : slot.stopSentAt + commandRetryPeriod;
     // A start renews the lease, so none is sent to a worker that does not reply: its lease has to expire.
-    const bool isDue = slot.stage == RunSlot::Stage::Starting && !slot.isStartPending;
+    const bool isDue = slot.stage == RunSlot::Stage::Starting && !slot.isStartPending
+        && slot.repetitionRefusedAt == absl::InfiniteFuture();
     if (isDue && m_mayStart && isProcessCertain())
         return slot.startSentAt + commandRetryPeriod;
     return absl::InfiniteFuture();
--- a/src/batch/worker/worker_session_reply_cmd.cpp
+++ b/src/batch/worker/worker_session_reply_cmd.cpp
@@ -16,6 +16,14 @@
 // A worker lists at most this many ends at a time. A full list does not show that an unlisted run is over.
 constexpr std::size_t maxListedEnds = 500;
 
+// Whether the refusal of a start shows that the run is not running: the worker confirms a start of a run that is there,
+// unless it refuses all starts.
+bool isRunAbsent(WorkerRefusal refusal)
+{
+    return refusal == WorkerRefusal::AlreadyEnded || refusal == WorkerRefusal::LeaseExpired
+        || refusal == WorkerRefusal::InsufficientCapacity;
+}
+
 } // namespace
 
 SessionUpdate WorkerSession::handleReply(const SessionCall& context, const WorkerReply& reply, absl::Time now)
@@ -149,6 +157,10 @@
         return;
     }
     m_startsPausedUntil = now + refusalPause;
+    if (slot.hasUnansweredStart && !slot.isStopWanted && !isRunAbsent(reply.refusal)) {
+        slot.repetitionRefusedAt = now;
+        return;
+    }
     // An earlier start without a reply may still be executed, unless the run is barred first.
     const bool mayStillStart = slot.hasUnansweredStart || reply.refusal == WorkerRefusal::AlreadyEnded;
     if (mayStillStart || slot.isStopWanted) {
@@ -181,6 +193,7 @@
         handleEndedRow(row, update);
     if (reply.ended.size() < maxListedEnds)
         dropUnlistedRuns(context, reply, update);
+    stopRefusedStarts(context, now);
     update.running = reply.running;
 }
 
@@ -208,9 +221,20 @@
         return;
     slot.stage = RunSlot::Stage::Running;
     slot.hasUnansweredStart = false;
+    slot.repetitionRefusedAt = absl::InfiniteFuture();
     slot.confirmedAt = now;
 }
 
+void WorkerSession::stopRefusedStarts(const SessionCall& context, absl::Time now)
+{
+    for (auto& [run, slot] : m_runs) {
+        if (slot.repetitionRefusedAt >= context.sentAt || slot.isStopWanted)
+            continue;
+        slot.isStopWanted = true;
+        slot.since = now;
+    }
+}
+
 void WorkerSession::handleEndedRow(const EndedRow& row, SessionUpdate& update)
 {
     if (row.number <= m_acknowledgedEnd || m_listedEnds.find(row.number) != m_listedEnds.end())
--- a/tests/batch/worker_session_test.cpp
+++ b/tests/batch/worker_session_test.cpp
@@ -105,6 +105,20 @@
         m_now += absl::Seconds(1);
     }
 
+    // Starts a run; the start gets no reply, and its repetition is refused while a poll is pending.
+    void refuseRepeatedStart(WorkerRefusal reason)
+    {
+        const SessionCall first = startRun(runOf(0));
+        m_now += absl::Milliseconds(800);
+        m_session.handleReply(first, noAnswer(), m_now);
+        m_session.handleReply(due(SessionCall::Kind::Poll).context, answerOf(5800), m_now);
+        WorkerReply refusal = answerOf(5900);
+        refusal.refusal = reason;
+        EXPECT_TRUE(m_session.handleReply(due(SessionCall::Kind::Start).context, refusal, m_now).ended.empty());
+        // The reply to a poll that was sent before the refusal decides nothing.
+        EXPECT_TRUE(m_session.handleReply(due(SessionCall::Kind::Poll).context, answerOf(5900), m_now).ended.empty());
+    }
+
     // Applies a row that names a later start of the worker's process.
     void nameLaterStart()
     {
@@ -190,6 +204,35 @@
     EXPECT_TRUE(m_session.runs().empty());
 }
 
+// Guards against running work that is given up: the response to its start was lost, and the worker, which is unhealthy
+// by then, refuses the repeated start whether the run is there or not.
+TEST_F(WorkerSessionTest, KeepsARunWhoseRepeatedStartAnUnhealthyWorkerRefuses)
+{
+    settle();
+    refuseRepeatedStart(WorkerRefusal::Unhealthy);
+    m_now += absl::Seconds(1);
+    EXPECT_FALSE(isDue(SessionCall::Kind::Stop));
+    EXPECT_FALSE(isDue(SessionCall::Kind::Start));
+    const DueCall poll = due(SessionCall::Kind::Poll);
+    EXPECT_EQ(std::get<PollRuns>(poll.call.command).wait, absl::ZeroDuration());
+    WorkerReply list = answerOf(7100);
+    list.running = { { runOf(0), "", 10 } };
+    EXPECT_TRUE(m_session.handleReply(poll.context, list, m_now).ended.empty());
+    EXPECT_FALSE(isDue(SessionCall::Kind::Stop));
+    EXPECT_EQ(m_session.runs().at(runOf(0)).stage, RunSlot::Stage::Running);
+}
+
+// The run is not there, but its first start may still be executed.
+TEST_F(WorkerSessionTest, BarsARunWhoseRefusedStartTheNextPollDoesNotShow)
+{
+    settle();
+    refuseRepeatedStart(WorkerRefusal::Unhealthy);
+    m_now += absl::Milliseconds(1);
+    EXPECT_FALSE(isDue(SessionCall::Kind::Stop));
+    EXPECT_TRUE(m_session.handleReply(due(SessionCall::Kind::Poll).context, answerOf(6200), m_now).ended.empty());
+    EXPECT_TRUE(isDue(SessionCall::Kind::Stop));
+}
+
 // Guards against a task that begins on a worker long after it was known to drain.
 TEST_F(WorkerSessionTest, SendsNoStartAgainToADrainingWorker)
 {
