Fix: no order is sent after the ownership under which it was decided

Change: each call to a worker names the end of the owner's lease as of the event; the client checks it, and the timeout, when it takes the request and again just before it sends.

CurlHttpClientTest.DoesNotSendARequestAfterTheTimeThatItNames, WorkerRegistryTest.NamesInEachCall- UntilWhenTheNodeOwnsTheWorkers and a line of WorkerMessage.EncodesStartWithFenceTokenAndLease- Deadline; they don't compile on the code before.

--- a/src/adapters/http/curl_http_client_base.cpp
+++ b/src/adapters/http/curl_http_client_base.cpp
@@ -128,8 +128,8 @@
         queue.waiting.pop_front();
         if (next == m_transfers.end())
             continue;
-        if (next->second->deadline() <= m_clock.now()) {
-            end(next->first, makeError(ErrorKind::TimedOut, absl::StrCat(hostName, ": not sent within the timeout")));
+        if (next->second->isTooLateToSend()) {
+            end(next->first, makeError(ErrorKind::TimedOut, absl::StrCat(hostName, ": not sent in time")));
             continue;
         }
         ++queue.activeCount;
--- a/src/adapters/http/curl_transfer_base.cpp
+++ b/src/adapters/http/curl_transfer_base.cpp
@@ -69,8 +69,9 @@
     if (code == CURLE_OK || m_isClosedByReceiver)
         return absl::OkStatus();
     if (code == CURLE_ABORTED_BY_CALLBACK)
-        return makeError(
-            ErrorKind::OutcomeUnknown, absl::StrCat(m_host, ": the connection was closed without a response"));
+        return m_mayHaveBeenSent ? makeError(
+                   ErrorKind::OutcomeUnknown, absl::StrCat(m_host, ": the connection was closed without a response"))
+                                 : makeError(ErrorKind::TimedOut, absl::StrCat(m_host, ": not sent in time"));
     const std::string message = absl::StrCat(m_host, ": ", curl_easy_strerror(code));
     if (code != CURLE_COULDNT_CONNECT && code != CURLE_COULDNT_RESOLVE_HOST)
         return makeError(ErrorKind::OutcomeUnknown, message);
@@ -177,6 +178,9 @@
     auto* transfer = static_cast<CurlTransfer*>(self);
     if (transfer->m_mayHaveBeenSent && !transfer->isSafe())
         return CURL_PREREQFUNC_ABORT;
+    // Making the connection may have taken long, or the process was suspended meanwhile.
+    if (transfer->isTooLateToSend())
+        return CURL_PREREQFUNC_ABORT;
     // The connection may have been opened by an earlier transfer, so the socket is found by its local port.
     transfer->m_mayHaveBeenSent = true;
     transfer->m_socket = transfer->m_sockets->findByLocalPort(transfer->m_host, static_cast<std::uint16_t>(localPort));
--- a/src/adapters/http/curl_transfer_base.h
+++ b/src/adapters/http/curl_transfer_base.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <string>
 
@@ -28,6 +29,8 @@
     const std::string& host() const { return m_host; }
     // Time at which the transfer times out.
     absl::Time deadline() const { return m_deadline; }
+    // Whether it is too late to send the request.
+    bool isTooLateToSend() const { return m_clock.now() >= std::min(m_deadline, m_request.sendUntil); }
     // Socket of the transfer's connection; -1 while it has none.
     int socket() const { return m_socket; }
     // Handle of the library; null before `prepare`.
--- a/src/adapters/http/http_client_port.h
+++ b/src/adapters/http/http_client_port.h
@@ -26,6 +26,8 @@
     std::string body;
     // Timeout of the whole exchange. For a stream, the longest time without received data.
     absl::Duration timeout = absl::Seconds(2);
+    // The request is not sent later than this, though its timeout may pass later.
+    absl::Time sendUntil = absl::InfiniteFuture();
 };
 
 // A complete response.
--- a/src/batch/owner/owner_part_cmd.cpp
+++ b/src/batch/owner/owner_part_cmd.cpp
@@ -189,6 +189,7 @@
     if (nextAllocation(now) <= now && !m_isDraining)
         allocate(now);
     m_writer.advance(m_ownership.expectation(), m_outbox, now);
+    m_workers.setOwnedUntil(m_ownership.leaseEnd());
     m_workers.advance(*this, m_outbox, now);
 }
 
--- a/src/batch/owner/ownership_base.h
+++ b/src/batch/owner/ownership_base.h
@@ -45,6 +45,8 @@
     bool hasResigned() const { return m_isResigning && m_call == 0 && !m_isOwner; }
 
     bool isOwner() const { return m_isOwner; }
+    // When this node has to give up the ownership unless the lease is renewed.
+    absl::Time leaseEnd() const;
     Epoch epoch() const { return m_epoch; }
     // The expectation that every write of this owner has to contain.
     ExpectedRevision expectation() const { return { { Collection::Epoch, "" }, m_epochRevision }; }
@@ -73,8 +75,6 @@
     void claim(Outbox& outbox, absl::Time now);
     // Delays the next call, and abandons a lease that may expire before.
     void delayNextTry(absl::Time now);
-    // When this node has to give up the ownership unless the lease is renewed.
-    absl::Time leaseEnd() const;
     absl::Duration nextClaimDelay();
 
     const NodeName m_self;
--- a/src/batch/owner/worker_registry_base.cpp
+++ b/src/batch/owner/worker_registry_base.cpp
@@ -153,6 +153,7 @@
             ++m_pendingPolls;
         if (due.context.kind == SessionCall::Kind::Poll && isInitial)
             m_initialPolls.recordPoll(worker);
+        due.call.sendUntil = m_ownedUntil;
         const CallId call = outbox.toWorker(std::move(due.call));
         m_calls.emplace(call, PendingCall { worker, due.context });
     }
--- a/src/batch/owner/worker_registry_base.h
+++ b/src/batch/owner/worker_registry_base.h
@@ -56,6 +56,10 @@
     void setMayStart(bool mayStart);
     bool mayStart() const { return m_mayStart; }
 
+    // Sets until when the node owns the workers, unless it renews its lease. Calls that are made from then on are not
+    // sent later, even if the process is suspended before it sends them.
+    void setOwnedUntil(absl::Time ownedUntil) { m_ownedUntil = ownedUntil; }
+
     // Sends the calls that are due. The cost grows with the number of workers that have a call due or were changed, not
     // with the number of all workers.
     void advance(const StartSource& source, Outbox& outbox, absl::Time now);
@@ -90,6 +94,7 @@
 
     const SessionSettings m_settings;
     Epoch m_epoch = 0;
+    absl::Time m_ownedUntil = absl::InfinitePast();
     absl::btree_map<WorkerName, WorkerSession> m_sessions;
     absl::flat_hash_map<CallId, PendingCall> m_calls;
     // The number of polls among the pending calls.
--- a/src/batch/worker/worker_type.h
+++ b/src/batch/worker/worker_type.h
@@ -69,6 +69,8 @@
     // Until when all runs on the worker may go on without another renewal; 0 leaves the lease unchanged.
     WorkerMillis leaseUntil = 0;
     absl::Duration timeout;
+    // The call is not sent later than this: another node may own the workers by then.
+    absl::Time sendUntil = absl::InfiniteFuture();
     WorkerCommand command;
 };
 
--- a/tests/adapters/http/curl_http_client_test.cpp
+++ b/tests/adapters/http/curl_http_client_test.cpp
@@ -251,6 +251,18 @@
     EXPECT_EQ(m_handler.requestCount(), 2U);
 }
 
+// Guards against a process that was suspended and acts on a permission that has run out meanwhile.
+TEST_F(CurlHttpClientTest, DoesNotSendARequestAfterTheTimeThatItNames)
+{
+    CurlHttpClient client(m_clock, {});
+    HttpRequest request = makeRequest("/echo", "");
+    request.sendUntil = m_clock.now();
+    EXPECT_EQ(errorKindOf(call(client, request).status()), ErrorKind::TimedOut);
+    EXPECT_EQ(m_handler.requestCount(), 0U);
+    request.sendUntil = m_clock.now() + absl::Seconds(60);
+    EXPECT_TRUE(call(client, request).ok());
+}
+
 TEST_F(CurlHttpClientTest, KeepsToItsConnectionsPerHost)
 {
     CurlHttpClientOptions options;
--- a/tests/batch/worker_registry_test.cpp
+++ b/tests/batch/worker_registry_test.cpp
@@ -128,6 +128,28 @@
     EXPECT_EQ(callsIn(m_outbox.take()).size(), 2U);
 }
 
+// Guards against an order of a process that was suspended after it had decided, and is no longer the owner.
+TEST_F(WorkerRegistryTest, NamesInEachCallUntilWhenTheNodeOwnsTheWorkers)
+{
+    settle(1);
+    const RunKey run { { JobId("j"), { 0, 0, 0 } }, 1 };
+    WorkerSession* session = m_workers.find(WorkerName("worker-0"));
+    session->reserve(run, { 1000, 1, 1 }, begin);
+    session->release(run, begin);
+    const absl::Time ownedUntil = begin + absl::Seconds(2);
+    m_workers.setOwnedUntil(ownedUntil);
+    m_workers.advance(m_source, m_outbox, begin);
+    int calls = 0;
+    for (const Effect& effect : m_outbox.take()) {
+        const auto* call = std::get_if<WorkerEffect>(&effect);
+        if (call == nullptr)
+            continue;
+        ++calls;
+        EXPECT_EQ(call->request.sendUntil, ownedUntil);
+    }
+    EXPECT_EQ(calls, 2);
+}
+
 // Guards against polls that take more of the processor the more workers run something. Load: a thousand busy workers.
 TEST_F(WorkerRegistryTest, PollsManyBusyWorkersLessOften)
 {
--- a/tests/platform/message_test.cpp
+++ b/tests/platform/message_test.cpp
@@ -345,9 +345,11 @@
     call.address = "10.0.0.1:80";
     call.epoch = 7;
     call.leaseUntil = 486000;
+    call.sendUntil = absl::FromUnixSeconds(5);
     call.command = batch::StartRun { { { batch::JobId("00a1"), { 0, 1, 17 } }, 2 }, "text", "saved" };
     const HttpRequest request = encodeWorkerCall(call);
     EXPECT_EQ(request.url, "http://10.0.0.1:80/v1/run-start");
+    EXPECT_EQ(request.sendUntil, absl::FromUnixSeconds(5));
     EXPECT_EQ(request.body,
         R"({"attempt":2,"checkpoint":"saved","deadlineMs":486000,"fenceToken":7,"spec":"text","task":"00a1.0.1.17"})");
 }
