Fix: a timeout shuts down connections of its host only

Cause: the client notes the numbers of its sockets to shut down idle connections after a timeout. libcurl does not tell of the close of a socket that was never connected, so the number stayed noted; it became that of a caller's connection, and the next timeout of the store shut it down.

Change: a socket is noted once it is connected.

--- a/src/adapters/http/curl_socket_registry_base.cpp
+++ b/src/adapters/http/curl_socket_registry_base.cpp
@@ -25,29 +25,34 @@
 
 } // namespace
 
-int CurlSocketRegistry::open(absl::string_view host, int family, int type, int protocol)
+bool CurlSocketRegistry::add(absl::string_view host, int socket, std::uint16_t port)
 {
-    const int socket = ::socket(family, type | SOCK_CLOEXEC, protocol);
-    if (socket < 0)
-        return -1;
+    if (socket < 0 || localPort(socket) != port)
+        return false;
+    remove(socket);
     m_socketsByHost[host].insert(socket);
     m_hostBySocket[socket] = std::string(host);
-    return socket;
+    return true;
 }
 
 int CurlSocketRegistry::close(int socket)
 {
-    const auto host = m_hostBySocket.find(socket);
-    if (host != m_hostBySocket.end()) {
-        const auto sockets = m_socketsByHost.find(host->second);
-        sockets->second.erase(socket);
-        if (sockets->second.empty())
-            m_socketsByHost.erase(sockets);
-        m_hostBySocket.erase(host);
-    }
+    remove(socket);
     return ::close(socket);
 }
 
+void CurlSocketRegistry::remove(int socket)
+{
+    const auto host = m_hostBySocket.find(socket);
+    if (host == m_hostBySocket.end())
+        return;
+    const auto sockets = m_socketsByHost.find(host->second);
+    sockets->second.erase(socket);
+    if (sockets->second.empty())
+        m_socketsByHost.erase(sockets);
+    m_hostBySocket.erase(host);
+}
+
 int CurlSocketRegistry::findByLocalPort(absl::string_view host, std::uint16_t port) const
 {
     const auto sockets = m_socketsByHost.find(host);
--- a/src/adapters/http/curl_socket_registry_base.h
+++ b/src/adapters/http/curl_socket_registry_base.h
@@ -9,11 +9,14 @@
 
 namespace mangohall {
 
-// Open sockets of the HTTP client by host, including those of idle connections. Used by the client's thread only.
+// The sockets of the HTTP client's connections by host, including idle ones. The library tells of the close of each
+// socket that was connected; it closes others, whose connection could not be made, without a word, and their numbers
+// may be those of sockets of other parts of the process then. So only connected sockets are registered. Used by the
+// client's thread only.
 class CurlSocketRegistry {
 public:
-    // Creates and registers a socket for a host. Returns -1 if the system provides none.
-    int open(absl::string_view host, int family, int type, int protocol);
+    // Registers a connected socket of a host, unless it is not bound to this local port. Returns whether it is.
+    bool add(absl::string_view host, int socket, std::uint16_t port);
     // Closes and unregisters a socket. Returns the result of the system call: 0, or -1 on failure.
     int close(int socket);
 
@@ -24,6 +27,8 @@
     void shutDownIdle(absl::string_view host, const absl::flat_hash_set<int>& inUse);
 
 private:
+    void remove(int socket);
+
     absl::flat_hash_map<std::string, absl::flat_hash_set<int>> m_socketsByHost;
     absl::flat_hash_map<int, std::string> m_hostBySocket;
 };
--- a/src/adapters/http/curl_transfer_base.cpp
+++ b/src/adapters/http/curl_transfer_base.cpp
@@ -1,5 +1,6 @@
 #include "adapters/http/curl_transfer_base.h"
 
+#include <sys/socket.h>
 #include <utility>
 
 #include "absl/strings/ascii.h"
@@ -159,10 +160,9 @@
 
 curl_socket_t CurlTransfer::onOpenSocket(void* self, curlsocktype /*purpose*/, curl_sockaddr* address)
 {
-    auto* transfer = static_cast<CurlTransfer*>(self);
-    transfer->m_socket
-        = transfer->m_sockets->open(transfer->m_host, address->family, address->socktype, address->protocol);
-    return transfer->m_socket;
+    const int socket = ::socket(address->family, address->socktype | SOCK_CLOEXEC, address->protocol);
+    static_cast<CurlTransfer*>(self)->m_openedSocket = socket;
+    return socket;
 }
 
 int CurlTransfer::onCloseSocket(void* registry, curl_socket_t socket)
@@ -183,7 +183,10 @@
         return CURL_PREREQFUNC_ABORT;
     // The connection may have been opened by an earlier transfer, so the socket is found by its local port.
     transfer->m_mayHaveBeenSent = true;
-    transfer->m_socket = transfer->m_sockets->findByLocalPort(transfer->m_host, static_cast<std::uint16_t>(localPort));
+    const auto port = static_cast<std::uint16_t>(localPort);
+    transfer->m_socket = transfer->m_sockets->findByLocalPort(transfer->m_host, port);
+    if (transfer->m_socket < 0 && transfer->m_sockets->add(transfer->m_host, transfer->m_openedSocket, port))
+        transfer->m_socket = transfer->m_openedSocket;
     return CURL_PREREQFUNC_OK;
 }
 
--- a/src/adapters/http/curl_transfer_base.h
+++ b/src/adapters/http/curl_transfer_base.h
@@ -31,7 +31,7 @@
     absl::Time deadline() const { return m_deadline; }
     // Whether it is too late to send the request.
     bool isTooLateToSend() const { return m_clock.now() >= std::min(m_deadline, m_request.sendUntil); }
-    // Socket of the transfer's connection; -1 while it has none.
+    // Socket of the transfer's connection; -1 until it is connected.
     int socket() const { return m_socket; }
     // Handle of the library; null before `prepare`.
     CURL* handle() const { return m_handle; }
@@ -76,6 +76,8 @@
     curl_slist* m_headers = nullptr;
     CurlSocketRegistry* m_sockets = nullptr;
     int m_socket = -1;
+    // The socket that the library has opened last for this transfer; -1 if it has opened none. It may be closed again.
+    int m_openedSocket = -1;
     // The callback of a stream has asked to close it.
     bool m_isClosedByReceiver = false;
     // The request may have been sent, possibly on a connection that has been closed since.
