Fix: no acknowledgement goes out beside a start that has no reply

Cause: an idle worker's last acknowledgement waits for another reason to poll, mostly a start, and both went out together. If the worker had just been restarted and the acknowledgement was executed late, the new process forgot the end of the task that it had run meanwhile, and the task was run again.

Change: the poll waits up to 100 ms for the replies to starts; it acknowledges nothing as long as one is missing. The reply's clock shows a new process.

Failed before, passes now: WorkerSessionTest.AcknowledgesNothingBesideAStartThatHasNoReply. The first acknowledgement of a poll that is executed late by a later process is still possible.

--- a/src/batch/worker/worker_session_call_cmd.cpp
+++ b/src/batch/worker/worker_session_call_cmd.cpp
@@ -16,6 +16,8 @@
 constexpr absl::Duration durableEndTimeout = absl::Milliseconds(600);
 // The same for a draining worker, which may exit as soon as its last run has ended.
 constexpr absl::Duration drainingPollPeriod = absl::Milliseconds(50);
+// How long a poll that acknowledges ends waits for the replies to starts that were sent before it.
+constexpr absl::Duration startReplyTimeout = absl::Milliseconds(100);
 // How long the last acknowledgement of an idle worker waits for another reason to poll.
 constexpr absl::Duration idleAcknowledgementDelay = absl::Milliseconds(700);
 
@@ -40,7 +42,9 @@
     if (!m_listedEnds.empty())
         return m_polledAt + (m_entry.isDraining && hasLiveRuns() ? drainingPollPeriod : durableEndTimeout);
     if (hasLiveRuns())
-        return m_polledAt;
+        return m_acknowledgedEnd > m_confirmedAcknowledgement
+            ? std::max(m_polledAt, pendingStartSentAt() + startReplyTimeout)
+            : m_polledAt;
     if (m_acknowledgedEnd > m_confirmedAcknowledgement)
         return m_polledAt + idleAcknowledgementDelay;
     return absl::InfiniteFuture();
@@ -159,11 +163,23 @@
     return due;
 }
 
+absl::Time WorkerSession::pendingStartSentAt() const
+{
+    absl::Time sentAt = absl::InfinitePast();
+    for (const auto& [run, slot] : m_runs) {
+        if (slot.isStartPending)
+            sentAt = std::max(sentAt, slot.startSentAt);
+    }
+    return sentAt;
+}
+
 // Another process counts its ends anew: it would forget ends that nobody has heard of for the acknowledgement of ends
-// of the present one. So an end is acknowledged until a reply confirms it, and only to a process that has replied.
+// of the present one. So an end is acknowledged until a reply confirms it, and only to a process that has replied,
+// lastly to the starts that were sent to it.
 std::int64_t WorkerSession::nextAcknowledgement() const
 {
-    return isProcessCertain() && m_acknowledgedEnd > m_confirmedAcknowledgement ? m_acknowledgedEnd : 0;
+    const bool isCertain = isProcessCertain() && pendingStartSentAt() == absl::InfinitePast();
+    return isCertain && m_acknowledgedEnd > m_confirmedAcknowledgement ? m_acknowledgedEnd : 0;
 }
 
 DueCall WorkerSession::makePoll(absl::Time now)
--- a/tests/batch/worker_session_test.cpp
+++ b/tests/batch/worker_session_test.cpp
@@ -657,6 +657,23 @@
     EXPECT_EQ(ended.front().end, RunEnd::Done);
 }
 
+// Guards against a task that is started again after it was done: an acknowledgement that is sent together with a start
+// is executed late, by the new process that has run and ended the task meanwhile.
+TEST_F(WorkerSessionTest, AcknowledgesNothingBesideAStartThatHasNoReply)
+{
+    constexpr absl::Duration longestWait = absl::Milliseconds(100);
+    settle();
+    endARunDurably();
+    const SessionCall startCall = startRun(runOf(1));
+    EXPECT_FALSE(isDue(SessionCall::Kind::Poll));
+    // A reply that is late holds up the poll no longer.
+    m_now += longestWait;
+    EXPECT_EQ(std::get<PollRuns>(due(SessionCall::Kind::Poll).call.command).acknowledgedEnd, 0);
+    m_session.handleReply(startCall, answerOf(6300), m_now);
+    m_session.handleReply({ SessionCall::Kind::Poll, RunKey(), m_now, processStartMs }, answerOf(6300), m_now);
+    EXPECT_EQ(std::get<PollRuns>(due(SessionCall::Kind::Poll).call.command).acknowledgedEnd, 1);
+}
+
 // A worker that was frozen has a clock that lags behind; it keeps its runs and takes work again once it was asked.
 TEST_F(WorkerSessionTest, KeepsRunsOfAWorkerWhoseClockHasStoodStill)
 {
