Fix: a job with too many tasks in all its occurrences is refused

Change: at most 100,000 tasks in all occurrences, refused at hand-in with 400 and the reason.

Failed before, passes now: JobMessage.RefusesAJobWithTooManyTasksInAllItsOccurrences.

--- a/src/batch/job/job_check_func.cpp
+++ b/src/batch/job/job_check_func.cpp
@@ -12,6 +12,8 @@
 // The largest number of tasks in all steps of one occurrence.
 constexpr std::int64_t maxTasks = 20000;
 constexpr std::int32_t maxOccurrences = 10000;
+// The largest number of tasks in all occurrences. Each task of an open occurrence takes memory of the owner.
+constexpr std::int64_t maxTasksOfAllOccurrences = 100000;
 
 absl::Status stepError(std::size_t step, absl::string_view rule)
 {
@@ -45,6 +47,9 @@
         return makeError(ErrorKind::InvalidValue, absl::StrCat("a job may have at most ", maxTasks, " tasks"));
     if (spec.repeatCount < 0 || spec.repeatCount > maxOccurrences)
         return makeError(ErrorKind::InvalidValue, absl::StrCat("a job may have 0 to ", maxOccurrences, " occurrences"));
+    if (tasks * std::max(1, spec.repeatCount) > maxTasksOfAllOccurrences)
+        return makeError(ErrorKind::InvalidValue,
+            absl::StrCat("a job may have at most ", maxTasksOfAllOccurrences, " tasks in all its occurrences"));
     if (spec.period < absl::ZeroDuration())
         return makeError(ErrorKind::InvalidValue, "the period is negative");
     return absl::OkStatus();
--- a/tests/platform/message_test.cpp
+++ b/tests/platform/message_test.cpp
@@ -338,6 +338,14 @@
     EXPECT_FALSE(recordKeyOf("op/wave/1"));
 }
 
+// Guards against one job whose progress takes more memory than any owner has, so that each owner in turn is killed.
+TEST(JobMessage, RefusesAJobWithTooManyTasksInAllItsOccurrences)
+{
+    EXPECT_TRUE(jobSpecFromJson(R"({"repeatCount":330,"phases":[{"count":94}]})").ok());
+    EXPECT_EQ(errorKindOf(jobSpecFromJson(R"({"repeatCount":10000,"phases":[{"count":20000}]})").status()),
+        ErrorKind::InvalidValue);
+}
+
 TEST(WorkerMessage, EncodesStartWithFenceTokenAndLeaseDeadline)
 {
     batch::WorkerCall call;
