Codechange: the result of an ended transfer is told in plain steps

A nested conditional is two statements now, and the doc comments of the client and of its socket registry are complete. No behaviour changes.

--- a/src/adapters/http/curl_socket_registry_base.h
+++ b/src/adapters/http/curl_socket_registry_base.h
@@ -27,6 +27,7 @@
     void shutDownIdle(absl::string_view host, const absl::flat_hash_set<int>& inUse);
 
 private:
+    // Unregisters a socket, if it is registered.
     void remove(int socket);
 
     absl::flat_hash_map<std::string, absl::flat_hash_set<int>> m_socketsByHost;
--- a/src/adapters/http/curl_transfer_base.cpp
+++ b/src/adapters/http/curl_transfer_base.cpp
@@ -69,10 +69,12 @@
     // Closing a stream on request of its callback is not a failure.
     if (code == CURLE_OK || m_isClosedByReceiver)
         return absl::OkStatus();
+    // `onConnected` has ended the transfer.
+    if (code == CURLE_ABORTED_BY_CALLBACK && m_mayHaveBeenSent)
+        return makeError(
+            ErrorKind::OutcomeUnknown, absl::StrCat(m_host, ": the connection was closed without a response"));
     if (code == CURLE_ABORTED_BY_CALLBACK)
-        return m_mayHaveBeenSent ? makeError(
-                   ErrorKind::OutcomeUnknown, absl::StrCat(m_host, ": the connection was closed without a response"))
-                                 : makeError(ErrorKind::TimedOut, absl::StrCat(m_host, ": not sent in time"));
+        return makeError(ErrorKind::TimedOut, absl::StrCat(m_host, ": not sent in time"));
     const std::string message = absl::StrCat(m_host, ": ", curl_easy_strerror(code));
     if (code != CURLE_COULDNT_CONNECT && code != CURLE_COULDNT_RESOLVE_HOST)
         return makeError(ErrorKind::OutcomeUnknown, message);
