--- a/tests/platform/caller_server_test.cpp
+++ b/tests/platform/caller_server_test.cpp
@@ -21,8 +21,9 @@
 namespace mangohall::platform {
 namespace {
 
-// No other test uses this address.
-const char* const address = "127.0.0.1:18720";
+// Each test has an address of its own, which no other test uses, since tests run at the same time.
+const char* const idleAddress = "127.0.0.1:18720";
+const char* const stopAddress = "127.0.0.1:18721";
 
 // Answers every request at once with the state of a job, until it falls silent like a node whose store is silent.
 class AnsweringSink : public batch::CallerSink {
@@ -48,8 +49,9 @@
 // A client that keeps its connection between requests.
 class KeptConnection {
 public:
-    KeptConnection()
-        : m_socket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+    explicit KeptConnection(absl::string_view address)
+        : m_address(address)
+        , m_socket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
     {
         const sockaddr_in target = *parseSocketAddress(address);
         EXPECT_EQ(::connect(m_socket, reinterpret_cast<const sockaddr*>(&target), sizeof(target)), 0);
@@ -70,7 +72,7 @@
 
     void send()
     {
-        const std::string request = absl::StrCat("GET /queue/1 HTTP/1.1\r\nHost: ", address, "\r\n\r\n");
+        const std::string request = absl::StrCat("GET /queue/1 HTTP/1.1\r\nHost: ", m_address, "\r\n\r\n");
         ::send(m_socket, request.data(), request.size(), MSG_NOSIGNAL);
     }
 
@@ -83,6 +85,7 @@
     }
 
 private:
+    const std::string m_address;
     const int m_socket;
 };
 
@@ -94,11 +97,11 @@
     RealClock clock;
     AnsweringSink sink;
     CallerServerSettings settings;
-    settings.address = address;
+    settings.address = idleAddress;
     CallerServer server(settings, sink, clock);
     sink.setServer(server);
     ASSERT_TRUE(server.start().ok());
-    KeptConnection connection;
+    KeptConnection connection(idleAddress);
     EXPECT_TRUE(absl::StartsWith(connection.call(), "HTTP/1.1 200"));
     absl::SleepFor(pause);
     EXPECT_TRUE(absl::StartsWith(connection.call(), "HTTP/1.1 200"));
@@ -112,12 +115,12 @@
     RealClock clock;
     AnsweringSink sink;
     CallerServerSettings settings;
-    settings.address = address;
+    settings.address = stopAddress;
     CallerServer server(settings, sink, clock);
     sink.setServer(server);
     ASSERT_TRUE(server.start().ok());
-    KeptConnection waiting;
-    KeptConnection late;
+    KeptConnection waiting(stopAddress);
+    KeptConnection late(stopAddress);
     EXPECT_TRUE(absl::StartsWith(late.call(), "HTTP/1.1 200"));
     sink.fallSilent();
     waiting.send();
