--- a/tests/adapters/http/curl_refused_connection_test.cpp
+++ b/tests/adapters/http/curl_refused_connection_test.cpp
@@ -1,8 +1,6 @@
 // Error kinds for refused connections.
 #include <algorithm>
-#include <arpa/inet.h>
 #include <array>
-#include <netinet/in.h>
 #include <string>
 #include <sys/socket.h>
 #include <thread>
@@ -11,6 +9,7 @@
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
 #include "adapters/http/curl_http_client_base.h"
+#include "adapters/http/loopback_socket_base.h"
 #include "adapters/http/response_waiter_base.h"
 #include "core/error_func.h"
 #include "standins/real_clock_base.h"
@@ -19,64 +18,30 @@
 namespace mangohall {
 namespace {
 
-// A port that refuses connections. It is bound, so that no other process can listen on it.
-class RefusingPort {
-public:
-    RefusingPort()
-        : m_socket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
-    {
-        m_address.sin_family = AF_INET;
-        m_address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        socklen_t size = sizeof(m_address);
-        auto* address = reinterpret_cast<sockaddr*>(&m_address);
-        if (::bind(m_socket, address, size) == 0)
-            ::getsockname(m_socket, address, &size);
-    }
-    ~RefusingPort() { ::close(m_socket); }
-    RefusingPort(const RefusingPort&) = delete;
-    RefusingPort& operator=(const RefusingPort&) = delete;
-
-    std::uint16_t port() const { return ntohs(m_address.sin_port); }
-
-private:
-    int m_socket;
-    sockaddr_in m_address {};
-};
-
 // A host whose queue of new connections is full, so that no further connection can be made.
 class FullHost {
 public:
     FullHost()
-        : m_listener(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
     {
-        sockaddr_in address {};
-        address.sin_family = AF_INET;
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        socklen_t size = sizeof(address);
-        auto* generic = reinterpret_cast<sockaddr*>(&address);
-        EXPECT_EQ(::bind(m_listener, generic, size), 0);
-        EXPECT_EQ(::listen(m_listener, 0), 0);
-        EXPECT_EQ(::getsockname(m_listener, generic, &size), 0);
-        m_port = ntohs(address.sin_port);
+        EXPECT_TRUE(m_listener.listen(0));
+        const auto* address = reinterpret_cast<const sockaddr*>(&m_listener.address());
         for (int& waiting : m_waiting) {
             waiting = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
-            ::connect(waiting, generic, size);
+            ::connect(waiting, address, sizeof(sockaddr_in));
         }
     }
     ~FullHost()
     {
         for (const int waiting : m_waiting)
             ::close(waiting);
-        ::close(m_listener);
     }
     FullHost(const FullHost&) = delete;
     FullHost& operator=(const FullHost&) = delete;
 
-    std::uint16_t port() const { return m_port; }
+    std::uint16_t port() const { return m_listener.port(); }
 
 private:
-    const int m_listener;
-    std::uint16_t m_port = 0;
+    const LoopbackSocket m_listener;
     std::array<int, 4> m_waiting {};
 };
 
@@ -119,31 +84,25 @@
 class ClosingServer {
 public:
     ClosingServer()
-        : m_listener(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
     {
-        m_address.sin_family = AF_INET;
-        m_address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        socklen_t size = sizeof(m_address);
-        auto* address = reinterpret_cast<sockaddr*>(&m_address);
-        if (::bind(m_listener, address, size) == 0 && ::listen(m_listener, 1) == 0)
-            ::getsockname(m_listener, address, &size);
+        EXPECT_TRUE(m_listener.listen(1));
         m_thread = std::thread([this] { serve(); });
     }
     ~ClosingServer() { m_thread.join(); }
     ClosingServer(const ClosingServer&) = delete;
     ClosingServer& operator=(const ClosingServer&) = delete;
 
-    std::uint16_t port() const { return ntohs(m_address.sin_port); }
+    std::uint16_t port() const { return m_listener.port(); }
 
 private:
-    void serve() const
+    void serve()
     {
         constexpr absl::string_view answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
-        const int connection = ::accept(m_listener, nullptr, nullptr);
+        const int connection = m_listener.accept();
         readRequest(connection);
         EXPECT_EQ(::write(connection, answer.data(), answer.size()), static_cast<ssize_t>(answer.size()));
         readRequest(connection);
-        ::close(m_listener);
+        m_listener.close();
         ::close(connection);
     }
 
@@ -158,8 +117,7 @@
         }
     }
 
-    int m_listener;
-    sockaddr_in m_address {};
+    LoopbackSocket m_listener;
     std::thread m_thread;
 };
 
@@ -186,7 +144,7 @@
 
 TEST(CurlRefusedConnection, ReportsThatNothingWasSent)
 {
-    const RefusingPort refusing;
+    const LoopbackSocket refusing;
     const RealClock clock;
     CurlHttpClient client(clock, {});
     ResponseWaiter waiter;
--- a/tests/adapters/http/response_dropping_server_base.h
+++ b/tests/adapters/http/response_dropping_server_base.h
@@ -1,10 +1,7 @@
 // A loopback server that loses one response.
 #pragma once
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
 #include <string>
-#include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
 
@@ -14,6 +11,7 @@
 #include "absl/strings/str_cat.h"
 #include "absl/strings/string_view.h"
 #include "absl/synchronization/mutex.h"
+#include "adapters/http/loopback_socket_base.h"
 
 namespace mangohall {
 
@@ -23,25 +21,17 @@
 class ResponseDroppingServer {
 public:
     ResponseDroppingServer()
-        : m_listener(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+        : m_address(absl::StrCat("127.0.0.1:", m_listener.port()))
     {
         constexpr int backlog = 8;
-        sockaddr_in address {};
-        address.sin_family = AF_INET;
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        socklen_t size = sizeof(address);
-        auto* generic = reinterpret_cast<sockaddr*>(&address);
-        if (::bind(m_listener, generic, size) == 0 && ::listen(m_listener, backlog) == 0)
-            ::getsockname(m_listener, generic, &size);
-        m_address = absl::StrCat("127.0.0.1:", ntohs(address.sin_port));
+        m_listener.listen(backlog);
         m_thread = std::thread([this] { serve(); });
     }
     // The client has to be destroyed before, so that its connections are closed.
     ~ResponseDroppingServer()
     {
-        ::shutdown(m_listener, SHUT_RDWR);
+        m_listener.shutDown();
         m_thread.join();
-        ::close(m_listener);
     }
     ResponseDroppingServer(const ResponseDroppingServer&) = delete;
     ResponseDroppingServer& operator=(const ResponseDroppingServer&) = delete;
@@ -59,14 +49,12 @@
 private:
     void serve()
     {
-        for (int connection = accept(); connection >= 0; connection = accept()) {
+        for (int connection = m_listener.accept(); connection >= 0; connection = m_listener.accept()) {
             while (serveRequest(connection)) { }
             ::close(connection);
         }
     }
 
-    int accept() const { return ::accept(m_listener, nullptr, nullptr); }
-
     // Returns whether the connection stays open.
     bool serveRequest(int connection)
     {
@@ -125,8 +113,8 @@
         return absl::SimpleAtoi(value.substr(0, value.find('\r')), &size) ? size : 0;
     }
 
-    const int m_listener;
-    std::string m_address;
+    LoopbackSocket m_listener;
+    const std::string m_address;
     absl::Mutex m_mutex;
     int m_requests ABSL_GUARDED_BY(m_mutex) = 0;
     std::thread m_thread;
--- /dev/null
+++ b/tests/batch/worker_session_lease_test.cpp
@@ -0,0 +1,195 @@
+// Workers that are silent, leave, or whose address is unknown: when their runs are over, and when they are forgotten.
+#include "batch/worker_session_fixture_base.h"
+
+namespace mangohall::batch {
+namespace {
+
+// Guards against calls to a worker that only the progress of an earlier owner names: the HTTP client looked up a host
+// name for them, and held up the calls to the store until an owner had lost its lease.
+TEST_F(WorkerSessionTest, CallsNoWorkerWhoseAddressIsUnknown)
+{
+    WorkerEntry unlisted = makeWorkerEntry("w");
+    unlisted.address.clear();
+    WorkerSession session(unlisted, 1, SessionSettings());
+    session.markUnlisted();
+    session.adopt(runOf(0), { 100, 100, 4 }, m_now);
+    session.adopt(runOf(1), { 100, 100, 4 }, m_now);
+    session.stop(runOf(1), m_now);
+    EXPECT_TRUE(session.takeDueCalls(m_now).empty());
+    const absl::Time lapse = session.nextDue();
+    EXPECT_GT(lapse, m_now + SessionSettings().maxLease);
+    EXPECT_TRUE(session.takeLapsedRuns(lapse - absl::Milliseconds(1)).empty());
+    EXPECT_TRUE(session.takeDueCalls(lapse - absl::Milliseconds(1)).empty());
+    EXPECT_EQ(session.takeLapsedRuns(lapse).size(), 2U);
+}
+
+TEST_F(WorkerSessionTest, CallsAWorkerAsSoonAsItsAddressIsKnown)
+{
+    WorkerEntry unlisted = makeWorkerEntry("w");
+    unlisted.address.clear();
+    WorkerSession session(unlisted, 1, SessionSettings());
+    session.markUnlisted();
+    session.adopt(runOf(0), { 100, 100, 4 }, m_now);
+    session.update(makeWorkerEntry("w"), m_now, m_now);
+    const std::vector<DueCall> calls = session.takeDueCalls(m_now);
+    ASSERT_EQ(calls.size(), 1U);
+    EXPECT_EQ(calls.front().context.kind, SessionCall::Kind::Poll);
+    EXPECT_EQ(calls.front().call.address, "w");
+}
+
+// Guards against a lease that never ends: renewals may reach a worker whose replies are lost, so they have to cease.
+TEST_F(WorkerSessionTest, LetsTheLeaseOfASilentWorkerLapse)
+{
+    settle();
+    const SessionCall startCall = startRun(runOf(0));
+    m_session.handleReply(startCall, answerOf(5100), m_now);
+    const absl::Time lastRenewal = m_now;
+    while (m_now < lastRenewal + absl::Seconds(9)) {
+        takeCalls();
+        m_now += absl::Milliseconds(100);
+        for (const DueCall& call : std::exchange(m_pending, {}))
+            m_session.handleReply(call.context, noAnswer(), m_now);
+        EXPECT_TRUE(m_session.takeLapsedRuns(m_now).empty());
+    }
+    m_now = lastRenewal + absl::Seconds(12);
+    const std::vector<EndedRun> lapsed = m_session.takeLapsedRuns(m_now);
+    ASSERT_EQ(lapsed.size(), 1U);
+    EXPECT_EQ(lapsed.front().evidence, EndEvidence::LeaseExpired);
+}
+
+TEST_F(WorkerSessionTest, LosesRunsOfADrainedWorkerThatIsGoneAtOnce)
+{
+    drainWithARun();
+    m_session.handleReply(due(SessionCall::Kind::Poll).context, noAnswer(ErrorKind::OwnerUnreachable), m_now);
+    const std::vector<EndedRun> lost = m_session.takeLapsedRuns(m_now);
+    ASSERT_EQ(lost.size(), 1U);
+    EXPECT_EQ(lost.front().evidence, EndEvidence::WorkerLeft);
+}
+
+// Guards against a second run of a task: the row of a draining worker that can't reach the store expires, and a link
+// that is cut may refuse connections, while the worker runs on.
+TEST_F(WorkerSessionTest, KeepsRunsOfADrainingWorkerWhoseRowMayHaveExpired)
+{
+    const absl::Time lastRenewal = m_now;
+    drainWithARun(SessionSettings().entryTimeout);
+    m_session.handleReply(due(SessionCall::Kind::Poll).context, noAnswer(ErrorKind::OwnerUnreachable), m_now);
+    m_now = lastRenewal + SessionSettings().maxLease;
+    EXPECT_TRUE(m_session.takeLapsedRuns(m_now).empty());
+    m_now += absl::Seconds(1);
+    const std::vector<EndedRun> lapsed = m_session.takeLapsedRuns(m_now);
+    ASSERT_EQ(lapsed.size(), 1U);
+    EXPECT_EQ(lapsed.front().evidence, EndEvidence::LeaseExpired);
+}
+
+// Guards against taking a worker for gone because another writer has overwritten its row.
+TEST_F(WorkerSessionTest, KeepsRunsOfADrainingWorkerWhoseRowIsUnreadable)
+{
+    settle();
+    m_session.handleReply(startRun(runOf(0)), answerOf(5100), m_now);
+    WorkerEntry draining = makeWorkerEntry("w");
+    draining.isDraining = true;
+    m_session.update(draining, m_now, m_now);
+    m_session.markUnlisted();
+    m_session.handleReply(due(SessionCall::Kind::Poll).context, noAnswer(ErrorKind::OwnerUnreachable), m_now);
+    EXPECT_TRUE(m_session.takeLapsedRuns(m_now).empty());
+}
+
+// The poll was pending when the worker's process ended.
+TEST_F(WorkerSessionTest, LosesRunsOfADrainedWorkerThatIsGoneDuringAPoll)
+{
+    drainWithARun();
+    m_session.handleReply(due(SessionCall::Kind::Poll).context, noAnswer(ErrorKind::PeerGone), m_now);
+    EXPECT_EQ(m_session.takeLapsedRuns(m_now).size(), 1U);
+}
+
+// Guards against a second start of a task that is done: a leaving worker accepts no new connections, but it still
+// replies to the pending poll and lists the end.
+TEST_F(WorkerSessionTest, WaitsForThePendingPollBeforeADrainedWorkerCountsAsGone)
+{
+    drainWithARun();
+    const DueCall poll = due(SessionCall::Kind::Poll);
+    m_session.stop(runOf(0), m_now);
+    m_session.handleReply(due(SessionCall::Kind::Stop).context, noAnswer(ErrorKind::OwnerUnreachable), m_now);
+    EXPECT_TRUE(m_session.takeLapsedRuns(m_now).empty());
+    EXPECT_FALSE(m_session.isRemovable(m_now));
+    WorkerReply reply = answerOf(5200);
+    reply.ended = { { 1, runOf(0), RunEnd::Done, "" } };
+    const SessionUpdate update = m_session.handleReply(poll.context, reply, m_now);
+    ASSERT_EQ(update.ended.size(), 1U);
+    EXPECT_EQ(update.ended.front().end, RunEnd::Done);
+    EXPECT_TRUE(m_session.isRemovable(m_now));
+}
+
+TEST_F(WorkerSessionTest, IsNotRemovableWhileAPollIsPending)
+{
+    settle();
+    m_session.handleReply(startRun(runOf(0)), answerOf(5100), m_now);
+    const DueCall poll = due(SessionCall::Kind::Poll);
+    // The reply to another call shows another process first, so the run counts as lost.
+    m_session.stop(runOf(0), m_now);
+    WorkerReply reply = answerOf(50);
+    reply.processStartMs = processStartMs + 1;
+    EXPECT_EQ(m_session.handleReply(due(SessionCall::Kind::Stop).context, reply, m_now).ended.size(), 1U);
+    m_session.markUnlisted();
+    EXPECT_FALSE(m_session.isRemovable(m_now));
+    m_session.handleReply(poll.context, noAnswer(ErrorKind::PeerGone), m_now);
+    EXPECT_TRUE(m_session.isRemovable(m_now));
+}
+
+// Guards against a second run of a task: the lease end was reckoned from an old time of a clock that has gone slower
+// since, and the worker may have executed the start late.
+TEST_F(WorkerSessionTest, WaitsLongerForALeaseThatWasReckonedFromAnOldClock)
+{
+    settle();
+    m_now += absl::Seconds(40);
+    const SessionCall startCall = startRun(runOf(0));
+    const absl::Time grantedAt = m_now;
+    m_session.handleReply(startCall, noAnswer(), m_now);
+    m_session.handleReply(due(SessionCall::Kind::Poll).context, noAnswer(), m_now);
+    // The end on a clock that is 2% slow.
+    m_now = grantedAt + (SessionSettings().maxLease + absl::Milliseconds(800)) / 0.98;
+    EXPECT_TRUE(m_session.takeLapsedRuns(m_now).empty());
+    m_now += absl::Seconds(1);
+    EXPECT_EQ(m_session.takeLapsedRuns(m_now).size(), 1U);
+}
+
+// Guards against a task that is started again after it was done: its worker exits with its last run, while the owner
+// waits for the end of another run to become durable and has no poll there.
+TEST_F(WorkerSessionTest, PollsADrainingWorkerBeforeItsListedEndsAreDurable)
+{
+    constexpr absl::Duration longestGap = absl::Milliseconds(50);
+    settle();
+    for (const int index : { 0, 1 })
+        m_session.handleReply(startRun(runOf(index)), answerOf(5100), m_now);
+    WorkerEntry draining = makeWorkerEntry("w");
+    draining.isDraining = true;
+    m_session.update(draining, m_now, m_now);
+    WorkerReply reply = answerOf(5200);
+    reply.running = { { runOf(1), "", 90 } };
+    reply.ended = { { 1, runOf(0), RunEnd::Done, "" } };
+    m_session.handleReply(due(SessionCall::Kind::Poll).context, reply, m_now);
+    m_now += longestGap;
+    EXPECT_TRUE(isDue(SessionCall::Kind::Poll));
+}
+
+// Guards against a second run of a task: a start that got no reply is executed by a later process of a worker whose
+// session was deleted meanwhile, so that nothing bars the run there.
+TEST_F(WorkerSessionTest, IsNotRemovableWhileAStartMayBeExecuted)
+{
+    settle();
+    const SessionCall startCall = startRun(runOf(0));
+    const absl::Time sentAt = m_now;
+    m_session.handleReply(startCall, noAnswer(), m_now);
+    m_session.handleReply(due(SessionCall::Kind::Poll).context, noAnswer(), m_now);
+    m_session.markUnlisted();
+    m_now = sentAt + absl::Seconds(11);
+    EXPECT_EQ(m_session.takeLapsedRuns(m_now).size(), 1U);
+    EXPECT_FALSE(m_session.isRemovable(m_now));
+    EXPECT_GT(m_session.nextDue(), m_now);
+    m_now = m_session.nextDue();
+    EXPECT_LE(m_now, sentAt + absl::Seconds(15));
+    EXPECT_TRUE(m_session.isRemovable(m_now));
+}
+
+} // namespace
+} // namespace mangohall::batch
