Fix: polls go on while starts of a worker are without a reply

Cause: the wait counted from the last start, and not from the last poll.

Change: the poll waits for 100 ms from the first start without a reply, and as long between polls.

Failed before, passes now: WorkerSessionTest.PollsNowAndThenWhileStartsAreWithoutReply ("no such call is due").

--- a/src/batch/worker/worker_session_base.h
+++ b/src/batch/worker/worker_session_base.h
@@ -251,8 +251,10 @@
     void recordUnansweredStart(const SessionCall& context, absl::Time now);
     // Until when one of the unanswered starts may still be executed; the infinite past if there is none.
     absl::Time unansweredStartsEnd() const;
-    // The last start that was sent and has no reply yet; the infinite past if there is none.
-    absl::Time pendingStartSentAt() const;
+    // When the first of the starts was sent that have no reply yet; the infinite future if there is none.
+    absl::Time firstPendingStartSentAt() const;
+    // Whether an end is not acknowledged yet since a start has no reply.
+    bool isAcknowledgementHeldBack() const;
     // The end that the next poll acknowledges; 0 if none is to be acknowledged, or not yet.
     std::int64_t nextAcknowledgement() const;
     // Until when the pending poll, or one that got no reply, may still acknowledge ends; the infinite past if none may.
--- a/src/batch/worker/worker_session_call_cmd.cpp
+++ b/src/batch/worker/worker_session_call_cmd.cpp
@@ -16,7 +16,8 @@
 constexpr absl::Duration durableEndTimeout = absl::Milliseconds(600);
 // The same for a draining worker, which may exit as soon as its last run has ended.
 constexpr absl::Duration drainingPollPeriod = absl::Milliseconds(50);
-// How long a poll that acknowledges ends waits for the replies to starts that were sent before it.
+// How long a poll that could acknowledge ends waits for the replies to starts, and the pause between such polls: each
+// lists the same ends, so the worker does not hold it open.
 constexpr absl::Duration startReplyTimeout = absl::Milliseconds(100);
 // How long the last acknowledgement of an idle worker waits for another reason to poll.
 constexpr absl::Duration idleAcknowledgementDelay = absl::Milliseconds(700);
@@ -42,9 +43,8 @@
     if (!m_listedEnds.empty())
         return m_polledAt + (m_entry.isDraining && hasLiveRuns() ? drainingPollPeriod : durableEndTimeout);
     if (hasLiveRuns())
-        return m_acknowledgedEnd > m_confirmedAcknowledgement
-            ? std::max(m_polledAt, pendingStartSentAt() + startReplyTimeout)
-            : m_polledAt;
+        return isAcknowledgementHeldBack() ? std::max(m_polledAt, firstPendingStartSentAt()) + startReplyTimeout
+                                           : m_polledAt;
     if (m_acknowledgedEnd > m_confirmedAcknowledgement)
         return m_polledAt + idleAcknowledgementDelay;
     return absl::InfiniteFuture();
@@ -163,23 +163,28 @@
     return due;
 }
 
-absl::Time WorkerSession::pendingStartSentAt() const
+absl::Time WorkerSession::firstPendingStartSentAt() const
 {
-    absl::Time sentAt = absl::InfinitePast();
+    absl::Time sentAt = absl::InfiniteFuture();
     for (const auto& [run, slot] : m_runs) {
         if (slot.isStartPending)
-            sentAt = std::max(sentAt, slot.startSentAt);
+            sentAt = std::min(sentAt, slot.startSentAt);
     }
     return sentAt;
 }
 
+bool WorkerSession::isAcknowledgementHeldBack() const
+{
+    return m_acknowledgedEnd > m_confirmedAcknowledgement && firstPendingStartSentAt() != absl::InfiniteFuture();
+}
+
 // Another process counts its ends anew: it would forget ends that nobody has heard of for the acknowledgement of ends
 // of the present one. So an end is acknowledged until a reply confirms it, and only to a process that has replied,
 // lastly to the starts that were sent to it.
 std::int64_t WorkerSession::nextAcknowledgement() const
 {
-    const bool isCertain = isProcessCertain() && pendingStartSentAt() == absl::InfinitePast();
-    return isCertain && m_acknowledgedEnd > m_confirmedAcknowledgement ? m_acknowledgedEnd : 0;
+    const bool mayAcknowledge = isProcessCertain() && !isAcknowledgementHeldBack();
+    return mayAcknowledge && m_acknowledgedEnd > m_confirmedAcknowledgement ? m_acknowledgedEnd : 0;
 }
 
 DueCall WorkerSession::makePoll(absl::Time now)
--- a/tests/batch/worker_session_process_test.cpp
+++ b/tests/batch/worker_session_process_test.cpp
@@ -222,6 +222,28 @@
     EXPECT_EQ(std::get<PollRuns>(due(SessionCall::Kind::Poll).call.command).acknowledgedEnd, 1);
 }
 
+// Load: starts follow each other on a worker that replies to them late. Guards against ends that nobody hears of since
+// no poll is sent meanwhile, and against polls without a pause, since each lists the end that is not acknowledged yet.
+TEST_F(WorkerSessionTest, PollsNowAndThenWhileStartsAreWithoutReply)
+{
+    constexpr absl::Duration pause = absl::Milliseconds(100);
+    settle();
+    endARunDurably();
+    startRun(runOf(1));
+    m_now += pause / 2;
+    startRun(runOf(2));
+    EXPECT_FALSE(isDue(SessionCall::Kind::Poll));
+    m_now += pause / 2;
+    const DueCall first = due(SessionCall::Kind::Poll);
+    startRun(runOf(3));
+    WorkerReply reply = answerOf(6300);
+    reply.ended = { { 1, runOf(0), RunEnd::Done, "" } };
+    m_session.handleReply(first.context, reply, m_now);
+    EXPECT_FALSE(isDue(SessionCall::Kind::Poll));
+    m_now += pause;
+    EXPECT_TRUE(isDue(SessionCall::Kind::Poll));
+}
+
 // A worker that was frozen has a clock that lags behind; it keeps its runs and takes work again once it was asked.
 TEST_F(WorkerSessionTest, KeepsRunsOfAWorkerWhoseClockHasStoodStill)
 {
