Feature: log lines of runs name the process that the owner goes by

Change: runPlaced, runEnded, runEvicted, runStopped and startSent carry workerProcess, the process that the owner takes the worker for, and entryProcess, the one whose entry it goes by.

--- a/src/adapters/observe/decision_log_base.cpp
+++ b/src/adapters/observe/decision_log_base.cpp
@@ -59,6 +59,10 @@
         line["epoch"] = decision.epoch;
     if (decision.version != 0)
         line["version"] = decision.version;
+    if (decision.workerProcessStartMs != 0)
+        line["workerProcess"] = decision.workerProcessStartMs;
+    if (decision.rowProcessStartMs != 0)
+        line["entryProcess"] = decision.rowProcessStartMs;
     if (decision.age != absl::InfiniteDuration())
         line["ageMs"] = absl::ToInt64Milliseconds(decision.age);
     if (decision.allocation)
--- a/src/batch/node/event_type.h
+++ b/src/batch/node/event_type.h
@@ -205,6 +205,10 @@
     std::string reason;
     Epoch epoch = 0;
     std::int64_t version = 0;
+    // For decisions about a run: the process that its worker is taken to have, and the process that has written the row
+    // that the decision rests on. Both are given by their start, in Unix milliseconds; 0 if it is unknown.
+    std::int64_t workerProcessStartMs = 0;
+    std::int64_t rowProcessStartMs = 0;
     // The age of the input to the decision, or the time that the operation took; infinite if neither applies.
     absl::Duration age = absl::InfiniteDuration();
     // Present for allocation rounds only.
--- a/src/batch/owner/owner_log_cmd.cpp
+++ b/src/batch/owner/owner_log_cmd.cpp
@@ -19,6 +19,11 @@
     decision.outcome = std::string(outcome);
     decision.reason = std::string(reason);
     decision.epoch = m_ownership.epoch();
+    const auto session = m_workers.sessions().find(worker);
+    if (session != m_workers.sessions().end()) {
+        decision.workerProcessStartMs = session->second.processStartMs();
+        decision.rowProcessStartMs = session->second.entry().processStartMs;
+    }
     m_outbox.log(std::move(decision));
 }
 
--- a/src/batch/owner/worker_registry_base.cpp
+++ b/src/batch/owner/worker_registry_base.cpp
@@ -147,7 +147,7 @@
     for (DueCall& due : session.takeDueCalls(now)) {
         if (due.context.kind == SessionCall::Kind::Start) {
             due.call.command = source.describeStart(due.context.run);
-            logStartSent(worker, due.context, outbox);
+            logStartSent(session, due.context, outbox);
         }
         if (due.context.kind == SessionCall::Kind::Poll)
             ++m_pendingPolls;
@@ -160,15 +160,17 @@
     m_due.set(worker, session.nextDue());
 }
 
-void WorkerRegistry::logStartSent(const WorkerName& worker, const SessionCall& context, Outbox& outbox) const
+void WorkerRegistry::logStartSent(const WorkerSession& session, const SessionCall& context, Outbox& outbox) const
 {
     DecisionEffect decision;
     decision.kind = DecisionEffect::Kind::StartSent;
     decision.job = context.run.task.job.str();
     decision.run = runName(context.run);
-    decision.worker = worker.str();
+    decision.worker = session.entry().name.str();
     decision.outcome = context.isRepeated ? "repeated" : "first";
     decision.epoch = m_epoch;
+    decision.workerProcessStartMs = session.processStartMs();
+    decision.rowProcessStartMs = session.entry().processStartMs;
     outbox.log(std::move(decision));
 }
 
--- a/src/batch/owner/worker_registry_base.h
+++ b/src/batch/owner/worker_registry_base.h
@@ -88,7 +88,7 @@
     void markDueChanged(absl::Time now);
     // How long a worker may hold the next poll open.
     absl::Duration nextPollWait() const;
-    void logStartSent(const WorkerName& worker, const SessionCall& context, Outbox& outbox) const;
+    void logStartSent(const WorkerSession& session, const SessionCall& context, Outbox& outbox) const;
     void makeCalls(
         const WorkerName& worker, WorkerSession& session, const StartSource& source, Outbox& outbox, absl::Time now);
 
