--- a/tests/batch/simulated_workers_base.cpp
+++ b/tests/batch/simulated_workers_base.cpp
@@ -80,14 +80,16 @@
     }
     if (m_random.uniform() < m_lateCommands) {
         const absl::Duration lateness = minLateness + latenessSpread * m_random.uniform();
-        m_timeline.after(lateness, [this, call, processStartMs = m_workers.at(call.worker.str()).entry.processStartMs] {
+        m_timeline.after(lateness, [this, call] {
             Worker& worker = m_workers.at(call.worker.str());
             const bool isReachable = !worker.isCutOff && !worker.isGone && !worker.isIsolated;
-            if (worker.entry.processStartMs == processStartMs && isReachable)
+            if (isReachable)
                 executeLate(worker, call);
         });
         return;
     }
+    if (tryOutlive(call))
+        return;
     m_timeline.after(callDelay, [this, call, once] {
         Worker& worker = m_workers.at(call.worker.str());
         if (worker.isCutOff)
@@ -99,30 +101,48 @@
             return;
         }
         if (const auto* pollCall = std::get_if<PollRuns>(&call.command)) {
-            const WorkerReply fenced = carryOut(worker, call, false);
+            const WorkerReply fenced = carryOut(worker, call);
             if (fenced.refusal == WorkerRefusal::None)
                 poll(worker, *pollCall, once);
             else
                 once(fenced);
             return;
         }
-        const WorkerReply answer = carryOut(worker, call, false);
+        const WorkerReply answer = carryOut(worker, call);
         m_timeline.after(callDelay, [answer, once] { once(answer); });
     });
 }
 
 void SimulatedWorkers::executeLate(Worker& worker, const WorkerCall& call)
 {
-    const WorkerReply reply = carryOut(worker, call, true);
+    const WorkerReply reply = carryOut(worker, call);
     const auto* pollCall = std::get_if<PollRuns>(&call.command);
     if (pollCall != nullptr && reply.refusal == WorkerRefusal::None)
         acknowledge(worker, *pollCall);
 }
 
-WorkerReply SimulatedWorkers::carryOut(Worker& worker, const WorkerCall& call, bool /*isLate*/)
+bool SimulatedWorkers::tryOutlive(const WorkerCall& call)
+{
+    if (!std::holds_alternative<StartRun>(call.command) || !std::exchange(m_isNextStartOutlived, false))
+        return false;
+    m_outlivedStart = call;
+    return true;
+}
+
+std::string SimulatedWorkers::workerOfOutlivedStart() const
+{
+    return m_outlivedStart ? m_outlivedStart->worker.str() : "";
+}
+
+WorkerReply SimulatedWorkers::carryOut(Worker& worker, const WorkerCall& call)
 {
     expireLease(worker);
     WorkerReply reply;
+    const bool isUnhealthy = m_outlivedStart && m_outlivedStart->worker == worker.entry.name;
+    if (isUnhealthy && std::holds_alternative<StartRun>(call.command)) {
+        reply.refusal = WorkerRefusal::Unhealthy;
+        return reply;
+    }
     // Only the list of runs names the process.
     reply.clock = clockOf(worker);
     if (call.epoch < worker.epoch && !m_obeysAnyEpoch) {
@@ -147,10 +167,15 @@
     return reply;
 }
 
+const Job* SimulatedWorkers::jobOf(const TaskKey& task) const
+{
+    const Record* record = m_store.find({ Collection::Jobs, task.job.str() });
+    return record == nullptr ? nullptr : std::get_if<Job>(&record->value);
+}
+
 Resources SimulatedWorkers::demandOf(const RunKey& run) const
 {
-    const Record* record = m_store.find({ Collection::Jobs, run.task.job.str() });
-    const auto* job = record == nullptr ? nullptr : std::get_if<Job>(&record->value);
+    const Job* job = jobOf(run.task);
     return job == nullptr ? Resources() : countedDemand(job->spec.steps[static_cast<std::size_t>(run.task.task.step)]);
 }
 
@@ -190,6 +215,13 @@
         used += running.demand;
     if (!used.fitsInto(worker.entry.capacity))
         m_violations.push_back(absl::StrCat("over capacity: ", nameOf(start.run), " on ", worker.entry.name.text()));
+    const Job* job = jobOf(start.run.task);
+    if (job == nullptr)
+        return;
+    const WorkerLabel& required = job->spec.steps[static_cast<std::size_t>(start.run.task.task.step)].requiredLabel;
+    const std::vector<WorkerLabel>& labels = worker.entry.labels;
+    if (!required.text().empty() && std::find(labels.begin(), labels.end(), required) == labels.end())
+        m_violations.push_back(absl::StrCat("wrong label: ", nameOf(start.run), " on ", worker.entry.name.text()));
 }
 
 void SimulatedWorkers::stop(Worker& worker, const StopRun& stop)
@@ -254,15 +286,25 @@
 std::vector<std::string> SimulatedWorkers::violations() const
 {
     std::vector<std::string> violations = m_violations;
-    for (const RecordedRun& done : m_recordedRuns) {
-        if (done.end == absl::InfiniteFuture() || done.endKind != RunEnd::Done || !done.isAcknowledged)
-            continue;
-        for (const RecordedRun& later : m_recordedRuns) {
-            if (later.run.task == done.run.task && later.begin > done.end)
-                violations.push_back(absl::StrCat("again: ", nameOf(later.run), " after ", nameOf(done.run)));
+    addNeedlessStarts(violations);
+    return violations;
+}
+
+void SimulatedWorkers::addNeedlessStarts(std::vector<std::string>& violations) const
+{
+    for (const RecordedRun& later : m_recordedRuns) {
+        int failures = 0;
+        for (const RecordedRun& earlier : m_recordedRuns) {
+            if (earlier.run.task != later.run.task || !earlier.isAcknowledged || earlier.end >= later.begin)
+                continue;
+            if (earlier.endKind == RunEnd::Done)
+                violations.push_back(absl::StrCat("again: ", nameOf(later.run), " after ", nameOf(earlier.run)));
+            failures += earlier.endKind == RunEnd::Failed ? 1 : 0;
         }
+        const Job* job = jobOf(later.run.task);
+        if (job != nullptr && failures >= job->terms.maxAttempts)
+            violations.push_back(absl::StrCat("beyond the limit: ", nameOf(later.run)));
     }
-    return violations;
 }
 
 void SimulatedWorkers::answerPolls(Worker& worker)
@@ -339,6 +381,20 @@
     fresh.entry.processStartMs = absl::ToUnixMillis(fresh.startedAt) + 1;
     worker = std::move(fresh);
     m_timeline.after(untilReport, [this, name] { writeEntry(m_workers.at(name)); });
+    if (workerOfOutlivedStart() == name) {
+        const WorkerCall call = *m_outlivedStart;
+        m_outlivedStart.reset();
+        executeLate(worker, call);
+    }
+}
+
+void SimulatedWorkers::restartAs(
+    const std::string& name, const Resources& capacity, const std::string& label, absl::Duration untilReport)
+{
+    Worker& worker = m_workers.at(name);
+    worker.entry.capacity = capacity;
+    worker.entry.labels.front() = WorkerLabel(label);
+    restart(name, untilReport);
 }
 
 void SimulatedWorkers::losePower(const std::string& name, absl::Duration untilReport)
--- a/tests/batch/simulated_workers_base.h
+++ b/tests/batch/simulated_workers_base.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "absl/types/optional.h"
 #include "batch/batch_store_base.h"
 #include "batch/worker/worker_type.h"
 #include "cluster/timeline_base.h"
@@ -55,10 +56,19 @@
     void restart(const std::string& name, absl::Duration untilReport = absl::ZeroDuration());
     // As above, but the process ends without a word: pending polls get no reply.
     void losePower(const std::string& name, absl::Duration untilReport);
+    // As `restart`, but the new process has this capacity and, instead of the label "a", this one.
+    void restartAs(const std::string& name, const Resources& capacity, const std::string& label,
+        absl::Duration untilReport = absl::ZeroDuration());
     // Marks the worker as draining; it is gone after the time.
     void drain(const std::string& name, absl::Duration after);
-    // Sets the share of start and stop commands that get no reply and are executed seconds later.
+    // Sets the share of commands that get no reply and are executed seconds later, by whichever process the worker has
+    // then.
     void setLateCommands(double share) { m_lateCommands = share; }
+    // The next start gets no reply. Its worker refuses all further starts, and is unhealthy, until it is restarted; its
+    // next process executes the start first of all.
+    void outliveNextStart() { m_isNextStartOutlived = true; }
+    // The worker of the start that was sent then; empty if none was sent.
+    std::string workerOfOutlivedStart() const;
     // Let the workers break their own rules: to refuse a smaller epoch, and to refuse the start of a run that was
     // stopped.
     void setObeysAnyEpoch(bool obeysAnyEpoch) { m_obeysAnyEpoch = obeysAnyEpoch; }
@@ -70,8 +80,9 @@
     int doneCount(const TaskKey& task) const;
     // The number of started runs of the job.
     int startCount(const std::string& job) const;
-    // The recorded violations: a task that runs twice at a time, a start after a completed run whose end was
-    // acknowledged then or later, and a worker over its capacity.
+    // The recorded violations: a task that runs twice at a time, a start after a completed run, or after as many failed
+    // runs as its job allows, whose ends were acknowledged then or later, a start on a worker without the required
+    // label, and a worker over its capacity.
     std::vector<std::string> violations() const;
     // The number of gang members that ended because the other members did not start in time.
     int aloneCount() const;
@@ -114,7 +125,9 @@
         std::vector<PendingPoll> polls;
     };
 
-    WorkerReply carryOut(Worker& worker, const WorkerCall& call, bool isLate);
+    WorkerReply carryOut(Worker& worker, const WorkerCall& call);
+    // Keeps the call for the worker's next process if it is the start that is to outlive the present one.
+    bool tryOutlive(const WorkerCall& call);
     void start(Worker& worker, const StartRun& start, WorkerReply& reply);
     void stop(Worker& worker, const StopRun& stop);
     void poll(Worker& worker, const PollRuns& poll, const Reply& reply);
@@ -134,6 +147,10 @@
     void endAllRuns(Worker& worker, RunEnd endKind);
     void writeEntry(const Worker& worker);
     void checkStartRules(const Worker& worker, const StartRun& start, const Resources& demand);
+    // The job of the task, by the store; null if the store has none.
+    const Job* jobOf(const TaskKey& task) const;
+    // Adds the starts that came after the end of their task was settled: it was done, or had no attempt left.
+    void addNeedlessStarts(std::vector<std::string>& violations) const;
     WorkerMillis clockOf(const Worker& worker) const;
     Resources demandOf(const RunKey& run) const;
 
@@ -144,6 +161,8 @@
     std::map<std::string, absl::Duration> m_runTimes;
     std::set<std::string> m_failing;
     double m_lateCommands = 0;
+    bool m_isNextStartOutlived = false;
+    absl::optional<WorkerCall> m_outlivedStart;
     bool m_obeysAnyEpoch = false;
     bool m_forgetsStops = false;
     std::vector<RecordedRun> m_recordedRuns;
