Fix: a start without a reply binds its task until no process can execute it

What callers saw: two runs of a task at the same time, or one after it was done (TWICE), a run after the last attempt (BUDGET), a run in room that was given to others (LIMIT). Cause: a start without a reply may be executed seconds later, and by the next process under the worker's id. The owner took a confirmed stop, or for a new owner the epoch, for proof that it would not be; either is known to one process only and forgotten in a restart. A repeated start left a second copy on its way besides. Change: a run is started by one command. Its outcome is known from a reply, from a list that shows the run, or once 14 s have passed since the call failed and a later poll does not list it. Until then the run keeps its room, its task runs nowhere else and counts no attempt; on a silent worker the late run's own lease is waited for as well. A new owner holds the placed runs that no worker lists in the same way. What has certainly not been executed (a refusal, no connection, another worker at the address) is placed again at once. Why it works: one command is executed at most once, so what was shown cannot start again, and what cannot be excluded is waited for, whatever process the worker has.

--- a/src/batch/worker/worker_session_base.cpp
+++ b/src/batch/worker/worker_session_base.cpp
@@ -102,7 +102,6 @@
         // that nobody has heard of, so it gets no work until none can arrive any more.
         if (lateAcknowledgementEnd() > now)
             m_startsPausedUntil = std::max(m_startsPausedUntil, lateAcknowledgementEnd());
-        stopUnansweredStarts();
         m_listedEnds.clear();
         m_acknowledgedEnd = 0;
         m_sentAcknowledgedEnd = 0;
@@ -116,52 +115,23 @@
         m_isRestartSuspected = false;
 }
 
-// An unanswered start may still reach the new process, which does not know that the run has ended. The run is kept and
-// stopped there.
-void WorkerSession::stopUnansweredStarts()
-{
-    for (const auto& [run, sentAt] : m_unansweredStarts) {
-        RunSlot& slot = m_runs[run];
-        slot.stage = RunSlot::Stage::Starting;
-        slot.startSentAt = sentAt;
-        slot.confirmedAt = absl::InfiniteFuture();
-        slot.isStopWanted = true;
-        slot.isStopConfirmed = false;
-    }
-}
-
 // Only runs that the old process has shown are known to have ended with it. Either process may have executed the start
 // of any other run, whose confirmation need not name the process; the next poll of the new process decides.
 std::vector<EndedRun> WorkerSession::endRunsOfEarlierProcess()
 {
     std::vector<EndedRun> ended;
     for (auto it = m_runs.begin(); it != m_runs.end();) {
-        if (it->second.processStartMs == 0 || m_unansweredStarts.contains(it->first)) {
+        RunSlot& slot = it->second;
+        if (slot.processStartMs != 0) {
+            ended.push_back({ it->first, RunEnd::LeaseLapsed, "", 0, EndEvidence::ProcessReplaced });
+            it = m_runs.erase(it);
+        } else {
             // A stop that the old process has confirmed does not bar the run at the new one.
-            it->second.isStopConfirmed = false;
-            if (it->second.stage != RunSlot::Stage::Running)
-                it->second.confirmedAt = absl::InfiniteFuture();
+            slot.isStopConfirmed = false;
+            if (slot.stage != RunSlot::Stage::Running)
+                slot.confirmedAt = absl::InfiniteFuture();
             ++it;
-            continue;
         }
-        ended.push_back({ it->first, RunEnd::LeaseLapsed, "", 0, EndEvidence::ProcessReplaced });
-        it = m_runs.erase(it);
-    }
-    return ended;
-}
-
-std::vector<EndedRun> WorkerSession::endAllRuns(EndEvidence evidence)
-{
-    std::vector<EndedRun> ended;
-    for (auto it = m_runs.begin(); it != m_runs.end();) {
-        // No start was sent for a reserved run. It is sent once the placement is durable, and the worker may refuse it
-        // then.
-        if (it->second.stage == RunSlot::Stage::Reserved) {
-            ++it;
-            continue;
-        }
-        ended.push_back({ it->first, RunEnd::LeaseLapsed, "", 0, evidence });
-        it = m_runs.erase(it);
     }
     return ended;
 }
@@ -183,7 +153,7 @@
 {
     Resources capacity = m_entry.capacity;
     for (const auto& [run, slot] : m_runs) {
-        if (!slot.isStopWanted)
+        if (!slot.isStopWanted || slot.hasUnknownOutcome())
             capacity -= slot.demand;
     }
     return capacity;
@@ -212,6 +182,7 @@
     slot.stage = RunSlot::Stage::Adopted;
     slot.demand = demand;
     slot.since = now;
+    slot.mayStartUntil = now + maxCommandDelay;
     m_runs[run] = slot;
     extendLeaseBound(now);
 }
@@ -231,8 +202,7 @@
     if (found == m_runs.end())
         return absl::nullopt;
     RunSlot& slot = found->second;
-    const bool isUnsent = slot.stage == RunSlot::Stage::Starting && slot.startSentAt == absl::InfinitePast();
-    if (slot.stage == RunSlot::Stage::Reserved || isUnsent) {
+    if (slot.isUnsent()) {
         m_runs.erase(found);
         return EndedRun { run, RunEnd::NotStarted, "", 0, EndEvidence::NeverSent };
     }
@@ -300,13 +270,34 @@
     return m_entry.isDraining && m_hasDeregistered && m_isUnreachable && !m_isPollPending;
 }
 
+// A late start is executed with a lease of its own, which late polls may have renewed.
+absl::Time WorkerSession::lapsesAt(const RunSlot& slot) const
+{
+    if (slot.stage == RunSlot::Stage::Reserved || slot.isStartPending)
+        return absl::InfiniteFuture();
+    if (!slot.hasUnknownOutcome())
+        return m_leaseBound;
+    const absl::Duration longestLease = m_settings.maxLease * (1 + clockDrift) + leaseMargin;
+    return std::max(slot.mayStartUntil + longestLease, m_leaseBound + maxCommandDelay);
+}
+
 std::vector<EndedRun> WorkerSession::takeLapsedRuns(absl::Time now)
 {
+    std::vector<EndedRun> ended;
     if (isReachable())
-        return {};
-    if (now >= m_leaseBound)
-        return endAllRuns(EndEvidence::LeaseExpired);
-    return hasLeft() ? endAllRuns(EndEvidence::WorkerLeft) : std::vector<EndedRun>();
+        return ended;
+    for (auto it = m_runs.begin(); it != m_runs.end();) {
+        const RunSlot& slot = it->second;
+        const bool isGone = hasLeft() && !slot.hasUnknownOutcome() && slot.stage != RunSlot::Stage::Reserved;
+        if (now < lapsesAt(slot) && !isGone) {
+            ++it;
+            continue;
+        }
+        const EndEvidence evidence = now < lapsesAt(slot) ? EndEvidence::WorkerLeft : EndEvidence::LeaseExpired;
+        ended.push_back({ it->first, RunEnd::LeaseLapsed, "", 0, evidence });
+        it = m_runs.erase(it);
+    }
+    return ended;
 }
 
 } // namespace mangohall::batch
--- a/src/batch/worker/worker_session_base.h
+++ b/src/batch/worker/worker_session_base.h
@@ -43,7 +43,8 @@
     Resources demand;
     // When the run was reserved, released or adopted, or when its stop was requested.
     absl::Time since;
-    // When the last start and the last stop command were sent.
+    // When the start and the last stop command were sent. A start is sent once only, so that a run that the worker has
+    // shown cannot start again.
     absl::Time startSentAt = absl::InfinitePast();
     absl::Time stopSentAt = absl::InfinitePast();
     // A start or a stop command was sent and its call has not ended.
@@ -56,17 +57,24 @@
     std::int64_t processStartMs = 0;
     // The owner wants the run stopped.
     bool isStopWanted = false;
-    // The worker has confirmed a stop command: a start that arrives later is refused.
+    // The worker's present process has confirmed a stop command: it refuses a start that arrives later.
     bool isStopConfirmed = false;
-    // A start command got no reply and may still be executed.
-    bool hasUnansweredStart = false;
-    // When the worker refused to repeat such a start for a reason that does not tell whether the run is there. The next
-    // poll tells it.
-    absl::Time repetitionRefusedAt = absl::InfiniteFuture();
+    // Until when the start may still be executed, by any process that the worker has by then; the infinite past unless
+    // the start got no reply.
+    absl::Time mayStartUntil = absl::InfinitePast();
     // Progress in percent, 0 to 100.
     std::int32_t percent = 0;
     // When the worker first reported the present percentage.
     absl::Time percentChangedAt = absl::InfiniteFuture();
+
+    // No start was sent for the run.
+    bool isUnsent() const
+    {
+        return stage == Stage::Reserved || (stage == Stage::Starting && startSentAt == absl::InfinitePast());
+    }
+    // It is not known yet whether the start is executed. Until then the run keeps its capacity, and its task may run
+    // nowhere else.
+    bool hasUnknownOutcome() const { return isStartPending || mayStartUntil != absl::InfinitePast(); }
 };
 
 // From what the owner has concluded that a run no longer uses capacity of its worker.
@@ -77,7 +85,7 @@
     AbsentFromPoll,
     // The worker has refused the start.
     StartRefused,
-    // No start was sent.
+    // No start was sent, or it did not reach the worker.
     NeverSent,
     // Another process of the worker has replaced the one that had confirmed the run.
     ProcessReplaced,
@@ -126,8 +134,6 @@
     absl::Time sentAt;
     // When the called process started, in Unix milliseconds, as far as its row or its replies had shown then.
     std::int64_t processStartMs = 0;
-    // The same start was sent before.
-    bool isRepeated = false;
 };
 
 // A call that is due. The caller of `takeDueCalls` fills in the payload and checkpoint of a start.
@@ -138,7 +144,9 @@
 
 // One worker: the runs that use its capacity, the latest time at which its lease can end, and the calls that are due. A
 // run is dropped only after the worker has shown that the run is over and cannot start any more, or after its lease
-// must have expired. Not safe to call from several threads.
+// must have expired. A start without a reply may be executed by a later process of the worker, which knows neither a
+// stop nor an epoch that an earlier process has seen, so only time shows that it cannot start any more. Not safe to
+// call from several threads.
 class WorkerSession {
 public:
     WorkerSession(WorkerEntry entry, Epoch epoch, SessionSettings settings);
@@ -161,8 +169,8 @@
     bool isListed() const { return m_isListed; }
     // The earliest time at which a draining worker may be gone; the infinite future for a worker that stays.
     absl::Time leavesAt() const { return m_leavesAt; }
-    // Whether the session may be deleted: the worker is not listed, runs nothing, no poll is pending whose reply may
-    // still list ends, and no start may still be executed by a later process.
+    // Whether the session may be deleted: the worker is not listed, has no run, no poll is pending whose reply may
+    // still list ends, and no acknowledgement may still be executed by a later process.
     bool isRemovable(absl::Time now) const;
 
     // Whether the worker has replied to a poll with this owner's epoch.
@@ -219,7 +227,12 @@
     std::vector<EndedRun> takeLapsedRuns(absl::Time now);
 
 private:
+    // A command without a reply is executed within this time after its call has failed, or never.
+    static constexpr absl::Duration maxCommandDelay = absl::Seconds(14);
+
     void handleStartReply(const SessionCall& context, const WorkerReply& reply, absl::Time now, SessionUpdate& update);
+    // Handles a start that may have been executed, or did not reach the worker.
+    void handleFailedStart(const SessionCall& context, const WorkerReply& reply, absl::Time now, SessionUpdate& update);
     void handleStopReply(const SessionCall& context, const WorkerReply& reply, absl::Time now, SessionUpdate& update);
     void handlePollReply(const SessionCall& context, const WorkerReply& reply, absl::Time now, SessionUpdate& update);
     // Records a call without a usable reply.
@@ -244,13 +257,10 @@
     // Ends the suspicion if the worker has replied to a poll that was sent after it began.
     void resolveSuspicion(const SessionCall& context);
     void applyProcessStart(std::int64_t processStartMs, absl::Time now, std::vector<EndedRun>& ended);
-    std::vector<EndedRun> endAllRuns(EndEvidence evidence);
     std::vector<EndedRun> endRunsOfEarlierProcess();
-    void stopUnansweredStarts();
+    // When the run must be over if the worker does not reply.
+    absl::Time lapsesAt(const RunSlot& slot) const;
     void barStartsWhileDraining(absl::Time now);
-    void recordUnansweredStart(const SessionCall& context, absl::Time now);
-    // Until when one of the unanswered starts may still be executed; the infinite past if there is none.
-    absl::Time unansweredStartsEnd() const;
     // When the first of the starts was sent that have no reply yet; the infinite future if there is none.
     absl::Time firstPendingStartSentAt() const;
     // Whether an end is not acknowledged yet since a start has no reply.
@@ -259,13 +269,9 @@
     std::int64_t nextAcknowledgement() const;
     // Until when the pending poll, or one that got no reply, may still acknowledge ends; the infinite past if none may.
     absl::Time lateAcknowledgementEnd() const;
-    // Until when any command without a reply may still be executed by a later process of the worker.
-    absl::Time lateCommandsEnd() const { return std::max(unansweredStartsEnd(), lateAcknowledgementEnd()); }
     void handleRunningRow(const RunningRow& row, absl::Time now);
     void handleEndedRow(const EndedRow& row, SessionUpdate& update);
     void dropUnlistedRuns(const SessionCall& context, const WorkerReply& reply, SessionUpdate& update);
-    // Stops the runs whose repeated start was refused and that the reply to this later poll did not list.
-    void stopRefusedStarts(const SessionCall& context, absl::Time now);
     bool isPollDue(absl::Time now) const;
     absl::Time nextPollAt() const;
     // Whether the session has a run that the worker may be running: any but the reserved ones.
@@ -306,8 +312,6 @@
     // Until when, on the owner's clock, the leases granted so far may keep a run going.
     absl::Time m_leaseBound = absl::InfinitePast();
 
-    // Starts that got no reply, with the times at which they were sent.
-    absl::btree_map<RunKey, absl::Time> m_unansweredStarts;
     // When the last poll was sent that acknowledged ends and got no reply.
     absl::Time m_unansweredAcknowledgementAt = absl::InfinitePast();
 
--- a/src/batch/worker/worker_session_call_cmd.cpp
+++ b/src/batch/worker/worker_session_call_cmd.cpp
@@ -58,14 +58,9 @@
 absl::Duration WorkerSession::nextPollWait() const
 {
     const bool mayWait = isProcessCertain() && m_listedEnds.empty() && hasLiveRuns();
-    // After a stop that was confirmed since the last poll there may be no end to wait for. A start that was refused
-    // since then is decided by the next poll.
-    const auto isDecidedByPoll = [this](const RunSlot& slot) {
-        const bool isStopNew = slot.isStopConfirmed && slot.confirmedAt >= m_polledAt;
-        return isStopNew || slot.repetitionRefusedAt != absl::InfiniteFuture();
-    };
-    const bool isPollAwaited
-        = std::any_of(m_runs.begin(), m_runs.end(), [&](const auto& entry) { return isDecidedByPoll(entry.second); });
+    // After a stop that was confirmed since the last poll there may be no end to wait for.
+    const bool isPollAwaited = std::any_of(m_runs.begin(), m_runs.end(),
+        [this](const auto& entry) { return entry.second.isStopConfirmed && entry.second.confirmedAt >= m_polledAt; });
     if (!mayWait || isPollAwaited)
         return absl::ZeroDuration();
     // The runs of a draining worker have to be reviewed often.
@@ -81,11 +76,9 @@
         return slot.isStopPending || slot.isStopConfirmed ? absl::InfiniteFuture()
                                                           : slot.stopSentAt + commandRetryPeriod;
     // A start renews the lease, so none is sent to a worker that does not reply: its lease has to expire.
-    const bool isDue = slot.stage == RunSlot::Stage::Starting && !slot.isStartPending
-        && slot.repetitionRefusedAt == absl::InfiniteFuture();
-    if (isDue && m_mayStart && isProcessCertain())
-        return slot.startSentAt + commandRetryPeriod;
-    return absl::InfiniteFuture();
+    const bool isDue = slot.stage == RunSlot::Stage::Starting && slot.isUnsent();
+    const bool mayStart = m_mayStart && isProcessCertain();
+    return isDue && mayStart ? absl::InfinitePast() : absl::InfiniteFuture();
 }
 
 // A draining worker is sent no start. One that it has not confirmed may still be executed, so it is barred by a stop.
@@ -109,11 +102,9 @@
         if (commandDueAt(slot) > now)
             continue;
         const auto kind = slot.isStopWanted ? SessionCall::Kind::Stop : SessionCall::Kind::Start;
-        const bool isRepeated = kind == SessionCall::Kind::Start && slot.startSentAt != absl::InfinitePast();
         (slot.isStopWanted ? slot.stopSentAt : slot.startSentAt) = now;
         (slot.isStopWanted ? slot.isStopPending : slot.isStartPending) = true;
         calls.push_back(makeRunCall(kind, run, now));
-        calls.back().context.isRepeated = isRepeated;
     }
     if (isPollDue(now))
         calls.push_back(makePoll(now));
@@ -125,11 +116,13 @@
     absl::Time due = nextPollAt();
     for (const auto& [run, slot] : m_runs)
         due = std::min(due, commandDueAt(slot));
-    if (!isReachable() && hasLiveRuns())
-        due = std::min(due, m_leaseBound);
+    for (const auto& [run, slot] : m_runs) {
+        if (!isReachable())
+            due = std::min(due, lapsesAt(slot));
+    }
     // An unlisted worker is removed then.
-    if (!m_isListed && m_runs.empty() && !m_isPollPending && lateCommandsEnd() != absl::InfinitePast())
-        due = std::min(due, lateCommandsEnd());
+    if (!m_isListed && m_runs.empty() && !m_isPollPending && lateAcknowledgementEnd() != absl::InfinitePast())
+        due = std::min(due, lateAcknowledgementEnd());
     return due;
 }
 
--- a/src/batch/worker/worker_session_reply_cmd.cpp
+++ b/src/batch/worker/worker_session_reply_cmd.cpp
@@ -11,17 +11,13 @@
 
 // How long no new work is started on a worker that refused a start.
 constexpr absl::Duration refusalPause = absl::Milliseconds(700);
-// A call without a reply is executed within this time after it was sent, or never.
-constexpr absl::Duration maxCommandDelay = absl::Seconds(14);
 // A worker lists at most this many ends at a time. A full list does not show that an unlisted run is over.
 constexpr std::size_t maxListedEnds = 500;
 
-// Whether the refusal of a start shows that the run is not running: the worker confirms a start of a run that is there,
-// unless it refuses all starts.
-bool isRunAbsent(WorkerRefusal refusal)
+// Whether the start did not reach the worker: there was no connection, or another worker was at the address.
+bool isUndelivered(const WorkerReply& reply)
 {
-    return refusal == WorkerRefusal::AlreadyEnded || refusal == WorkerRefusal::LeaseExpired
-        || refusal == WorkerRefusal::InsufficientCapacity;
+    return reply.refusal == WorkerRefusal::OtherProcess || errorKindOf(reply.status) == ErrorKind::OwnerUnreachable;
 }
 
 } // namespace
@@ -42,10 +38,8 @@
         return update;
     }
     if (!reply.status.ok() || reply.refusal == WorkerRefusal::OtherProcess || isPollRefused) {
-        if (context.kind == SessionCall::Kind::Start && !reply.status.ok()) {
-            recordUnansweredStart(context, now);
-            update.unansweredStart = context.run;
-        }
+        if (context.kind == SessionCall::Kind::Start)
+            handleFailedStart(context, reply, now, update);
         if (context.kind == SessionCall::Kind::Poll && !reply.status.ok() && m_sentAcknowledgedEnd != 0)
             m_unansweredAcknowledgementAt = context.sentAt;
         recordFailedCall(reply.status, update);
@@ -54,8 +48,12 @@
     // The reply comes from an earlier process of the worker. One that does not name its process is taken for a reply of
     // the called one.
     const std::int64_t repliedBy = reply.processStartMs != 0 ? reply.processStartMs : context.processStartMs;
-    if (repliedBy != 0 && repliedBy < m_processStartMs)
+    if (repliedBy != 0 && repliedBy < m_processStartMs) {
+        // What became of a start holds all the same.
+        if (context.kind == SessionCall::Kind::Start)
+            handleStartReply(context, reply, now, update);
         return update;
+    }
     recordAnswer(context, reply, now, update);
     switch (context.kind) {
     case SessionCall::Kind::Start:
@@ -71,26 +69,20 @@
     return update;
 }
 
-void WorkerSession::recordUnansweredStart(const SessionCall& context, absl::Time now)
+void WorkerSession::handleFailedStart(
+    const SessionCall& context, const WorkerReply& reply, absl::Time now, SessionUpdate& update)
 {
-    m_unansweredStarts[context.run] = context.sentAt;
-    for (auto it = m_unansweredStarts.begin(); it != m_unansweredStarts.end();) {
-        if (it->second + maxCommandDelay < now)
-            it = m_unansweredStarts.erase(it);
-        else
-            ++it;
+    const auto found = m_runs.find(context.run);
+    // A poll may have shown the run meanwhile.
+    if (found == m_runs.end() || found->second.stage != RunSlot::Stage::Starting)
+        return;
+    if (isUndelivered(reply)) {
+        update.ended.push_back({ context.run, RunEnd::NotStarted, "", 0, EndEvidence::NeverSent });
+        m_runs.erase(found);
+        return;
     }
-    const auto slot = m_runs.find(context.run);
-    if (slot != m_runs.end())
-        slot->second.hasUnansweredStart = true;
-}
-
-absl::Time WorkerSession::unansweredStartsEnd() const
-{
-    absl::Time end = absl::InfinitePast();
-    for (const auto& [run, sentAt] : m_unansweredStarts)
-        end = std::max(end, sentAt + maxCommandDelay);
-    return end;
+    found->second.mayStartUntil = now + maxCommandDelay;
+    update.unansweredStart = context.run;
 }
 
 absl::Time WorkerSession::lateAcknowledgementEnd() const
@@ -101,7 +93,7 @@
 
 bool WorkerSession::isRemovable(absl::Time now) const
 {
-    return !m_isListed && m_runs.empty() && !m_isPollPending && lateCommandsEnd() <= now;
+    return !m_isListed && m_runs.empty() && !m_isPollPending && lateAcknowledgementEnd() <= now;
 }
 
 void WorkerSession::recordFailedCall(const absl::Status& status, SessionUpdate& update)
@@ -149,7 +141,6 @@
     RunSlot& slot = found->second;
     if (reply.refusal == WorkerRefusal::None) {
         slot.stage = RunSlot::Stage::Running;
-        slot.hasUnansweredStart = false;
         if (reply.processStartMs != 0)
             slot.processStartMs = reply.processStartMs;
         if (!slot.isStopConfirmed)
@@ -157,16 +148,6 @@
         return;
     }
     m_startsPausedUntil = now + refusalPause;
-    if (slot.hasUnansweredStart && !slot.isStopWanted && !isRunAbsent(reply.refusal)) {
-        slot.repetitionRefusedAt = now;
-        return;
-    }
-    // An earlier start without a reply may still be executed, unless the run is barred first.
-    const bool mayStillStart = slot.hasUnansweredStart || reply.refusal == WorkerRefusal::AlreadyEnded;
-    if (mayStillStart || slot.isStopWanted) {
-        slot.isStopWanted = true;
-        return;
-    }
     update.ended.push_back({ context.run, RunEnd::NotStarted, "", 0, EndEvidence::StartRefused });
     m_runs.erase(found);
 }
@@ -193,7 +174,6 @@
         handleEndedRow(row, update);
     if (reply.ended.size() < maxListedEnds)
         dropUnlistedRuns(context, reply, update);
-    stopRefusedStarts(context, now);
     update.running = reply.running;
 }
 
@@ -217,24 +197,13 @@
         slot.percentChangedAt = now;
     slot.percent = row.percent;
     slot.processStartMs = m_processStartMs;
+    slot.mayStartUntil = absl::InfinitePast();
     if (slot.stage == RunSlot::Stage::Running)
         return;
     slot.stage = RunSlot::Stage::Running;
-    slot.hasUnansweredStart = false;
-    slot.repetitionRefusedAt = absl::InfiniteFuture();
     slot.confirmedAt = now;
 }
 
-void WorkerSession::stopRefusedStarts(const SessionCall& context, absl::Time now)
-{
-    for (auto& [run, slot] : m_runs) {
-        if (slot.repetitionRefusedAt >= context.sentAt || slot.isStopWanted)
-            continue;
-        slot.isStopWanted = true;
-        slot.since = now;
-    }
-}
-
 void WorkerSession::handleEndedRow(const EndedRow& row, SessionUpdate& update)
 {
     if (row.number <= m_acknowledgedEnd || m_listedEnds.find(row.number) != m_listedEnds.end())
@@ -244,8 +213,8 @@
     update.ended.push_back({ row.run, row.end, row.checkpoint, row.number });
 }
 
-// A run is over if its start or stop was confirmed before the poll was sent, and the reply lists it neither as running
-// nor as ended.
+// A run is over if its start was executed or refused before the poll was sent, or could not be executed any more by
+// then, and the reply lists it neither as running nor as ended.
 void WorkerSession::dropUnlistedRuns(const SessionCall& context, const WorkerReply& reply, SessionUpdate& update)
 {
     absl::btree_map<RunKey, bool> listed;
@@ -253,16 +222,15 @@
         listed[row.run] = true;
     for (auto it = m_runs.begin(); it != m_runs.end();) {
         const RunSlot& slot = it->second;
-        // The worker has seen this owner's epoch by now, so it refuses a start from an earlier owner.
-        const bool isAdopted = slot.stage == RunSlot::Stage::Adopted;
-        const bool isConfirmed = slot.confirmedAt < context.sentAt;
-        if (listed.contains(it->first) || !(isAdopted || isConfirmed)) {
+        const bool isDecided = !slot.isStartPending
+            && (slot.hasUnknownOutcome() ? slot.mayStartUntil <= context.sentAt : slot.confirmedAt < context.sentAt);
+        if (listed.contains(it->first) || !isDecided) {
             ++it;
             continue;
         }
-        const RunEnd end = isAdopted ? RunEnd::NotStarted
-            : slot.isStopConfirmed   ? RunEnd::Stopped
-                                     : RunEnd::LeaseLapsed;
+        const RunEnd end = slot.hasUnknownOutcome() ? RunEnd::NotStarted
+            : slot.isStopConfirmed                  ? RunEnd::Stopped
+                                                    : RunEnd::LeaseLapsed;
         update.ended.push_back({ it->first, end, "", 0, EndEvidence::AbsentFromPoll });
         it = m_runs.erase(it);
     }
--- a/tests/batch/simulated_workers_base.h
+++ b/tests/batch/simulated_workers_base.h
@@ -56,7 +56,7 @@
     void restart(const std::string& name, absl::Duration untilReport = absl::ZeroDuration());
     // As above, but the process ends without a word: pending polls get no reply.
     void losePower(const std::string& name, absl::Duration untilReport);
-    // As `restart`, but the new process has this capacity and, instead of the label "a", this one.
+    // As `losePower`, but the new process has this capacity and, instead of the label "a", this one.
     void restartAs(const std::string& name, const Resources& capacity, const std::string& label,
         absl::Duration untilReport = absl::ZeroDuration());
     // Marks the worker as draining; it is gone after the time.
@@ -73,6 +73,10 @@
     // stopped.
     void setObeysAnyEpoch(bool obeysAnyEpoch) { m_obeysAnyEpoch = obeysAnyEpoch; }
     void setForgetsStops(bool forgetsStops) { m_forgetsStops = forgetsStops; }
+    // Let the workers break the platform's rules: to execute a command later than it may be, and to execute a start
+    // that they have replied to once more, seconds later.
+    void setLongestDelay(absl::Duration delay) { m_longestDelay = delay; }
+    void setRepeatsStarts(bool repeatsStarts) { m_repeatsStarts = repeatsStarts; }
 
     // All runs so far, in order of their starts.
     const std::vector<RecordedRun>& recordedRuns() const { return m_recordedRuns; }
@@ -131,7 +135,8 @@
     void start(Worker& worker, const StartRun& start, WorkerReply& reply);
     void stop(Worker& worker, const StopRun& stop);
     void poll(Worker& worker, const PollRuns& poll, const Reply& reply);
-    // Executes a command that got no reply.
+    // Executes a command seconds later, unless its worker cannot be reached then.
+    void delay(const WorkerCall& call);
     void executeLate(Worker& worker, const WorkerCall& call);
     // Forgets the ends that the poll acknowledges.
     void acknowledge(Worker& worker, const PollRuns& poll);
@@ -165,6 +170,8 @@
     absl::optional<WorkerCall> m_outlivedStart;
     bool m_obeysAnyEpoch = false;
     bool m_forgetsStops = false;
+    absl::Duration m_longestDelay = absl::Seconds(12);
+    bool m_repeatsStarts = false;
     std::vector<RecordedRun> m_recordedRuns;
     std::vector<std::string> m_violations;
     int m_pollCount = 0;
--- /dev/null
+++ b/tests/batch/worker_session_start_test.cpp
@@ -0,0 +1,209 @@
+// Starts whose outcome is unknown, which any later process of the worker may still execute.
+#include "batch/worker_session_fixture_base.h"
+
+namespace mangohall::batch {
+namespace {
+
+constexpr std::int64_t nextProcessStartMs = processStartMs + 1;
+
+// A list of the worker's next process.
+WorkerReply listOfNextProcess()
+{
+    WorkerReply reply = answerOf(50);
+    reply.processStartMs = nextProcessStartMs;
+    return reply;
+}
+
+// Guards against a second run of a task: the worker's next process may execute a start without a reply, although the
+// earlier one has confirmed a stop and lists no such run.
+TEST_F(WorkerSessionTest, KeepsARunWhoseStartGotNoReplyUntilNoProcessCanExecuteIt)
+{
+    settle();
+    const absl::Time until = leaveStartWithoutReply();
+    EXPECT_TRUE(answerPoll(answerOf(5100)).ended.empty());
+    m_session.stop(runOf(0), m_now);
+    EXPECT_EQ(m_session.handleReply(due(SessionCall::Kind::Stop).context, answerOf(5200), m_now).barredStart, runOf(0));
+    m_now += absl::Milliseconds(1);
+    EXPECT_TRUE(answerPoll(answerOf(5300)).ended.empty());
+    EXPECT_TRUE(answerPoll(listOfNextProcess()).ended.empty());
+    // The new process has not confirmed a stop.
+    m_now += absl::Milliseconds(250);
+    EXPECT_TRUE(isDue(SessionCall::Kind::Stop));
+    m_now = until - absl::Milliseconds(1);
+    // A poll that was sent before decides nothing.
+    EXPECT_TRUE(answerPoll(listOfNextProcess()).ended.empty());
+    const SessionUpdate update = answerPoll(listOfNextProcess());
+    ASSERT_EQ(update.ended.size(), 1U);
+    EXPECT_EQ(update.ended.front().end, RunEnd::NotStarted);
+    EXPECT_EQ(update.ended.front().evidence, EndEvidence::AbsentFromPoll);
+}
+
+// Guards against a second run of a task: a repeated start leaves the first one on its way, which the worker's next
+// process may execute after the run has ended.
+TEST_F(WorkerSessionTest, SendsAStartOnce)
+{
+    settle();
+    const absl::Time until = leaveStartWithoutReply();
+    while (m_now < until) {
+        answerPoll(answerOf(5000 + absl::ToInt64Milliseconds(m_now - start)));
+        EXPECT_FALSE(isDue(SessionCall::Kind::Start));
+        m_now += absl::Milliseconds(250);
+    }
+}
+
+// Guards against running work that is given up: the response to its start was lost, and a poll lists the run.
+TEST_F(WorkerSessionTest, GoesOnWithARunThatShowsAfterItsStartGotNoReply)
+{
+    settle();
+    leaveStartWithoutReply();
+    EXPECT_TRUE(answerPoll(answerOf(5100)).ended.empty());
+    WorkerReply list = answerOf(5200);
+    list.running = { { runOf(0), "", 10 } };
+    EXPECT_TRUE(answerPoll(list).ended.empty());
+    EXPECT_EQ(m_session.runs().at(runOf(0)).stage, RunSlot::Stage::Running);
+    EXPECT_FALSE(m_session.runs().at(runOf(0)).hasUnknownOutcome());
+    m_now += absl::Seconds(1);
+    EXPECT_FALSE(isDue(SessionCall::Kind::Stop));
+    EXPECT_FALSE(isDue(SessionCall::Kind::Start));
+}
+
+// The next process executes the start before anything else reaches it.
+TEST_F(WorkerSessionTest, GoesOnWithARunThatTheNextProcessHasStarted)
+{
+    settle();
+    leaveStartWithoutReply();
+    WorkerReply list = listOfNextProcess();
+    list.running = { { runOf(0), "", 1 } };
+    EXPECT_TRUE(answerPoll(list).ended.empty());
+    EXPECT_EQ(m_session.runs().at(runOf(0)).stage, RunSlot::Stage::Running);
+    EXPECT_EQ(m_session.runs().at(runOf(0)).processStartMs, nextProcessStartMs);
+}
+
+// Usual work does not wait: a run that was shown cannot start again, so it ends with the process that has shown it.
+TEST_F(WorkerSessionTest, EndsARunThatWasShownWithItsProcess)
+{
+    settle();
+    leaveStartWithoutReply();
+    WorkerReply list = answerOf(5200);
+    list.running = { { runOf(0), "", 10 } };
+    answerPoll(list);
+    const SessionUpdate update = answerPoll(listOfNextProcess());
+    ASSERT_EQ(update.ended.size(), 1U);
+    EXPECT_EQ(update.ended.front().evidence, EndEvidence::ProcessReplaced);
+}
+
+// Guards against a worker over its capacity: the room of a run that may still start is not given to another.
+TEST_F(WorkerSessionTest, KeepsTheRoomOfARunThatMayStillStart)
+{
+    settle();
+    leaveStartWithoutReply();
+    m_session.stop(runOf(0), m_now);
+    EXPECT_EQ(m_session.freeCapacity().accelerators, 4);
+    EXPECT_EQ(m_session.freeCapacityAfterStops().accelerators, 4);
+    answerPoll(listOfNextProcess());
+    EXPECT_EQ(m_session.freeCapacity().accelerators, 4);
+}
+
+// Guards against a second run of a task after a change of owner: the earlier owner's start may still be on its way, and
+// the worker's next process has seen no epoch.
+TEST_F(WorkerSessionTest, KeepsAnAdoptedRunUntilNoProcessCanExecuteItsStart)
+{
+    m_session.adopt(runOf(0), { 100, 100, 4 }, m_now);
+    const absl::Time until = m_now + absl::Seconds(14);
+    EXPECT_TRUE(answerPoll(answerOf(5000)).ended.empty());
+    m_now = until - absl::Milliseconds(1);
+    EXPECT_TRUE(answerPoll(answerOf(19000)).ended.empty());
+    EXPECT_EQ(answerPoll(answerOf(19001)).ended.size(), 1U);
+}
+
+// Usual work does not wait: what has shown that the start was not executed ends the run at once.
+TEST_F(WorkerSessionTest, EndsARunAtOnceWhoseStartWasNotExecuted)
+{
+    settle();
+    WorkerReply refusal = answerOf(5100);
+    refusal.refusal = WorkerRefusal::Unhealthy;
+    WorkerReply misdirected = answerOf(5100);
+    misdirected.refusal = WorkerRefusal::OtherProcess;
+    for (const WorkerReply& reply : { refusal, misdirected, noAnswer(ErrorKind::OwnerUnreachable) }) {
+        const SessionUpdate update = m_session.handleReply(startRun(runOf(0)), reply, m_now);
+        ASSERT_EQ(update.ended.size(), 1U);
+        EXPECT_EQ(update.ended.front().end, RunEnd::NotStarted);
+        EXPECT_TRUE(m_session.runs().empty());
+        m_now += absl::Seconds(1);
+        answerPoll(answerOf(6000));
+        m_now += absl::Seconds(1);
+    }
+}
+
+// The outcome of a start holds whichever process has replied, although the reply comes after another process is known.
+TEST_F(WorkerSessionTest, TakesTheOutcomeOfAStartFromALateReplyOfAnEarlierProcess)
+{
+    settle();
+    const SessionCall call = startRun(runOf(0));
+    answerPoll(listOfNextProcess());
+    WorkerReply refusal;
+    refusal.clock = 5200;
+    refusal.refusal = WorkerRefusal::InsufficientCapacity;
+    ASSERT_EQ(m_session.handleReply(call, refusal, m_now).ended.size(), 1U);
+    EXPECT_TRUE(m_session.runs().empty());
+}
+
+// Guards against a second run of a task: a silent worker's lease is over, but its start may still be executed and be
+// granted a lease of its own.
+TEST_F(WorkerSessionTest, KeepsARunThatMayStillStartBeyondTheLeaseOfASilentWorker)
+{
+    constexpr absl::Duration longestLease = absl::Seconds(10);
+    settle();
+    m_session.handleReply(startRun(runOf(1)), answerOf(5100), m_now);
+    const absl::Time until = leaveStartWithoutReply();
+    m_session.handleReply(due(SessionCall::Kind::Poll).context, noAnswer(), m_now);
+    m_session.markUnlisted();
+    m_now = start + absl::Seconds(11);
+    const std::vector<EndedRun> lapsed = m_session.takeLapsedRuns(m_now);
+    ASSERT_EQ(lapsed.size(), 1U);
+    EXPECT_EQ(lapsed.front().run, runOf(1));
+    EXPECT_FALSE(m_session.isRemovable(m_now));
+    m_now = until + longestLease;
+    EXPECT_TRUE(m_session.takeLapsedRuns(m_now).empty());
+    const DueCall pending = due(SessionCall::Kind::Poll);
+    EXPECT_GT(m_session.nextDue(), m_now);
+    m_now = m_session.nextDue();
+    EXPECT_LE(m_now, until + longestLease + absl::Seconds(1));
+    EXPECT_EQ(m_session.takeLapsedRuns(m_now).size(), 1U);
+    m_session.handleReply(pending.context, noAnswer(), m_now);
+    EXPECT_TRUE(m_session.isRemovable(m_now));
+}
+
+// A drained worker that is gone may come back under its name, and execute the start then.
+TEST_F(WorkerSessionTest, KeepsARunThatMayStillStartWhenADrainedWorkerIsGone)
+{
+    drainWithARun();
+    m_session.adopt(runOf(1), { 100, 100, 4 }, m_now);
+    m_session.handleReply(due(SessionCall::Kind::Poll).context, noAnswer(ErrorKind::OwnerUnreachable), m_now);
+    const std::vector<EndedRun> ended = m_session.takeLapsedRuns(m_now);
+    ASSERT_EQ(ended.size(), 1U);
+    EXPECT_EQ(ended.front().run, runOf(0));
+    EXPECT_TRUE(m_session.runs().contains(runOf(1)));
+}
+
+// Guards against a task that begins on a worker long after it was known to drain.
+TEST_F(WorkerSessionTest, BarsAStartWithoutAReplyOnADrainingWorker)
+{
+    settle();
+    const SessionCall call = startRun(runOf(0));
+    WorkerEntry draining = makeWorkerEntry("w");
+    draining.isDraining = true;
+    m_session.update(draining, m_now, m_now);
+    m_now += absl::Milliseconds(800);
+    m_session.handleReply(call, noAnswer(), m_now);
+    const absl::Time until = m_now + absl::Seconds(14);
+    EXPECT_EQ(m_session.handleReply(due(SessionCall::Kind::Stop).context, answerOf(7000), m_now).barredStart, runOf(0));
+    m_now = until - absl::Milliseconds(2);
+    EXPECT_TRUE(answerPoll(answerOf(19000)).ended.empty());
+    m_now = until;
+    EXPECT_EQ(answerPoll(answerOf(19001)).ended.size(), 1U);
+    EXPECT_FALSE(isDue(SessionCall::Kind::Start));
+}
+
+} // namespace
+} // namespace mangohall::batch
