Fix: no acknowledgement and start are without a reply at the same time

Cause: the worker's next process executes a late start, ends the run as its end 1, and then executes a late acknowledgement of ends of the earlier process: it forgets an end that nobody has heard of. Earlier only a pending start held back an acknowledgement, not one whose outcome is unknown, and nothing held back a start. Change: an end is not acknowledged while the outcome of a start on the worker is unknown; a poll that acknowledges is not held open, starts wait for its reply, and after one without a reply the worker gets no work until it lists those ends no more or 14 s have passed; the acknowledgement is not repeated before. Tests: three in worker_session_start_test.cpp; RepeatsAnAcknowledgementOnlyAfterAReply repeated while the first could still be executed, its stricter successor is RepeatsAnAcknowledgementOnlyOnceTheFirstCannotBeExecuted.

--- a/src/batch/worker/worker_session_base.cpp
+++ b/src/batch/worker/worker_session_base.cpp
@@ -106,6 +106,7 @@
         m_acknowledgedEnd = 0;
         m_sentAcknowledgedEnd = 0;
         m_confirmedAcknowledgement = 0;
+        m_lateAcknowledgement = 0;
         m_hasAnswered = false;
         m_workerClock = 0;
         m_clockReadAt = absl::InfinitePast();
@@ -138,7 +139,8 @@
 
 bool WorkerSession::acceptsWork(absl::Time now) const
 {
-    return m_isListed && isProcessCertain() && !m_entry.isDraining && now >= m_startsPausedUntil;
+    const absl::Time from = std::max(m_startsPausedUntil, m_lateAcknowledgementUntil);
+    return m_isListed && isProcessCertain() && !m_entry.isDraining && now >= from;
 }
 
 Resources WorkerSession::freeCapacity() const
--- a/src/batch/worker/worker_session_base.h
+++ b/src/batch/worker/worker_session_base.h
@@ -263,8 +263,15 @@
     void barStartsWhileDraining(absl::Time now);
     // When the first of the starts was sent that have no reply yet; the infinite future if there is none.
     absl::Time firstPendingStartSentAt() const;
-    // Whether an end is not acknowledged yet since a start has no reply.
+    // Whether an end is not acknowledged yet since the outcome of a start, or of an earlier acknowledgement, is
+    // unknown.
     bool isAcknowledgementHeldBack() const;
+    // Whether the pending poll acknowledges ends. No start is sent beside it.
+    bool isAcknowledgementPending() const { return m_isPollPending && m_sentAcknowledgedEnd != 0; }
+    // Records that an acknowledgement got no reply.
+    void recordLateAcknowledgement(absl::Time now);
+    // Ends the wait for a late acknowledgement if the worker lists none of the ends any more that it acknowledges.
+    void reviewLateAcknowledgement(const WorkerReply& reply);
     // The end that the next poll acknowledges; 0 if none is to be acknowledged, or not yet.
     std::int64_t nextAcknowledgement() const;
     // Until when the pending poll, or one that got no reply, may still acknowledge ends; the infinite past if none may.
@@ -312,8 +319,11 @@
     // Until when, on the owner's clock, the leases granted so far may keep a run going.
     absl::Time m_leaseBound = absl::InfinitePast();
 
-    // When the last poll was sent that acknowledged ends and got no reply.
-    absl::Time m_unansweredAcknowledgementAt = absl::InfinitePast();
+    // Until when an acknowledgement that got no reply may still be executed, by any process that the worker has by
+    // then; the infinite past if there is none.
+    absl::Time m_lateAcknowledgementUntil = absl::InfinitePast();
+    // The last end that it acknowledges; 0 if it was sent to an earlier process.
+    std::int64_t m_lateAcknowledgement = 0;
 
     absl::Duration m_pollWait;
     bool m_mayStart = true;
--- a/src/batch/worker/worker_session_call_cmd.cpp
+++ b/src/batch/worker/worker_session_call_cmd.cpp
@@ -19,6 +19,8 @@
 // How long a poll that could acknowledge ends waits for the replies to starts, and the pause between such polls: each
 // lists the same ends, so the worker does not hold it open.
 constexpr absl::Duration startReplyTimeout = absl::Milliseconds(100);
+// Interval between polls while an end is not acknowledged since the outcome of a start is unknown, for the same reason.
+constexpr absl::Duration heldAcknowledgementPollPeriod = absl::Milliseconds(250);
 // How long the last acknowledgement of an idle worker waits for another reason to poll.
 constexpr absl::Duration idleAcknowledgementDelay = absl::Milliseconds(700);
 
@@ -42,9 +44,13 @@
         return m_isListed || hasLiveRuns() ? m_polledAt : absl::InfiniteFuture();
     if (!m_listedEnds.empty())
         return m_polledAt + (m_entry.isDraining && hasLiveRuns() ? drainingPollPeriod : durableEndTimeout);
-    if (hasLiveRuns())
-        return isAcknowledgementHeldBack() ? std::max(m_polledAt, firstPendingStartSentAt()) + startReplyTimeout
-                                           : m_polledAt;
+    if (hasLiveRuns() && !isAcknowledgementHeldBack())
+        return m_polledAt;
+    if (hasLiveRuns()) {
+        const absl::Time pendingSince = firstPendingStartSentAt();
+        return pendingSince == absl::InfiniteFuture() ? m_polledAt + heldAcknowledgementPollPeriod
+                                                      : std::max(m_polledAt, pendingSince) + startReplyTimeout;
+    }
     if (m_acknowledgedEnd > m_confirmedAcknowledgement)
         return m_polledAt + idleAcknowledgementDelay;
     return absl::InfiniteFuture();
@@ -57,7 +63,8 @@
 
 absl::Duration WorkerSession::nextPollWait() const
 {
-    const bool mayWait = isProcessCertain() && m_listedEnds.empty() && hasLiveRuns();
+    // Starts wait for the reply to an acknowledgement.
+    const bool mayWait = isProcessCertain() && m_listedEnds.empty() && hasLiveRuns() && nextAcknowledgement() == 0;
     // After a stop that was confirmed since the last poll there may be no end to wait for.
     const bool isPollAwaited = std::any_of(m_runs.begin(), m_runs.end(),
         [this](const auto& entry) { return entry.second.isStopConfirmed && entry.second.confirmedAt >= m_polledAt; });
@@ -77,7 +84,7 @@
                                                           : slot.stopSentAt + commandRetryPeriod;
     // A start renews the lease, so none is sent to a worker that does not reply: its lease has to expire.
     const bool isDue = slot.stage == RunSlot::Stage::Starting && slot.isUnsent();
-    const bool mayStart = m_mayStart && isProcessCertain();
+    const bool mayStart = m_mayStart && isProcessCertain() && !isAcknowledgementPending();
     return isDue && mayStart ? absl::InfinitePast() : absl::InfiniteFuture();
 }
 
@@ -97,6 +104,8 @@
 std::vector<DueCall> WorkerSession::takeDueCalls(absl::Time now)
 {
     barStartsWhileDraining(now);
+    if (m_lateAcknowledgementUntil <= now)
+        m_lateAcknowledgementUntil = absl::InfinitePast();
     std::vector<DueCall> calls;
     for (auto& [run, slot] : m_runs) {
         if (commandDueAt(slot) > now)
@@ -168,12 +177,15 @@
 
 bool WorkerSession::isAcknowledgementHeldBack() const
 {
-    return m_acknowledgedEnd > m_confirmedAcknowledgement && firstPendingStartSentAt() != absl::InfiniteFuture();
+    const bool isStartUnknown
+        = std::any_of(m_runs.begin(), m_runs.end(), [](const auto& entry) { return entry.second.hasUnknownOutcome(); });
+    const bool isHeldBack = isStartUnknown || m_lateAcknowledgementUntil != absl::InfinitePast();
+    return isHeldBack && m_acknowledgedEnd > m_confirmedAcknowledgement;
 }
 
 // Another process counts its ends anew: it would forget ends that nobody has heard of for the acknowledgement of ends
-// of the present one. So an end is acknowledged until a reply confirms it, and only to a process that has replied,
-// lastly to the starts that were sent to it.
+// of the present one. So an acknowledgement and a start are never both without a reply: either waits until it is known
+// what became of the other.
 std::int64_t WorkerSession::nextAcknowledgement() const
 {
     const bool mayAcknowledge = isProcessCertain() && !isAcknowledgementHeldBack();
--- a/src/batch/worker/worker_session_reply_cmd.cpp
+++ b/src/batch/worker/worker_session_reply_cmd.cpp
@@ -40,8 +40,8 @@
     if (!reply.status.ok() || reply.refusal == WorkerRefusal::OtherProcess || isPollRefused) {
         if (context.kind == SessionCall::Kind::Start)
             handleFailedStart(context, reply, now, update);
-        if (context.kind == SessionCall::Kind::Poll && !reply.status.ok() && m_sentAcknowledgedEnd != 0)
-            m_unansweredAcknowledgementAt = context.sentAt;
+        if (context.kind == SessionCall::Kind::Poll && !reply.status.ok() && !isUndelivered(reply))
+            recordLateAcknowledgement(now);
         recordFailedCall(reply.status, update);
         return update;
     }
@@ -87,8 +87,28 @@
 
 absl::Time WorkerSession::lateAcknowledgementEnd() const
 {
-    const bool isPending = m_isPollPending && m_sentAcknowledgedEnd != 0;
-    return std::max(m_unansweredAcknowledgementAt, isPending ? m_polledAt : absl::InfinitePast()) + maxCommandDelay;
+    const absl::Time pendingSince = isAcknowledgementPending() ? m_polledAt : absl::InfinitePast();
+    return std::max(m_lateAcknowledgementUntil, pendingSince + maxCommandDelay);
+}
+
+void WorkerSession::recordLateAcknowledgement(absl::Time now)
+{
+    if (m_sentAcknowledgedEnd == 0)
+        return;
+    m_lateAcknowledgementUntil = now + maxCommandDelay;
+    m_lateAcknowledgement = m_sentAcknowledgedEnd;
+}
+
+// The ends were not acknowledged otherwise: no acknowledgement is sent while one without a reply may be executed.
+void WorkerSession::reviewLateAcknowledgement(const WorkerReply& reply)
+{
+    const bool isExecuted = std::none_of(reply.ended.begin(), reply.ended.end(),
+        [this](const EndedRow& row) { return row.number <= m_lateAcknowledgement; });
+    if (m_lateAcknowledgement == 0 || !isExecuted)
+        return;
+    m_confirmedAcknowledgement = std::max(m_confirmedAcknowledgement, m_lateAcknowledgement);
+    m_lateAcknowledgement = 0;
+    m_lateAcknowledgementUntil = absl::InfinitePast();
 }
 
 bool WorkerSession::isRemovable(absl::Time now) const
@@ -168,6 +188,7 @@
     const SessionCall& context, const WorkerReply& reply, absl::Time now, SessionUpdate& update)
 {
     m_confirmedAcknowledgement = std::max(m_confirmedAcknowledgement, m_sentAcknowledgedEnd);
+    reviewLateAcknowledgement(reply);
     for (const RunningRow& row : reply.running)
         handleRunningRow(row, now);
     for (const EndedRow& row : reply.ended)
--- a/tests/batch/worker_session_process_test.cpp
+++ b/tests/batch/worker_session_process_test.cpp
@@ -77,6 +77,7 @@
     WorkerReply reply = answerOf(50);
     reply.processStartMs = processStartMs + 1;
     m_session.handleReply(due(SessionCall::Kind::Poll).context, reply, m_now);
+    nameLaterStart();
     EXPECT_FALSE(m_session.acceptsWork(sentAt + longestDelay - absl::Milliseconds(1)));
     EXPECT_TRUE(m_session.acceptsWork(sentAt + longestDelay));
 }
@@ -153,28 +154,35 @@
 // Guards against a task that is started again after it was done: a new process that the owner does not know of yet
 // counts its ends anew, and forgot an end that nobody had heard of for the repeated acknowledgement of one of the
 // earlier process.
-TEST_F(WorkerSessionTest, RepeatsAnAcknowledgementOnlyAfterAReply)
+TEST_F(WorkerSessionTest, RepeatsAnAcknowledgementOnlyOnceTheFirstCannotBeExecuted)
 {
+    constexpr absl::Duration longestDelay = absl::Seconds(14);
     settle();
     endARunDurably();
     const DueCall lost = due(SessionCall::Kind::Poll);
     EXPECT_EQ(std::get<PollRuns>(lost.call.command).acknowledgedEnd, 1);
     m_session.handleReply(lost.context, noAnswer(), m_now);
+    const absl::Time lostAt = m_now;
     for (int tries = 0; tries < 3; ++tries) {
         m_now += absl::Seconds(1);
         const DueCall asking = due(SessionCall::Kind::Poll);
         EXPECT_EQ(std::get<PollRuns>(asking.call.command).acknowledgedEnd, 0);
         m_session.handleReply(asking.context, noAnswer(), m_now);
     }
-    m_now += absl::Seconds(1);
-    // The worker lists the end again, which is durable already.
+    // The worker lists the end again, which is durable already: the first acknowledgement may still be executed.
     WorkerReply reply = answerOf(9200);
     reply.ended = { { 1, runOf(0), RunEnd::Done, "" } };
-    EXPECT_TRUE(m_session.handleReply(due(SessionCall::Kind::Poll).context, reply, m_now).ended.empty());
+    while (m_now < lostAt + longestDelay - absl::Seconds(1)) {
+        m_now += absl::Seconds(1);
+        const DueCall asking = due(SessionCall::Kind::Poll);
+        EXPECT_EQ(std::get<PollRuns>(asking.call.command).acknowledgedEnd, 0);
+        reply.clock = 5000 + absl::ToInt64Milliseconds(m_now - start);
+        EXPECT_TRUE(m_session.handleReply(asking.context, reply, m_now).ended.empty());
+    }
     m_now += absl::Seconds(1);
     const DueCall repeated = due(SessionCall::Kind::Poll);
     EXPECT_EQ(std::get<PollRuns>(repeated.call.command).acknowledgedEnd, 1);
-    m_session.handleReply(repeated.context, answerOf(10200), m_now);
+    m_session.handleReply(repeated.context, answerOf(reply.clock + 1000), m_now);
     startRun(runOf(1));
     EXPECT_EQ(std::get<PollRuns>(due(SessionCall::Kind::Poll).call.command).acknowledgedEnd, 0);
 }
--- a/tests/batch/worker_session_start_test.cpp
+++ b/tests/batch/worker_session_start_test.cpp
@@ -205,5 +205,57 @@
     EXPECT_FALSE(isDue(SessionCall::Kind::Start));
 }
 
+// Guards against a task that is started again after it was done: the worker's next process executes the start, ends the
+// run, and forgets the end for a late acknowledgement of an end of the earlier process.
+TEST_F(WorkerSessionTest, AcknowledgesNothingWhileTheOutcomeOfAStartIsUnknown)
+{
+    settle();
+    endARunDurably();
+    const absl::Time until = leaveStartWithoutReply(runOf(1));
+    WorkerReply list = answerOf(6300);
+    list.ended = { { 1, runOf(0), RunEnd::Done, "" } };
+    while (m_now < until) {
+        const DueCall poll = due(SessionCall::Kind::Poll);
+        EXPECT_EQ(std::get<PollRuns>(poll.call.command).acknowledgedEnd, 0);
+        m_session.handleReply(poll.context, list, m_now);
+        m_now += absl::Milliseconds(250);
+    }
+    EXPECT_EQ(answerPoll(list).ended.size(), 1U);
+    m_now += absl::Seconds(1);
+    EXPECT_EQ(std::get<PollRuns>(due(SessionCall::Kind::Poll).call.command).acknowledgedEnd, 1);
+}
+
+// The same in the other order: the acknowledgement goes first.
+TEST_F(WorkerSessionTest, StartsNothingWhileAnAcknowledgementMayStillBeExecuted)
+{
+    settle();
+    endARunDurably();
+    const DueCall acknowledging = due(SessionCall::Kind::Poll);
+    EXPECT_EQ(std::get<PollRuns>(acknowledging.call.command).acknowledgedEnd, 1);
+    EXPECT_EQ(std::get<PollRuns>(acknowledging.call.command).wait, absl::ZeroDuration());
+    m_session.reserve(runOf(1), { 100, 100, 4 }, m_now);
+    m_session.release(runOf(1), m_now);
+    EXPECT_FALSE(isDue(SessionCall::Kind::Start));
+    m_session.handleReply(acknowledging.context, noAnswer(), m_now);
+    const absl::Time until = m_now + absl::Seconds(14);
+    WorkerReply list = answerOf(6300);
+    list.ended = { { 1, runOf(0), RunEnd::Done, "" } };
+    m_now += absl::Seconds(1);
+    answerPoll(list);
+    EXPECT_FALSE(m_session.acceptsWork(until - absl::Milliseconds(1)));
+    EXPECT_TRUE(m_session.acceptsWork(until));
+}
+
+// The worker lists the end no more, so the acknowledgement was executed.
+TEST_F(WorkerSessionTest, TakesWorkAgainOnceALateAcknowledgementWasExecuted)
+{
+    settle();
+    endARunDurably();
+    m_session.handleReply(due(SessionCall::Kind::Poll).context, noAnswer(), m_now);
+    m_now += absl::Seconds(1);
+    answerPoll(answerOf(7300));
+    EXPECT_TRUE(m_session.acceptsWork(m_now));
+}
+
 } // namespace
 } // namespace mangohall::batch
