Fix: work is placed by the entry of the process that replies

Cause: a worker's reply had named its next process; the session took work again at once, by the room and labels of the entry of the earlier process. Runs that had been placed by that entry and not sent went to the new process as well. Change: a session keeps the last entry of the process that replies; room, labels, rack and service are taken from it, and without one the worker gets no work. Placements that were not sent are dropped when the process is replaced, and when a call fails, so that they are placed elsewhere at once.

--- a/src/batch/owner/owner_run_cmd.cpp
+++ b/src/batch/owner/owner_run_cmd.cpp
@@ -183,7 +183,8 @@
 {
     WorkerSession* session = m_workers.find(placed.worker);
     const JobEntry* entry = m_jobs.find(placed.run.task.job);
-    if (session == nullptr || entry == nullptr)
+    // The run is gone if the worker's process was replaced meanwhile.
+    if (session == nullptr || entry == nullptr || !session->runs().contains(placed.run))
         return;
     if (!entry->progress.isCurrentRun(placed.run.task.task, placed.run.attempt, placed.worker))
         stopRun(placed.run, placed.worker, StopReason::Superseded, now);
--- a/src/batch/worker/worker_session_base.cpp
+++ b/src/batch/worker/worker_session_base.cpp
@@ -32,6 +32,7 @@
 void WorkerSession::update(const WorkerEntry& entry, absl::Time reportedAfter, absl::Time now)
 {
     m_entry = entry;
+    takeProcessEntry();
     suspectRestart(entry.processStartMs);
     m_isListed = true;
     m_hasDeregistered = false;
@@ -40,6 +41,12 @@
     m_leavesAt = entry.isDraining ? std::min(m_leavesAt, now + entry.remaining) : absl::InfiniteFuture();
 }
 
+void WorkerSession::takeProcessEntry()
+{
+    if (m_entry.processStartMs == m_processStartMs)
+        m_processEntry = m_entry;
+}
+
 // An unreadable row may come from another writer, so it does not show that the worker has left.
 void WorkerSession::markUnlisted()
 {
@@ -112,15 +119,31 @@
         m_clockReadAt = absl::InfinitePast();
     }
     m_processStartMs = processStartMs;
+    m_processEntry.reset();
+    takeProcessEntry();
     if (processStartMs >= m_suspectedStartMs)
         m_isRestartSuspected = false;
 }
 
+void WorkerSession::endUnsentRuns(std::vector<EndedRun>& ended)
+{
+    for (auto it = m_runs.begin(); it != m_runs.end();) {
+        if (!it->second.isUnsent()) {
+            ++it;
+            continue;
+        }
+        ended.push_back({ it->first, RunEnd::NotStarted, "", 0, EndEvidence::NeverSent });
+        it = m_runs.erase(it);
+    }
+}
+
 // Only runs that the old process has shown are known to have ended with it. Either process may have executed the start
-// of any other run, whose confirmation need not name the process; the next poll of the new process decides.
+// of any other run, whose confirmation need not name the process; the next poll of the new process decides. What was
+// placed by the row of the old process and not sent yet may not fit the new one.
 std::vector<EndedRun> WorkerSession::endRunsOfEarlierProcess()
 {
     std::vector<EndedRun> ended;
+    endUnsentRuns(ended);
     for (auto it = m_runs.begin(); it != m_runs.end();) {
         RunSlot& slot = it->second;
         if (slot.processStartMs != 0) {
@@ -140,12 +163,12 @@
 bool WorkerSession::acceptsWork(absl::Time now) const
 {
     const absl::Time from = std::max(m_startsPausedUntil, m_lateAcknowledgementUntil);
-    return m_isListed && isProcessCertain() && !m_entry.isDraining && now >= from;
+    return m_isListed && isProcessCertain() && m_processEntry && !m_entry.isDraining && now >= from;
 }
 
 Resources WorkerSession::freeCapacity() const
 {
-    Resources capacity = m_entry.capacity;
+    Resources capacity = entry().capacity;
     for (const auto& [run, slot] : m_runs)
         capacity -= slot.demand;
     return capacity;
@@ -153,7 +176,7 @@
 
 Resources WorkerSession::freeCapacityAfterStops() const
 {
-    Resources capacity = m_entry.capacity;
+    Resources capacity = entry().capacity;
     for (const auto& [run, slot] : m_runs) {
         if (!slot.isStopWanted || slot.hasUnknownOutcome())
             capacity -= slot.demand;
--- a/src/batch/worker/worker_session_base.h
+++ b/src/batch/worker/worker_session_base.h
@@ -151,7 +151,8 @@
 public:
     WorkerSession(WorkerEntry entry, Epoch epoch, SessionSettings settings);
 
-    const WorkerEntry& entry() const { return m_entry; }
+    // The last row of the worker's present process; before there is one, the last row of any process.
+    const WorkerEntry& entry() const { return m_processEntry ? *m_processEntry : m_entry; }
     // When the worker's process started, in Unix milliseconds, by its own replies; 0 if none has named it.
     std::int64_t processStartMs() const { return m_processStartMs; }
     WorkerHealth& health() { return m_health; }
@@ -175,8 +176,8 @@
 
     // Whether the worker has replied to a poll with this owner's epoch.
     bool hasAnswered() const { return m_hasAnswered; }
-    // Whether new runs may be started on the worker: it is listed, has replied, is not draining, has refused no start
-    // just before, and executes no acknowledgement that was sent to an earlier process.
+    // Whether new runs may be started on the worker: it is listed by a row of the process that has replied, is not
+    // draining, has refused no start just before, and executes no acknowledgement that was sent to an earlier process.
     bool acceptsWork(absl::Time now) const;
 
     // The capacity that no run uses.
@@ -257,7 +258,11 @@
     // Ends the suspicion if the worker has replied to a poll that was sent after it began.
     void resolveSuspicion(const SessionCall& context);
     void applyProcessStart(std::int64_t processStartMs, absl::Time now, std::vector<EndedRun>& ended);
+    // Makes the last row the row of the worker's process if it is one.
+    void takeProcessEntry();
     std::vector<EndedRun> endRunsOfEarlierProcess();
+    // Drops the runs whose start was not sent.
+    void endUnsentRuns(std::vector<EndedRun>& ended);
     // When the run must be over if the worker does not reply.
     absl::Time lapsesAt(const RunSlot& slot) const;
     void barStartsWhileDraining(absl::Time now);
@@ -294,7 +299,10 @@
     // When the next start or stop command of the run is due.
     absl::Time commandDueAt(const RunSlot& slot) const;
 
+    // The last row of the worker, which may be that of an earlier process or of another writer.
     WorkerEntry m_entry;
+    // The last row that names the process which replies; none if none was read.
+    absl::optional<WorkerEntry> m_processEntry;
     // The latest start that a reply of the worker has named; 0 if there was none.
     std::int64_t m_processStartMs = 0;
     // The last start that a row has named and that was later than that of the replies.
--- a/src/batch/worker/worker_session_call_cmd.cpp
+++ b/src/batch/worker/worker_session_call_cmd.cpp
@@ -84,7 +84,7 @@
                                                           : slot.stopSentAt + commandRetryPeriod;
     // A start renews the lease, so none is sent to a worker that does not reply: its lease has to expire.
     const bool isDue = slot.stage == RunSlot::Stage::Starting && slot.isUnsent();
-    const bool mayStart = m_mayStart && isProcessCertain() && !isAcknowledgementPending();
+    const bool mayStart = m_mayStart && isProcessCertain() && m_processEntry && !isAcknowledgementPending();
     return isDue && mayStart ? absl::InfinitePast() : absl::InfiniteFuture();
 }
 
--- a/src/batch/worker/worker_session_reply_cmd.cpp
+++ b/src/batch/worker/worker_session_reply_cmd.cpp
@@ -122,6 +122,8 @@
     m_isUnreachable = kind == ErrorKind::OwnerUnreachable || kind == ErrorKind::PeerGone;
     update.isLost = m_failedCalls == 0;
     ++m_failedCalls;
+    // The worker takes no work until it has replied to a poll; what was not sent need not wait for that.
+    endUnsentRuns(update.ended);
 }
 
 void WorkerSession::recordAnswer(
@@ -205,7 +207,7 @@
         // This owner did not start the run. It uses capacity until it is stopped: the whole worker, until `setDemand`
         // sets its actual resources.
         RunSlot slot;
-        slot.demand = m_entry.capacity;
+        slot.demand = entry().capacity;
         slot.stage = RunSlot::Stage::Running;
         slot.since = now;
         slot.confirmedAt = now;
--- a/tests/batch/worker_session_start_test.cpp
+++ b/tests/batch/worker_session_start_test.cpp
@@ -205,6 +205,40 @@
     EXPECT_FALSE(isDue(SessionCall::Kind::Start));
 }
 
+// Guards against a start on a worker that has other room or labels than its row says: the row is of an earlier process.
+TEST_F(WorkerSessionTest, TakesNoWorkBeforeARowOfItsProcessWasRead)
+{
+    settle();
+    m_session.handleReply(startRun(runOf(1)), answerOf(5100), m_now);
+    m_session.reserve(runOf(0), { 100, 100, 4 }, m_now);
+    const SessionUpdate update = answerPoll(listOfNextProcess());
+    ASSERT_EQ(update.ended.size(), 2U);
+    EXPECT_EQ(update.ended.front().run, runOf(0));
+    EXPECT_EQ(update.ended.front().evidence, EndEvidence::NeverSent);
+    EXPECT_FALSE(m_session.acceptsWork(m_now));
+    WorkerEntry smaller = makeWorkerEntry("w");
+    smaller.processStartMs = nextProcessStartMs;
+    smaller.capacity = { 1000, 1000, 4 };
+    m_session.update(smaller, m_now, m_now);
+    EXPECT_TRUE(m_session.acceptsWork(m_now));
+    EXPECT_EQ(m_session.freeCapacity().accelerators, 4);
+    // A row of the earlier process comes late.
+    m_session.update(makeWorkerEntry("w"), m_now, m_now);
+    EXPECT_EQ(m_session.freeCapacity().accelerators, 4);
+}
+
+// What was placed and not sent need not wait until a silent worker replies again.
+TEST_F(WorkerSessionTest, DropsAnUnsentRunWhenACallFails)
+{
+    settle();
+    m_session.setMayStart(false);
+    m_session.reserve(runOf(0), { 100, 100, 4 }, m_now);
+    m_session.release(runOf(0), m_now);
+    const SessionUpdate update = m_session.handleReply(due(SessionCall::Kind::Poll).context, noAnswer(), m_now);
+    ASSERT_EQ(update.ended.size(), 1U);
+    EXPECT_EQ(update.ended.front().evidence, EndEvidence::NeverSent);
+}
+
 // Guards against a task that is started again after it was done: the worker's next process executes the start, ends the
 // run, and forgets the end for a late acknowledgement of an end of the earlier process.
 TEST_F(WorkerSessionTest, AcknowledgesNothingWhileTheOutcomeOfAStartIsUnknown)
@@ -236,7 +270,7 @@
     m_session.reserve(runOf(1), { 100, 100, 4 }, m_now);
     m_session.release(runOf(1), m_now);
     EXPECT_FALSE(isDue(SessionCall::Kind::Start));
-    m_session.handleReply(acknowledging.context, noAnswer(), m_now);
+    EXPECT_EQ(m_session.handleReply(acknowledging.context, noAnswer(), m_now).ended.size(), 1U);
     const absl::Time until = m_now + absl::Seconds(14);
     WorkerReply list = answerOf(6300);
     list.ended = { { 1, runOf(0), RunEnd::Done, "" } };
