Fix: a start that was never sent is placed again at once

What callers would see: since the outcome of a failed start is waited for, a task waits 14 s for one that never left the node: it timed out while it waited for a connection or while that was made, or its deadline had passed. Change: the HTTP client says of a failed request whether it was certainly not sent (isNotSent); the session drops such a run at once. Tests: CurlHttpClientTest.TellsWhetherAFailedRequestWasSent and a case of EndsARunAtOnceWhoseStartWasNotExecuted; neither compiles on the code before.

--- a/src/adapters/http/curl_transfer_base.cpp
+++ b/src/adapters/http/curl_transfer_base.cpp
@@ -55,7 +55,7 @@
 void CurlTransfer::finish(const absl::Status& status)
 {
     if (!status.ok()) {
-        m_onResponse(status);
+        m_onResponse(m_mayHaveBeenSent ? status : markNotSent(status));
         return;
     }
     long code = 0;
--- a/src/adapters/http/http_client_port.h
+++ b/src/adapters/http/http_client_port.h
@@ -50,9 +50,9 @@
 
     // Sends a request and returns without waiting. `done` is called exactly once, on the client's own thread. The
     // request is sent at most once, unless it is a GET. A status other than OK means that no complete response arrived;
-    // the request may or may not have taken effect. The error kind OwnerUnreachable means that no connection was
-    // established, so the request has not taken effect. PeerGone means that there was a connection before and that a
-    // new one is refused.
+    // the request may or may not have taken effect, unless `isNotSent` is true of the status. The error kind
+    // OwnerUnreachable means that no connection was established, so the request has not taken effect either. PeerGone
+    // means that there was a connection before and that a new one is refused.
     virtual void send(const HttpRequest& request, Done done) = 0;
 
     // Like `send`, but passes the response body to `piece` part by part. The response given to `done` has an empty
--- a/src/batch/worker/worker_session_reply_cmd.cpp
+++ b/src/batch/worker/worker_session_reply_cmd.cpp
@@ -14,10 +14,11 @@
 // A worker lists at most this many ends at a time. A full list does not show that an unlisted run is over.
 constexpr std::size_t maxListedEnds = 500;
 
-// Whether the start did not reach the worker: there was no connection, or another worker was at the address.
+// Whether the command did not reach the worker: it was not sent, nobody listened, or another worker was at the address.
 bool isUndelivered(const WorkerReply& reply)
 {
-    return reply.refusal == WorkerRefusal::OtherProcess || errorKindOf(reply.status) == ErrorKind::OwnerUnreachable;
+    return reply.refusal == WorkerRefusal::OtherProcess || isNotSent(reply.status)
+        || errorKindOf(reply.status) == ErrorKind::OwnerUnreachable;
 }
 
 } // namespace
--- a/src/core/error_func.cpp
+++ b/src/core/error_func.cpp
@@ -8,6 +8,8 @@
 
 // The type URL under which a status carries the name of its kind.
 constexpr absl::string_view kindPayloadUrl = "mangohall/error-kind";
+// The type URL of an empty payload; a status that has it ends a request that was not sent.
+constexpr absl::string_view notSentPayloadUrl = "mangohall/not-sent";
 
 } // namespace
 
@@ -56,6 +58,17 @@
     return status;
 }
 
+absl::Status markNotSent(absl::Status status)
+{
+    status.SetPayload(notSentPayloadUrl, absl::Cord());
+    return status;
+}
+
+bool isNotSent(const absl::Status& status)
+{
+    return status.GetPayload(notSentPayloadUrl).has_value();
+}
+
 ErrorKind errorKindOf(const absl::Status& status)
 {
     if (status.ok())
--- a/src/core/error_func.h
+++ b/src/core/error_func.h
@@ -24,6 +24,10 @@
 // Creates a status of this kind. The kind None gives an OK status without the message.
 absl::Status makeError(ErrorKind kind, absl::string_view message);
 
+// Adds to the status, which is not OK, that the request which it ends was not sent, so that it has no effect.
+absl::Status markNotSent(absl::Status status);
+bool isNotSent(const absl::Status& status);
+
 // The kind of a status. A status that was not created by makeError has the kind Internal, unless it is OK.
 ErrorKind errorKindOf(const absl::Status& status);
 
--- a/tests/adapters/http/curl_http_client_test.cpp
+++ b/tests/adapters/http/curl_http_client_test.cpp
@@ -293,6 +293,27 @@
     EXPECT_EQ(first.wait()->body, "late");
 }
 
+// Guards against work that waits for the outcome of a request that never left.
+TEST_F(CurlHttpClientTest, TellsWhetherAFailedRequestWasSent)
+{
+    CurlHttpClientOptions options;
+    options.connectionsPerHost = 1;
+    CurlHttpClient client(m_clock, options);
+    HttpRequest request = makeRequest("/echo", "");
+    request.sendUntil = m_clock.now();
+    EXPECT_TRUE(isNotSent(call(client, request).status()));
+    ResponseWaiter first;
+    client.send(makeRequest("/hold", ""), first.done());
+    const std::shared_ptr<Exchange> held = m_handler.take();
+    request = makeRequest("/hold", "");
+    request.timeout = shortTimeout;
+    EXPECT_TRUE(isNotSent(call(client, request).status()));
+    held->answer(textResponse(""));
+    EXPECT_TRUE(first.wait().ok());
+    EXPECT_FALSE(isNotSent(call(client, request).status()));
+    m_handler.take();
+}
+
 TEST_F(CurlHttpClientTest, LeavesAllIdleConnectionsAfterATimeout)
 {
     CurlHttpClient client(m_clock, {});
--- a/tests/batch/worker_session_start_test.cpp
+++ b/tests/batch/worker_session_start_test.cpp
@@ -124,7 +124,9 @@
     refusal.refusal = WorkerRefusal::Unhealthy;
     WorkerReply misdirected = answerOf(5100);
     misdirected.refusal = WorkerRefusal::OtherProcess;
-    for (const WorkerReply& reply : { refusal, misdirected, noAnswer(ErrorKind::OwnerUnreachable) }) {
+    WorkerReply unsent = noAnswer();
+    unsent.status = markNotSent(unsent.status);
+    for (const WorkerReply& reply : { refusal, misdirected, unsent, noAnswer(ErrorKind::OwnerUnreachable) }) {
         const SessionUpdate update = m_session.handleReply(startRun(runOf(0)), reply, m_now);
         ASSERT_EQ(update.ended.size(), 1U);
         EXPECT_EQ(update.ended.front().end, RunEnd::NotStarted);
