Fix: the next owner need not wait for a run that a worker has shown

What callers would see: after a change of owner a task whose worker's process was replaced, or whose worker is gone, waits 14 or 24 s, since the next owner cannot tell a run that had started from one whose start may still come. Change: the progress record says which attempt a worker has shown last (a reply to the start, or a list). The next owner treats such a run as before: the first list without it, or the end of its lease, ends it. A record without the field, of an earlier version, is waited for. A record with it is unreadable to earlier versions; one that takes over in a rolling update would refuse it, as with the field before it. A malformed record of eight fields has nine now, and two more are tried.

--- a/src/adapters/json/batch_record_json_func.cpp
+++ b/src/adapters/json/batch_record_json_func.cpp
@@ -147,23 +147,25 @@
 }
 
 // A task that was never placed, which is the most frequent case, is encoded as the number 0, the shortest text. Any
-// other task is encoded as a list of its fields. The last one is left out if it is 0, as it is in records of earlier
-// versions.
+// other task is encoded as a list of its fields. The last ones are left out if they are 0, as they are in records of
+// earlier versions.
 json toJson(const TaskProgress& task)
 {
     if (task == TaskProgress())
         return 0;
     json fields = json::array({ static_cast<int>(task.phase), task.attempt, task.failures, task.checkpoint,
         task.worker.str(), task.workerProcessStartMs });
-    if (task.lastFailedAttempt != 0)
+    if (task.lastFailedAttempt != 0 || task.lastStartedAttempt != 0)
         fields.push_back(task.lastFailedAttempt);
+    if (task.lastStartedAttempt != 0)
+        fields.push_back(task.lastStartedAttempt);
     return fields;
 }
 
 absl::Status malformedTask()
 {
     return makeError(
-        ErrorKind::MalformedBody, "the progress of a task is not a list of six or seven fields of the expected types");
+        ErrorKind::MalformedBody, "the progress of a task is not a list of six to eight fields of the expected types");
 }
 
 absl::Status taskFromJson(const json& source, TaskProgress& task)
@@ -171,19 +173,23 @@
     if (source.is_number())
         return absl::OkStatus();
     constexpr std::size_t minFieldCount = 6;
-    constexpr std::size_t maxFieldCount = 7;
+    constexpr std::size_t maxFieldCount = 8;
+    constexpr std::size_t failedPosition = 6;
+    constexpr std::size_t startedPosition = 7;
     const bool hasExpectedTypes = source.is_array() && source.size() >= minFieldCount && source.size() <= maxFieldCount
         && source[3].is_string() && source[4].is_string();
     if (!hasExpectedTypes)
         return malformedTask();
-    const bool hasLastFailedAttempt = source.size() == maxFieldCount;
+    const auto optionalAttempt = [&source](std::size_t position) {
+        return position < source.size() ? integerInRange(source[position], 0, maxInt32) : 0;
+    };
     const absl::optional<std::int64_t> phase = integerInRange(source[0], 0, maxInt32);
     const absl::optional<std::int64_t> attempt = integerInRange(source[1], 0, maxInt32);
     const absl::optional<std::int64_t> failures = integerInRange(source[2], 0, maxInt32);
     const absl::optional<std::int64_t> processStart = integerInRange(source[5], 0, maxInt64);
-    const absl::optional<std::int64_t> lastFailedAttempt
-        = hasLastFailedAttempt ? integerInRange(source[6], 0, maxInt32) : 0;
-    if (!phase || !attempt || !failures || !processStart || !lastFailedAttempt)
+    const absl::optional<std::int64_t> lastFailedAttempt = optionalAttempt(failedPosition);
+    const absl::optional<std::int64_t> lastStartedAttempt = optionalAttempt(startedPosition);
+    if (!phase || !attempt || !failures || !processStart || !lastFailedAttempt || !lastStartedAttempt)
         return malformedTask();
     if (*phase > static_cast<int>(TaskProgress::Phase::Done))
         return makeError(ErrorKind::MalformedBody, "the phase of a task is unknown");
@@ -194,6 +200,7 @@
     task.worker = WorkerName(source[4].get<std::string>());
     task.workerProcessStartMs = *processStart;
     task.lastFailedAttempt = static_cast<std::int32_t>(*lastFailedAttempt);
+    task.lastStartedAttempt = static_cast<std::int32_t>(*lastStartedAttempt);
     return absl::OkStatus();
 }
 
--- a/src/batch/job/job_progress_base.cpp
+++ b/src/batch/job/job_progress_base.cpp
@@ -25,6 +25,20 @@
         [](const TaskProgress& task) { return task.phase == TaskProgress::Phase::Placed; });
 }
 
+bool hasStartedTask(const OccurrenceProgress& occurrence)
+{
+    return std::any_of(occurrence.steps.begin(), occurrence.steps.end(), [](const StepProgress& step) {
+        return std::any_of(step.tasks.begin(), step.tasks.end(),
+            [](const TaskProgress& task) { return task.lastStartedAttempt != 0; });
+    });
+}
+
+// Whether only a run that has started ends so.
+bool showsStart(RunEnd end)
+{
+    return end == RunEnd::Done || end == RunEnd::Failed || end == RunEnd::GangBroken || end == RunEnd::GangIncomplete;
+}
+
 } // namespace
 
 JobProgress::JobProgress(Job job)
@@ -37,6 +51,7 @@
     if (!matchesSpec(m_job.spec, record))
         return false;
     m_record = std::move(record);
+    m_hasBegun = std::any_of(m_record.occurrences.begin(), m_record.occurrences.end(), hasStartedTask);
     return true;
 }
 
@@ -209,12 +224,30 @@
         m_record.phase = JobPhase::Active;
 }
 
+bool JobProgress::recordStarted(const TaskRef& task, std::int32_t attempt)
+{
+    TaskProgress* found = findTask(task);
+    if (found == nullptr || attempt <= found->lastStartedAttempt)
+        return false;
+    found->lastStartedAttempt = attempt;
+    m_hasBegun = true;
+    return true;
+}
+
+bool JobProgress::isLastAttemptStarted(const TaskRef& task) const
+{
+    const TaskProgress* found = find(task);
+    return found != nullptr && found->lastStartedAttempt == found->attempt;
+}
+
 bool JobProgress::recordEnd(
     const TaskRef& task, std::int32_t attempt, RunEnd end, absl::string_view checkpoint, absl::Time now)
 {
     TaskProgress* found = findTask(task);
     if (found == nullptr || found->phase == TaskProgress::Phase::Done)
         return false;
+    if (showsStart(end))
+        recordStarted(task, attempt);
     const bool isLongRunning = stepSpec(task.step).isLongRunning;
     if (end == RunEnd::Done && !isLongRunning) {
         finishTask(task);
--- a/src/batch/job/job_progress_base.h
+++ b/src/batch/job/job_progress_base.h
@@ -63,6 +63,13 @@
     // milliseconds. A pending job becomes active.
     void place(const TaskRef& task, std::int32_t attempt, const WorkerName& worker, std::int64_t workerProcessStartMs);
 
+    // Records that a worker has shown this attempt of the task as started. Returns whether that was not known before.
+    bool recordStarted(const TaskRef& task, std::int32_t attempt);
+    // Whether a worker has shown the last attempt of the task as started.
+    bool isLastAttemptStarted(const TaskRef& task) const;
+    // Whether a task of the job has started, as far as a worker has shown it.
+    bool hasBegun() const { return m_hasBegun; }
+
     // Records the end of a run. `Done` completes the task, whichever attempt it is, unless the step is long-running.
     // Any other end returns the task to the waiting tasks, but only if this attempt is the one that is placed. Ends of
     // tasks that are done are ignored. The job fails when the task or gang has used up its attempts. Returns whether
@@ -117,6 +124,8 @@
 
     const Job m_job;
     ProgressRecord m_record;
+    // Follows from the record.
+    bool m_hasBegun = false;
 };
 
 } // namespace mangohall::batch
--- a/src/batch/owner/job_registry_base.cpp
+++ b/src/batch/owner/job_registry_base.cpp
@@ -11,6 +11,7 @@
     m_unmatchedProgress.clear();
     m_cancelled.clear();
     m_dirty.clear();
+    m_dirtyLater.clear();
     m_due.clear();
 }
 
@@ -66,19 +67,40 @@
     m_dirty.push_back(entry.progress.job().id);
 }
 
-std::vector<JobId> JobRegistry::takeDirty(std::size_t count)
+void JobRegistry::markDirtyLater(JobEntry& entry)
+{
+    if (entry.isDirty || entry.isDirtyLater)
+        return;
+    entry.isDirtyLater = true;
+    m_dirtyLater.push_back(entry.progress.job().id);
+}
+
+std::vector<JobId> JobRegistry::takeDirty(std::size_t count, bool takesLater)
 {
     const std::size_t taken = std::min(count, m_dirty.size());
     std::vector<JobId> jobs(m_dirty.begin(), m_dirty.begin() + static_cast<std::ptrdiff_t>(taken));
     m_dirty.erase(m_dirty.begin(), m_dirty.begin() + static_cast<std::ptrdiff_t>(taken));
-    for (const JobId& job : jobs) {
-        JobEntry& entry = *find(job);
-        entry.isDirty = false;
-        entry.isWriting = true;
+    for (const JobId& job : jobs)
+        markWriting(*find(job));
+    while (takesLater && jobs.size() < count && !m_dirtyLater.empty()) {
+        const JobId job = m_dirtyLater.front();
+        m_dirtyLater.pop_front();
+        JobEntry* entry = find(job);
+        if (entry == nullptr || !entry->isDirtyLater || entry->isDirty)
+            continue;
+        markWriting(*entry);
+        jobs.push_back(job);
     }
     return jobs;
 }
 
+void JobRegistry::markWriting(JobEntry& entry)
+{
+    entry.isDirty = false;
+    entry.isDirtyLater = false;
+    entry.isWriting = true;
+}
+
 QueueCounts JobRegistry::countWaiting() const
 {
     QueueCounts counts;
--- a/src/batch/owner/job_registry_base.h
+++ b/src/batch/owner/job_registry_base.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <string>
 #include <utility>
 #include <vector>
@@ -49,6 +50,8 @@
     Revision revision = 0;
     // The progress has changed since the last write began.
     bool isDirty = false;
+    // The progress has changed in what need not be written soon.
+    bool isDirtyLater = false;
     // A write of the progress is pending.
     bool isWriting = false;
     PendingWork pending;
@@ -80,12 +83,14 @@
 
     // Queues the job's progress for the next write.
     void markDirty(JobEntry& entry);
+    // Queues the job's progress for a write that other writes go before.
+    void markDirtyLater(JobEntry& entry);
     // Returns up to `count` jobs whose progress has to be written, longest waiting first, and marks them as being
-    // written.
-    std::vector<JobId> takeDirty(std::size_t count);
+    // written. With `takesLater`, those whose progress need not be written soon come last.
+    std::vector<JobId> takeDirty(std::size_t count, bool takesLater);
     bool hasDirty() const { return !m_dirty.empty(); }
 
-    // The number of jobs without scheduled times that have started no task, by queue.
+    // The number of unfinished jobs without scheduled times of which no task has started, by queue.
     QueueCounts countWaiting() const;
     // Opens the occurrences that are due by the time. Returns whether one was opened.
     bool openDueOccurrences(absl::Time now);
@@ -101,6 +106,7 @@
         Revision revision = 0;
     };
 
+    static void markWriting(JobEntry& entry);
     void updateDueTime(const JobEntry& entry);
 
     absl::btree_map<JobId, JobEntry> m_entries;
@@ -112,6 +118,8 @@
     absl::flat_hash_map<std::string, bool> m_cancelled;
     // Jobs whose progress has to be written, longest waiting first.
     std::vector<JobId> m_dirty;
+    // Jobs whose progress need not be written soon, among them some that were written meanwhile.
+    std::deque<JobId> m_dirtyLater;
 };
 
 } // namespace mangohall::batch
--- a/src/batch/owner/owner_load_cmd.cpp
+++ b/src/batch/owner/owner_load_cmd.cpp
@@ -101,7 +101,8 @@
         const TaskProgress& placed = *entry.progress.find(task);
         const RunKey run { { entry.progress.job().id, task }, placed.attempt };
         WorkerSession& session = m_workers.findOrAdd(placed.worker, placed.workerProcessStartMs);
-        session.adopt(run, countedDemand(entry.progress.stepSpec(task.step)), now);
+        session.adopt(
+            run, countedDemand(entry.progress.stepSpec(task.step)), entry.progress.isLastAttemptStarted(task), now);
     }
     if (entry.progress.isFinal())
         stopRunsOf(entry, now);
--- a/src/batch/owner/owner_part_base.h
+++ b/src/batch/owner/owner_part_base.h
@@ -68,6 +68,7 @@
     void applyWorkerUpdate(const WorkerUpdate& update, absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void handleRunEnd(const EndedRun& ended, const WorkerUpdate& update, absl::Time now)
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    void recordStarted(const RunKey& run) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void handleRunningRow(const RunningRow& row, const WorkerName& worker, absl::Time now)
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void recordHealth(const EndedRun& ended, const WorkerName& worker, absl::Time now)
--- a/src/batch/owner/owner_run_cmd.cpp
+++ b/src/batch/owner/owner_run_cmd.cpp
@@ -82,6 +82,8 @@
         logWorker(update);
     if (update.session.isFound)
         m_isAllocationDue = true;
+    if (update.session.confirmedStart)
+        recordStarted(*update.session.confirmedStart);
     for (const EndedRun& ended : update.session.ended)
         handleRunEnd(ended, update, now);
     for (const RunningRow& row : update.session.running)
@@ -146,11 +148,20 @@
     stopRunsOf(*entry, now);
 }
 
+// The next owner need not wait for the start of a run that has shown.
+void OwnerPart::recordStarted(const RunKey& run)
+{
+    JobEntry* entry = m_jobs.find(run.task.job);
+    if (entry != nullptr && entry->progress.recordStarted(run.task.task, run.attempt))
+        m_jobs.markDirtyLater(*entry);
+}
+
 void OwnerPart::handleRunningRow(const RunningRow& row, const WorkerName& worker, absl::Time now)
 {
     JobEntry* entry = m_jobs.find(row.run.task.job);
     const TaskRef& task = row.run.task.task;
     if (entry != nullptr && entry->progress.isCurrentRun(task, row.run.attempt, worker)) {
+        recordStarted(row.run);
         entry->progress.recordCheckpoint(task, row.run.attempt, row.checkpoint);
         return;
     }
--- a/src/batch/owner/progress_writer_base.cpp
+++ b/src/batch/owner/progress_writer_base.cpp
@@ -45,7 +45,7 @@
     m_ownership = ownership;
     CommitRecords commit;
     commit.expected.push_back(ownership);
-    addJobs(commit);
+    addJobs(commit, now);
     addCounts(commit, now);
     if (commit.writes.empty())
         addRemovals(commit, now);
@@ -54,9 +54,11 @@
     m_call = outbox.toStore(std::move(commit), commitTimeout);
 }
 
-void ProgressWriter::addJobs(CommitRecords& commit)
+void ProgressWriter::addJobs(CommitRecords& commit, absl::Time now)
 {
-    for (const JobId& job : m_jobs.takeDirty(jobsPerCommit)) {
+    // What need not be written soon waits for a commit that is made anyway, or for the next check of the counts.
+    const bool takesLater = m_jobs.hasDirty() || now >= m_countsCheckedAt + countsPeriod;
+    for (const JobId& job : m_jobs.takeDirty(jobsPerCommit, takesLater)) {
         JobEntry& entry = *m_jobs.find(job);
         const RecordKey key { Collection::Progress, job.str() };
         commit.expected.push_back({ key, entry.revision });
--- a/src/batch/owner/progress_writer_base.h
+++ b/src/batch/owner/progress_writer_base.h
@@ -53,7 +53,7 @@
         PendingWork work;
     };
 
-    void addJobs(CommitRecords& commit);
+    void addJobs(CommitRecords& commit, absl::Time now);
     void addCounts(CommitRecords& commit, absl::Time now);
     void addRemovals(CommitRecords& commit, absl::Time now);
     WriteUpdate handleSuccess(Revision revision);
--- a/src/batch/worker/worker_session_base.cpp
+++ b/src/batch/worker/worker_session_base.cpp
@@ -152,8 +152,6 @@
         } else {
             // A stop that the old process has confirmed does not bar the run at the new one.
             slot.isStopConfirmed = false;
-            if (slot.stage != RunSlot::Stage::Running)
-                slot.confirmedAt = absl::InfiniteFuture();
             ++it;
         }
     }
@@ -201,13 +199,16 @@
     found->second.since = now;
 }
 
-void WorkerSession::adopt(const RunKey& run, const Resources& demand, absl::Time now)
+void WorkerSession::adopt(const RunKey& run, const Resources& demand, bool isStarted, absl::Time now)
 {
     RunSlot slot;
     slot.stage = RunSlot::Stage::Adopted;
     slot.demand = demand;
     slot.since = now;
-    slot.mayStartUntil = now + maxCommandDelay;
+    if (isStarted)
+        slot.confirmedAt = absl::InfinitePast();
+    else
+        slot.mayStartUntil = now + maxCommandDelay;
     m_runs[run] = slot;
     extendLeaseBound(now);
 }
--- a/src/batch/worker/worker_session_base.h
+++ b/src/batch/worker/worker_session_base.h
@@ -110,6 +110,8 @@
     std::vector<EndedRun> ended;
     // The runs that the worker lists as running; filled in by the reply to a poll only.
     std::vector<RunningRow> running;
+    // A run whose start the worker has confirmed.
+    absl::optional<RunKey> confirmedStart;
     // A run whose start got no reply, so that it may still be executed.
     absl::optional<RunKey> unansweredStart;
     // A run that the worker has barred by a stop before its start was confirmed.
@@ -189,9 +191,9 @@
     void reserve(const RunKey& run, const Resources& demand, absl::Time now);
     // Marks the placement of a reserved run as durable, so that its start is sent with the next due calls.
     void release(const RunKey& run, absl::Time now);
-    // Reserves capacity for a run that an earlier owner may have started. Whether it runs is known once the worker has
-    // replied to a poll with this owner's epoch.
-    void adopt(const RunKey& run, const Resources& demand, absl::Time now);
+    // Reserves capacity for a run that an earlier owner has placed. If it is known to have started, a reply to a poll
+    // with this owner's epoch decides whether it still runs; otherwise its start may still be executed for a while.
+    void adopt(const RunKey& run, const Resources& demand, bool isStarted, absl::Time now);
     // Requests the stop of a run. A run whose start was never sent is dropped at once and returned.
     absl::optional<EndedRun> stop(const RunKey& run, absl::Time now);
     bool isStopWanted(const RunKey& run) const;
--- a/src/batch/worker/worker_session_reply_cmd.cpp
+++ b/src/batch/worker/worker_session_reply_cmd.cpp
@@ -163,6 +163,7 @@
         return;
     RunSlot& slot = found->second;
     if (reply.refusal == WorkerRefusal::None) {
+        update.confirmedStart = context.run;
         slot.stage = RunSlot::Stage::Running;
         if (reply.processStartMs != 0)
             slot.processStartMs = reply.processStartMs;
--- a/tests/batch/batch_late_start_test.cpp
+++ b/tests/batch/batch_late_start_test.cpp
@@ -89,6 +89,25 @@
 INSTANTIATE_TEST_SUITE_P(
     Crashes, StartThatOutlivesItsProcess, testing::Combine(testing::Values(1, 3, 7, 11), testing::Bool()));
 
+// Usual work does not wait: a task that was known to run is started again as soon as the next owner learns that its
+// worker's process was replaced.
+TEST(ChangeOfOwner, StartsWhatEndedWithItsProcessAgainAtOnce)
+{
+    BatchCluster cluster;
+    cluster.workers().setRunTime("long", absl::Seconds(8));
+    cluster.submit(0, path, tasksOf("long", 1, 8, absl::Seconds(8)));
+    cluster.runFor(absl::Seconds(2));
+    ASSERT_EQ(cluster.workers().startCount(id), 1);
+    for (int node = 0; node < 3; ++node)
+        cluster.kill(node);
+    cluster.workers().restart(cluster.workers().recordedRuns().front().worker);
+    for (int node = 0; node < 3; ++node)
+        cluster.start(node);
+    cluster.runFor(absl::Seconds(5));
+    EXPECT_EQ(cluster.workers().startCount(id), 2);
+    EXPECT_TRUE(cluster.workers().violations().empty());
+}
+
 // Guards against LIMIT and ROUTE: the reply of a worker had named a new process, and a task was started there by the
 // entry of the earlier one, which had more room and another label.
 TEST(NewProcess, GetsNoWorkByTheEntryOfAnEarlierOne)
--- a/tests/batch/job_registry_test.cpp
+++ b/tests/batch/job_registry_test.cpp
@@ -26,6 +26,23 @@
     return record;
 }
 
+// What need not be written soon goes with other writes, once, and after them.
+TEST(JobRegistry, ReturnsJobsThatNeedNotBeWrittenSoonLast)
+{
+    JobRegistry jobs;
+    for (const char* id : { "a", "b", "c" })
+        jobs.add(jobOf(id));
+    jobs.markDirtyLater(*jobs.find(JobId("a")));
+    jobs.markDirtyLater(*jobs.find(JobId("b")));
+    EXPECT_FALSE(jobs.hasDirty());
+    EXPECT_TRUE(jobs.takeDirty(9, false).empty());
+    jobs.markDirty(*jobs.find(JobId("c")));
+    jobs.markDirty(*jobs.find(JobId("b")));
+    EXPECT_EQ(jobs.takeDirty(2, true), (std::vector<JobId> { JobId("c"), JobId("b") }));
+    EXPECT_EQ(jobs.takeDirty(9, true), std::vector<JobId> { JobId("a") });
+    EXPECT_TRUE(jobs.takeDirty(9, true).empty());
+}
+
 // Jobs and their progress are read by two calls, whose replies may come in either order.
 TEST(JobRegistry, AppliesProgressThatIsReadAfterItsJob)
 {
@@ -53,8 +70,8 @@
     jobs.markDirty(*jobs.find(JobId("b")));
     jobs.markDirty(*jobs.find(JobId("a")));
     jobs.markDirty(*jobs.find(JobId("b")));
-    EXPECT_EQ(jobs.takeDirty(1), std::vector<JobId> { JobId("b") });
-    EXPECT_EQ(jobs.takeDirty(9), std::vector<JobId> { JobId("a") });
+    EXPECT_EQ(jobs.takeDirty(1, false), std::vector<JobId> { JobId("b") });
+    EXPECT_EQ(jobs.takeDirty(9, false), std::vector<JobId> { JobId("a") });
     EXPECT_FALSE(jobs.hasDirty());
 }
 
--- a/tests/batch/worker_session_start_test.cpp
+++ b/tests/batch/worker_session_start_test.cpp
@@ -108,7 +108,7 @@
 // the worker's next process has seen no epoch.
 TEST_F(WorkerSessionTest, KeepsAnAdoptedRunUntilNoProcessCanExecuteItsStart)
 {
-    m_session.adopt(runOf(0), { 100, 100, 4 }, m_now);
+    m_session.adopt(runOf(0), { 100, 100, 4 }, false, m_now);
     const absl::Time until = m_now + absl::Seconds(14);
     EXPECT_TRUE(answerPoll(answerOf(5000)).ended.empty());
     m_now = until - absl::Milliseconds(1);
@@ -116,6 +116,24 @@
     EXPECT_EQ(answerPoll(answerOf(19001)).ended.size(), 1U);
 }
 
+// Usual work does not wait: the earlier owner has recorded that the run had started.
+TEST_F(WorkerSessionTest, EndsAnAdoptedRunThatHadStartedWithTheFirstListWithoutIt)
+{
+    m_session.adopt(runOf(0), { 100, 100, 4 }, true, m_now);
+    const SessionUpdate update = answerPoll(answerOf(5000));
+    ASSERT_EQ(update.ended.size(), 1U);
+    EXPECT_EQ(update.ended.front().end, RunEnd::LeaseLapsed);
+}
+
+TEST_F(WorkerSessionTest, EndsAnAdoptedRunThatHadStartedWithTheLeaseOfASilentWorker)
+{
+    constexpr absl::Duration longestLease = absl::Seconds(10);
+    m_session.adopt(runOf(0), { 100, 100, 4 }, true, m_now);
+    m_session.handleReply(due(SessionCall::Kind::Poll).context, noAnswer(), m_now);
+    EXPECT_TRUE(m_session.takeLapsedRuns(m_now + longestLease).empty());
+    EXPECT_EQ(m_session.takeLapsedRuns(m_now + longestLease + absl::Seconds(1)).size(), 1U);
+}
+
 // Usual work does not wait: what has shown that the start was not executed ends the run at once.
 TEST_F(WorkerSessionTest, EndsARunAtOnceWhoseStartWasNotExecuted)
 {
@@ -180,7 +198,7 @@
 TEST_F(WorkerSessionTest, KeepsARunThatMayStillStartWhenADrainedWorkerIsGone)
 {
     drainWithARun();
-    m_session.adopt(runOf(1), { 100, 100, 4 }, m_now);
+    m_session.adopt(runOf(1), { 100, 100, 4 }, false, m_now);
     m_session.handleReply(due(SessionCall::Kind::Poll).context, noAnswer(ErrorKind::OwnerUnreachable), m_now);
     const std::vector<EndedRun> ended = m_session.takeLapsedRuns(m_now);
     ASSERT_EQ(ended.size(), 1U);
--- a/tests/platform/record_json_test.cpp
+++ b/tests/platform/record_json_test.cpp
@@ -52,8 +52,10 @@
     task.checkpoint = "saved";
     TaskProgress gangMember = task;
     gangMember.lastFailedAttempt = 3;
+    TaskProgress started = task;
+    started.lastStartedAttempt = 4;
     record.occurrences
-        = { { 0, { StepProgress { { TaskProgress(), task } } } }, { 1, { StepProgress { { gangMember } } } } };
+        = { { 0, { StepProgress { { TaskProgress(), task, started } } } }, { 1, { StepProgress { { gangMember } } } } };
     return record;
 }
 
@@ -84,6 +86,7 @@
     const TaskProgress& task = std::get<ProgressRecord>(*decoded).occurrences[0].steps[0].tasks[0];
     EXPECT_EQ(task.attempt, 4);
     EXPECT_EQ(task.lastFailedAttempt, 0);
+    EXPECT_EQ(task.lastStartedAttempt, 0);
     EXPECT_EQ(task.workerProcessStartMs, 5);
 }
 
@@ -93,7 +96,9 @@
              R"({"phase":"active","occurrences":[[[[9,1,0,"","w",1]]]]})",
              R"({"phase":"active","occurrences":[[[[1,1,0,"","w",1,"x"]]]]})",
              R"({"phase":"active","occurrences":[[[[1,1,0,"","w",1,-1]]]]})",
-             R"({"phase":"active","occurrences":[[[[1,1,0,"","w",1,1,1]]]]})" })
+             R"({"phase":"active","occurrences":[[[[1,1,0,"","w",1,1,"x"]]]]})",
+             R"({"phase":"active","occurrences":[[[[1,1,0,"","w",1,1,-1]]]]})",
+             R"({"phase":"active","occurrences":[[[[1,1,0,"","w",1,1,1,1]]]]})" })
         EXPECT_FALSE(decodeRecord(Collection::Progress, text).ok()) << text;
     for (const char* text : { "{}", R"({"steps":[{"tasks":1,"after":[5]}]})", R"({"steps":[{"tasks":"x"}]})" })
         EXPECT_FALSE(decodeRecord(Collection::Jobs, text).ok()) << text;
