Fix: a job waits until one of its tasks has started

Cause: a job counted as waiting until a task was placed. A placed task may be refused, or held for as long as its start may still come. Change: it counts as waiting until a worker has shown a run of it as started, by the durable progress. Test: JobRegistry.CountsAJobAsWaitingUntilATaskHasStarted, red on the code before.

--- a/src/batch/owner/job_registry_base.cpp
+++ b/src/batch/owner/job_registry_base.cpp
@@ -107,7 +107,7 @@
     for (const auto& [id, entry] : m_entries) {
         const Job& job = entry.progress.job();
         const bool hasTimes = job.spec.repeatCount > 0 || job.spec.firstDue != absl::InfinitePast();
-        if (entry.progress.phase() == JobPhase::Pending && !hasTimes)
+        if (!entry.progress.hasBegun() && !entry.progress.isFinal() && !hasTimes)
             ++counts.waiting[job.queue];
     }
     return counts;
--- a/tests/batch/job_registry_test.cpp
+++ b/tests/batch/job_registry_test.cpp
@@ -43,6 +43,31 @@
     EXPECT_TRUE(jobs.takeDirty(9, true).empty());
 }
 
+// Guards against a queue that says that no job waits (MIXED): a placed task has not started until a worker shows it.
+TEST(JobRegistry, CountsAJobAsWaitingUntilATaskHasStarted)
+{
+    const QueueName queue("batch");
+    const TaskRef task { 0, 0, 0 };
+    JobRegistry jobs;
+    Job job = jobOf("a");
+    job.queue = queue;
+    jobs.add(job);
+    JobProgress& progress = jobs.find(job.id)->progress;
+    progress.openDueOccurrences(absl::UnixEpoch());
+    progress.place(task, 1, WorkerName("w"), 1);
+    EXPECT_EQ(jobs.countWaiting().waiting[queue], 1);
+    progress.recordEnd(task, 1, RunEnd::NotStarted, "", absl::UnixEpoch());
+    EXPECT_EQ(jobs.countWaiting().waiting[queue], 1);
+    progress.place(task, 2, WorkerName("w"), 1);
+    EXPECT_TRUE(progress.recordStarted(task, 2));
+    EXPECT_FALSE(progress.recordStarted(task, 2));
+    EXPECT_EQ(jobs.countWaiting().waiting.count(queue), 0U);
+    JobRegistry later;
+    later.add(job);
+    later.addProgress(job.id, progress.record(), 1);
+    EXPECT_EQ(later.countWaiting().waiting.count(queue), 0U);
+}
+
 // Jobs and their progress are read by two calls, whose replies may come in either order.
 TEST(JobRegistry, AppliesProgressThatIsReadAfterItsJob)
 {
