Fix: a run stands still by its own pace, or by its estimate

Cause: a whole percent that took over 1.2 s counted as a stall, whatever the estimate. Change: a run has stalled when it stands still for four times as long as a percent has taken so far; before its first percent 0.6 of the estimate (at most an hour, unless four hundredths of the estimate are more). Where the run may not have begun with none of its work done (resumed, or started by an earlier owner), only the progress that was seen tells its pace. Never less than 1.2 s.

--- a/src/batch/owner/run_review_func.cpp
+++ b/src/batch/owner/run_review_func.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "absl/strings/string_view.h"
+
 namespace mangohall::batch {
 
 namespace {
@@ -13,6 +15,14 @@
 // Time to stop a run, including the wait for the next poll of the worker.
 constexpr absl::Duration stopDelay = absl::Milliseconds(1600);
 constexpr double wholePercent = 100;
+// A run has stalled if it stands still for this many times as long as a percent has taken so far.
+constexpr double stallFactor = 4;
+// Workers report progress in whole percents, and rarely.
+constexpr absl::Duration shortestStallTimeout = absl::Milliseconds(1200);
+// While a run's own pace is unknown: the first percent takes at most this share of the estimate, which may be far too
+// short, but no longer than this, unless the estimate says so itself.
+constexpr double firstPercentShare = 0.6;
+constexpr absl::Duration longestFirstPercent = absl::Hours(1);
 
 // The run's step; nullptr if the job or the task is unknown.
 const StepSpec* specOf(const RunKey& run, const JobRegistry& jobs)
@@ -23,6 +33,43 @@
     return &entry->progress.stepSpec(run.task.task.step);
 }
 
+// The checkpoint of the run's task, which is known; empty if there is none.
+absl::string_view checkpointOf(const RunKey& run, const JobRegistry& jobs)
+{
+    return jobs.find(run.task.job)->progress.find(run.task.task)->checkpoint;
+}
+
+// How long one percent has taken so far; infinite if that is unknown. The progress counts from the first percentage
+// that was seen if the run may not have begun with none, and its first whole percent may have been seen at its end.
+absl::Duration durationOfPercent(const RunSlot& slot, bool hasBegunHere)
+{
+    if (hasBegunHere)
+        return slot.percent > 0 ? (slot.percentChangedAt - slot.begunAt) / slot.percent : absl::InfiniteDuration();
+    const std::int32_t progress = slot.percent - slot.firstPercent;
+    return progress > 1 ? (slot.percentChangedAt - slot.firstPercentAt) / progress : absl::InfiniteDuration();
+}
+
+// How long the run may stand still before it counts as stalled.
+absl::Duration stallTimeoutOf(const RunSlot& slot, const StepSpec& spec, bool hasBegunHere)
+{
+    const absl::Duration pace = durationOfPercent(slot, hasBegunHere);
+    if (pace != absl::InfiniteDuration())
+        return std::max(shortestStallTimeout, pace * stallFactor);
+    if (spec.estimate <= absl::ZeroDuration())
+        return longestFirstPercent;
+    const absl::Duration byEstimate = spec.estimate / wholePercent * stallFactor;
+    const absl::Duration byShare = std::min(spec.estimate * firstPercentShare, longestFirstPercent);
+    return std::max({ shortestStallTimeout, byEstimate, byShare });
+}
+
+bool hasStalled(const RunSlot& slot, const StepSpec& spec, absl::string_view checkpoint, absl::Time now)
+{
+    if (slot.stage != RunSlot::Stage::Running || slot.isStopWanted || slot.percent >= wholePercent)
+        return false;
+    const bool hasBegunHere = slot.begunAt != absl::InfinitePast() && checkpoint.empty();
+    return now - slot.percentChangedAt >= stallTimeoutOf(slot, spec, hasBegunHere);
+}
+
 bool isUrgent(const RunKey& run, const JobRegistry& jobs)
 {
     return jobs.find(run.task.job)->progress.job().terms.priority == 0;
@@ -58,12 +105,12 @@
 RunReview reviewRuns(const WorkerSession& session, const JobRegistry& jobs, absl::Time now)
 {
     RunReview review;
-    for (const RunKey& run : session.stalledRuns(now)) {
+    for (const auto& [run, slot] : session.runs()) {
         const StepSpec* spec = specOf(run, jobs);
-        if (spec == nullptr)
+        if (spec == nullptr || !hasStalled(slot, *spec, checkpointOf(run, jobs), now))
             continue;
         review.stalled.push_back(run);
-        if (shouldRelocateStalled(run, session.runs().at(run), *spec, jobs))
+        if (shouldRelocateStalled(run, slot, *spec, jobs))
             review.toRelocate.push_back({ run, StopReason::Stalled });
     }
     if (session.leavesAt() == absl::InfiniteFuture())
--- a/src/batch/worker/worker_session_base.cpp
+++ b/src/batch/worker/worker_session_base.cpp
@@ -16,8 +16,6 @@
 // Replies of one process show clocks that differ from the expected one by less than this, on top of the clock drift:
 // they are delayed, and overtake each other.
 constexpr absl::Duration clockTolerance = absl::Milliseconds(500);
-// One percent of the longest task takes less than this, even far from its data.
-constexpr absl::Duration stallTimeout = absl::Milliseconds(1200);
 
 } // namespace
 
@@ -197,6 +195,7 @@
         return;
     found->second.stage = RunSlot::Stage::Starting;
     found->second.since = now;
+    found->second.begunAt = now;
 }
 
 void WorkerSession::adopt(const RunKey& run, const Resources& demand, bool isStarted, absl::Time now)
@@ -275,19 +274,6 @@
     return untilThen - (now - slot.percentChangedAt);
 }
 
-std::vector<RunKey> WorkerSession::stalledRuns(absl::Time now) const
-{
-    constexpr std::int32_t wholePercent = 100;
-    std::vector<RunKey> stalled;
-    for (const auto& [run, slot] : m_runs) {
-        const bool isWorking
-            = slot.stage == RunSlot::Stage::Running && !slot.isStopWanted && slot.percent < wholePercent;
-        if (isWorking && now - slot.percentChangedAt >= stallTimeout)
-            stalled.push_back(run);
-    }
-    return stalled;
-}
-
 // A worker that was draining, has removed its row and has no process at its address is gone, with all its runs. It
 // stops accepting connections before it replies to the pending poll, so that poll has to end first. A row that has
 // expired shows nothing: a worker that neither the store nor this node reaches runs on.
--- a/src/batch/worker/worker_session_base.h
+++ b/src/batch/worker/worker_session_base.h
@@ -66,6 +66,12 @@
     std::int32_t percent = 0;
     // When the worker first reported the present percentage.
     absl::Time percentChangedAt = absl::InfiniteFuture();
+    // The first percentage that was seen, and when. A run that an earlier owner had started, or that has resumed from a
+    // checkpoint, begins with any.
+    std::int32_t firstPercent = 0;
+    absl::Time firstPercentAt = absl::InfiniteFuture();
+    // When the session has sent the start; the infinite past for a run that it has not started.
+    absl::Time begunAt = absl::InfinitePast();
 
     // No start was sent for the run.
     bool isUnsent() const
@@ -222,9 +228,6 @@
     // estimate.
     static absl::Duration remainingTime(const RunSlot& slot, absl::Time now);
 
-    // Runs whose progress has stalled, because of a fault of the run or of the worker.
-    std::vector<RunKey> stalledRuns(absl::Time now) const;
-
     // Drops and returns the runs that can no longer be running on a worker that does not reply: their lease must have
     // expired, or the drained worker is gone.
     std::vector<EndedRun> takeLapsedRuns(absl::Time now);
--- a/src/batch/worker/worker_session_reply_cmd.cpp
+++ b/src/batch/worker/worker_session_reply_cmd.cpp
@@ -218,6 +218,10 @@
         return;
     }
     RunSlot& slot = found->second;
+    if (slot.firstPercentAt == absl::InfiniteFuture()) {
+        slot.firstPercent = row.percent;
+        slot.firstPercentAt = now;
+    }
     if (slot.percentChangedAt == absl::InfiniteFuture() || slot.percent != row.percent)
         slot.percentChangedAt = now;
     slot.percent = row.percent;
