Fix: a start without a reply is repeated on its worker

Cause: a start was sent once, and a gang with one member of unknown outcome waited 14 s, again and again. Change: the start is repeated at the process that it was placed on, under the same name, once a list does not show the run: one process executes it once, and an earlier process is gone before the next one begins, so that two runs never overlap. What may still come binds the run to its worker as before: its room is kept; its end is returned once no start may be executed, but for a done one, which callers hear of at once and which is acknowledged then. The record of a done task says so to the next owner. An owner that adopts a run does not know how many starts were sent, so a list settles nothing for it; a placement whose start it cannot exclude is repeated on its worker at once.

--- a/src/adapters/json/batch_record_json_func.cpp
+++ b/src/adapters/json/batch_record_json_func.cpp
@@ -155,17 +155,19 @@
         return 0;
     json fields = json::array({ static_cast<int>(task.phase), task.attempt, task.failures, task.checkpoint,
         task.worker.str(), task.workerProcessStartMs });
-    if (task.lastFailedAttempt != 0 || task.lastStartedAttempt != 0)
-        fields.push_back(task.lastFailedAttempt);
-    if (task.lastStartedAttempt != 0)
-        fields.push_back(task.lastStartedAttempt);
+    const std::int32_t lastFields[] = { task.lastFailedAttempt, task.lastStartedAttempt, task.mayStartAgain ? 1 : 0 };
+    std::size_t count = std::size(lastFields);
+    while (count > 0 && lastFields[count - 1] == 0)
+        --count;
+    for (std::size_t i = 0; i < count; ++i)
+        fields.push_back(lastFields[i]);
     return fields;
 }
 
 absl::Status malformedTask()
 {
     return makeError(
-        ErrorKind::MalformedBody, "the progress of a task is not a list of six to eight fields of the expected types");
+        ErrorKind::MalformedBody, "the progress of a task is not a list of six to nine fields of the expected types");
 }
 
 absl::Status taskFromJson(const json& source, TaskProgress& task)
@@ -173,23 +175,25 @@
     if (source.is_number())
         return absl::OkStatus();
     constexpr std::size_t minFieldCount = 6;
-    constexpr std::size_t maxFieldCount = 8;
+    constexpr std::size_t maxFieldCount = 9;
     constexpr std::size_t failedPosition = 6;
     constexpr std::size_t startedPosition = 7;
+    constexpr std::size_t startsAgainPosition = 8;
     const bool hasExpectedTypes = source.is_array() && source.size() >= minFieldCount && source.size() <= maxFieldCount
         && source[3].is_string() && source[4].is_string();
     if (!hasExpectedTypes)
         return malformedTask();
-    const auto optionalAttempt = [&source](std::size_t position) {
+    const auto optionalNumber = [&source](std::size_t position) {
         return position < source.size() ? integerInRange(source[position], 0, maxInt32) : 0;
     };
     const absl::optional<std::int64_t> phase = integerInRange(source[0], 0, maxInt32);
     const absl::optional<std::int64_t> attempt = integerInRange(source[1], 0, maxInt32);
     const absl::optional<std::int64_t> failures = integerInRange(source[2], 0, maxInt32);
     const absl::optional<std::int64_t> processStart = integerInRange(source[5], 0, maxInt64);
-    const absl::optional<std::int64_t> lastFailedAttempt = optionalAttempt(failedPosition);
-    const absl::optional<std::int64_t> lastStartedAttempt = optionalAttempt(startedPosition);
-    if (!phase || !attempt || !failures || !processStart || !lastFailedAttempt || !lastStartedAttempt)
+    const absl::optional<std::int64_t> lastFailedAttempt = optionalNumber(failedPosition);
+    const absl::optional<std::int64_t> lastStartedAttempt = optionalNumber(startedPosition);
+    const absl::optional<std::int64_t> mayStartAgain = optionalNumber(startsAgainPosition);
+    if (!phase || !attempt || !failures || !processStart || !lastFailedAttempt || !lastStartedAttempt || !mayStartAgain)
         return malformedTask();
     if (*phase > static_cast<int>(TaskProgress::Phase::Done))
         return makeError(ErrorKind::MalformedBody, "the phase of a task is unknown");
@@ -201,6 +205,7 @@
     task.workerProcessStartMs = *processStart;
     task.lastFailedAttempt = static_cast<std::int32_t>(*lastFailedAttempt);
     task.lastStartedAttempt = static_cast<std::int32_t>(*lastStartedAttempt);
+    task.mayStartAgain = *mayStartAgain != 0;
     return absl::OkStatus();
 }
 
--- a/src/batch/job/job_progress_base.cpp
+++ b/src/batch/job/job_progress_base.cpp
@@ -33,12 +33,6 @@
     });
 }
 
-// Whether only a run that has started ends so.
-bool showsStart(RunEnd end)
-{
-    return end == RunEnd::Done || end == RunEnd::Failed || end == RunEnd::GangBroken || end == RunEnd::GangIncomplete;
-}
-
 } // namespace
 
 JobProgress::JobProgress(Job job)
@@ -196,18 +190,23 @@
 
 std::vector<TaskRef> JobProgress::placedTasks() const
 {
-    std::vector<TaskRef> placed;
+    return tasksWith([](const TaskProgress& task) { return task.phase == TaskProgress::Phase::Placed; });
+}
+
+template <typename Condition> std::vector<TaskRef> JobProgress::tasksWith(Condition condition) const
+{
+    std::vector<TaskRef> tasks;
     for (const OccurrenceProgress& occurrence : m_record.occurrences) {
         for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
-            const std::vector<TaskProgress>& tasks = occurrence.steps[step].tasks;
-            for (std::size_t index = 0; index < tasks.size(); ++index) {
-                if (tasks[index].phase == TaskProgress::Phase::Placed)
-                    placed.push_back(
+            const std::vector<TaskProgress>& all = occurrence.steps[step].tasks;
+            for (std::size_t index = 0; index < all.size(); ++index) {
+                if (condition(all[index]))
+                    tasks.push_back(
                         { occurrence.number, static_cast<std::int32_t>(step), static_cast<std::int32_t>(index) });
             }
         }
     }
-    return placed;
+    return tasks;
 }
 
 void JobProgress::place(
@@ -224,14 +223,25 @@
         m_record.phase = JobPhase::Active;
 }
 
-bool JobProgress::recordStarted(const TaskRef& task, std::int32_t attempt)
+bool JobProgress::recordStarted(const TaskRef& task, std::int32_t attempt, bool mayStartAgain)
 {
     TaskProgress* found = findTask(task);
-    if (found == nullptr || attempt <= found->lastStartedAttempt)
+    if (found == nullptr)
         return false;
-    found->lastStartedAttempt = attempt;
     m_hasBegun = true;
-    return true;
+    const bool isDone = found->phase == TaskProgress::Phase::Done;
+    const bool isNew = !mayStartAgain && attempt > found->lastStartedAttempt;
+    const bool isSettledAnew = isDone && found->mayStartAgain != mayStartAgain;
+    if (isNew)
+        found->lastStartedAttempt = attempt;
+    if (isSettledAnew)
+        found->mayStartAgain = mayStartAgain;
+    return isNew || isSettledAnew;
+}
+
+std::vector<TaskRef> JobProgress::startableDoneTasks() const
+{
+    return tasksWith([](const TaskProgress& task) { return task.mayStartAgain; });
 }
 
 bool JobProgress::isLastAttemptStarted(const TaskRef& task) const
@@ -246,8 +256,6 @@
     TaskProgress* found = findTask(task);
     if (found == nullptr || found->phase == TaskProgress::Phase::Done)
         return false;
-    if (showsStart(end))
-        recordStarted(task, attempt);
     const bool isLongRunning = stepSpec(task.step).isLongRunning;
     if (end == RunEnd::Done && !isLongRunning) {
         finishTask(task);
--- a/src/batch/job/job_progress_base.h
+++ b/src/batch/job/job_progress_base.h
@@ -63,8 +63,11 @@
     // milliseconds. A pending job becomes active.
     void place(const TaskRef& task, std::int32_t attempt, const WorkerName& worker, std::int64_t workerProcessStartMs);
 
-    // Records that a worker has shown this attempt of the task as started. Returns whether that was not known before.
-    bool recordStarted(const TaskRef& task, std::int32_t attempt);
+    // Records that a worker has shown this attempt of the task as started, and whether a start of it may still be
+    // executed. Returns whether the record has changed.
+    bool recordStarted(const TaskRef& task, std::int32_t attempt, bool mayStartAgain);
+    // The tasks that are done and of which a start may still be executed.
+    std::vector<TaskRef> startableDoneTasks() const;
     // Whether a worker has shown the last attempt of the task as started.
     bool isLastAttemptStarted(const TaskRef& task) const;
     // Whether a task of the job has started, as far as a worker has shown it.
@@ -96,6 +99,8 @@
     TaskProgress* findTask(const TaskRef& task);
     StepProgress* findStep(const TaskRef& task);
     const StepProgress* findStep(const TaskRef& task) const;
+    // The tasks that meet the condition.
+    template <typename Condition> std::vector<TaskRef> tasksWith(Condition condition) const;
     // Adds the occurrence with all its tasks waiting.
     void openOccurrence(std::int32_t number);
     // The time at which the occurrence is opened; the infinite past for a job without times.
--- a/src/batch/job/progress_record_type.h
+++ b/src/batch/job/progress_record_type.h
@@ -24,8 +24,10 @@
     std::int32_t failures = 0;
     // The last attempt in which the task, as a member of a gang, has ended as failed; 0 if there is none.
     std::int32_t lastFailedAttempt = 0;
-    // The last attempt that a worker has shown as started; 0 if there is none. Its start cannot be executed again.
+    // The last attempt that a worker has shown as started and that cannot be started again; 0 if there is none.
     std::int32_t lastStartedAttempt = 0;
+    // The task is done, and a start of its last attempt may still be executed.
+    bool mayStartAgain = false;
     // The worker that a placed task was placed on; empty for other tasks.
     WorkerName worker;
     // The start time of the worker's process, in Unix milliseconds. It tells apart processes of the same worker; 0
--- a/src/batch/owner/allocation_input_func.cpp
+++ b/src/batch/owner/allocation_input_func.cpp
@@ -41,13 +41,13 @@
     AllocatedRun allocatedRun;
     allocatedRun.run = run;
     allocatedRun.demand = slot.demand;
-    allocatedRun.isStopping = slot.isStopWanted && !slot.hasUnknownOutcome();
+    allocatedRun.isStopping = slot.isStopWanted && !slot.mayStillStart();
     const JobEntry* entry = jobs.find(run.task.job);
     if (entry == nullptr || entry->progress.find(run.task.task) == nullptr)
         return allocatedRun;
     const StepSpec& spec = entry->progress.stepSpec(run.task.task.step);
     allocatedRun.priority = entry->progress.job().terms.priority;
-    allocatedRun.isEvictable = !spec.isLongRunning && !slot.hasUnknownOutcome();
+    allocatedRun.isEvictable = !spec.isLongRunning && !slot.mayStillStart();
     allocatedRun.isGang = spec.isGang;
     allocatedRun.isGuaranteed = guaranteed.contains(run.task.job.text());
     allocatedRun.evictionCost = stopCostOf(spec, slot, now);
--- a/src/batch/owner/owner_part_base.h
+++ b/src/batch/owner/owner_part_base.h
@@ -68,7 +68,9 @@
     void applyWorkerUpdate(const WorkerUpdate& update, absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void handleRunEnd(const EndedRun& ended, const WorkerUpdate& update, absl::Time now)
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
-    void recordStarted(const RunKey& run) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    // Whether a start of the run may still be executed by the worker.
+    bool mayStillStart(const RunKey& run, const WorkerName& worker) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    void recordStarted(const RunKey& run, const WorkerName& worker) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void handleRunningRow(const RunningRow& row, const WorkerName& worker, absl::Time now)
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void recordHealth(const EndedRun& ended, const WorkerName& worker, absl::Time now)
--- a/src/batch/owner/owner_run_cmd.cpp
+++ b/src/batch/owner/owner_run_cmd.cpp
@@ -20,6 +20,12 @@
     return phase == JobPhase::Failed ? StopReason::JobFailed : StopReason::JobCompleted;
 }
 
+// Whether only a run that has started ends so.
+bool showsStart(RunEnd end)
+{
+    return end == RunEnd::Done || end == RunEnd::Failed || end == RunEnd::GangBroken || end == RunEnd::GangIncomplete;
+}
+
 // Whether the run ends by itself because its gang is done: all members end together. A run that the worker lists later
 // all the same is stopped then.
 bool endsWithItsGang(const JobEntry& entry, const RunKey& run, const RunSlot& slot)
@@ -83,7 +89,7 @@
     if (update.session.isFound)
         m_isAllocationDue = true;
     if (update.session.confirmedStart)
-        recordStarted(*update.session.confirmedStart);
+        recordStarted(*update.session.confirmedStart, update.worker);
     for (const EndedRun& ended : update.session.ended)
         handleRunEnd(ended, update, now);
     for (const RunningRow& row : update.session.running)
@@ -118,14 +124,20 @@
 void OwnerPart::handleRunEnd(const EndedRun& ended, const WorkerUpdate& update, absl::Time now)
 {
     m_isAllocationDue = true;
+    JobEntry* entry = m_jobs.find(ended.run.task.job);
+    const TaskRef& task = ended.run.task.task;
+    const bool isKnownTask = entry != nullptr && entry->progress.find(task) != nullptr;
+    // A long-running task is started again after every end, so it waits until no earlier start can be executed.
+    if (isKnownTask && entry->progress.stepSpec(task.step).isLongRunning && mayStillStart(ended.run, update.worker))
+        return;
     recordHealth(ended, update.worker, now);
     logRun(DecisionEffect::Kind::RunEnded, ended.run, update.worker, runEndName(ended.end),
         endEvidenceName(ended.evidence));
-    JobEntry* entry = m_jobs.find(ended.run.task.job);
-    const TaskRef& task = ended.run.task.task;
     const bool wasFinal = entry != nullptr && entry->progress.isFinal();
     const bool isChanged
         = entry != nullptr && entry->progress.recordEnd(task, ended.run.attempt, ended.end, ended.checkpoint, now);
+    if (showsStart(ended.end))
+        recordStarted(ended.run, update.worker);
     // The progress that makes the end irrelevant may not be written yet, for instance because another member has ended
     // the gang.
     const bool isDurable = !isChanged && (entry == nullptr || !(entry->isDirty || entry->isWriting));
@@ -148,11 +160,20 @@
     stopRunsOf(*entry, now);
 }
 
-// The next owner need not wait for the start of a run that has shown.
-void OwnerPart::recordStarted(const RunKey& run)
+bool OwnerPart::mayStillStart(const RunKey& run, const WorkerName& worker) const
+{
+    const auto session = m_workers.sessions().find(worker);
+    if (session == m_workers.sessions().end())
+        return false;
+    const auto slot = session->second.runs().find(run);
+    return slot != session->second.runs().end() && slot->second.mayStillStart();
+}
+
+// The next owner need not wait for the starts of a run that has shown, unless one may still be executed.
+void OwnerPart::recordStarted(const RunKey& run, const WorkerName& worker)
 {
     JobEntry* entry = m_jobs.find(run.task.job);
-    if (entry != nullptr && entry->progress.recordStarted(run.task.task, run.attempt))
+    if (entry != nullptr && entry->progress.recordStarted(run.task.task, run.attempt, mayStillStart(run, worker)))
         m_jobs.markDirtyLater(*entry);
 }
 
@@ -161,7 +182,7 @@
     JobEntry* entry = m_jobs.find(row.run.task.job);
     const TaskRef& task = row.run.task.task;
     if (entry != nullptr && entry->progress.isCurrentRun(task, row.run.attempt, worker)) {
-        recordStarted(row.run);
+        recordStarted(row.run, worker);
         entry->progress.recordCheckpoint(task, row.run.attempt, row.checkpoint);
         return;
     }
--- a/src/batch/owner/worker_registry_base.cpp
+++ b/src/batch/owner/worker_registry_base.cpp
@@ -167,6 +167,7 @@
     decision.job = context.run.task.job.str();
     decision.run = runName(context.run);
     decision.worker = session.entry().name.str();
+    decision.outcome = context.isRepeated ? "repeated" : "first";
     decision.epoch = m_epoch;
     decision.workerProcessStartMs = session.processStartMs();
     decision.rowProcessStartMs = session.entry().processStartMs;
--- /dev/null
+++ b/src/batch/worker/run_slot_type.h
@@ -0,0 +1,160 @@
+// Plain types of a run on one worker, from the owner's point of view.
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "absl/time/time.h"
+#include "batch/job/job_type.h"
+
+namespace mangohall::batch {
+
+// From what the owner has concluded that a run no longer uses capacity of its worker.
+enum class EndEvidence {
+    // The worker lists the end.
+    Listed,
+    // The worker's reply to a poll lists the run neither as running nor as ended.
+    AbsentFromPoll,
+    // The worker has refused the start.
+    StartRefused,
+    // No start was sent, or it did not reach the worker.
+    NeverSent,
+    // Another process of the worker has replaced the one that had confirmed the run.
+    ProcessReplaced,
+    // The worker has left after it had drained.
+    WorkerLeft,
+    // All leases that were granted to the worker must have expired.
+    LeaseExpired,
+};
+
+// A run that no longer uses capacity of its worker.
+struct EndedRun {
+    RunKey run;
+    RunEnd end = RunEnd::Stopped;
+    std::string checkpoint;
+    // The sequence number in the worker's list of ends; 0 if the worker's present process does not list the end.
+    std::int64_t number = 0;
+    EndEvidence evidence = EndEvidence::Listed;
+};
+
+// A run that uses capacity of a worker, with the state of its start and stop commands. A start that gets no reply may
+// still be executed, by the worker's next process too, and the start may be repeated, so that several commands may be
+// on their way. Only the present process refuses them once it has shown the run or has confirmed a stop.
+struct RunSlot {
+    enum class Stage {
+        // The capacity is reserved, but the placement is not durable yet and no start has been sent.
+        Reserved,
+        // An earlier owner may have started the run.
+        Adopted,
+        // The run may be sent to the worker, which has not confirmed its start yet.
+        Starting,
+        // The worker has confirmed the start, or has listed the run as running.
+        Running,
+        // The worker has listed the end, and its next process may still execute a start.
+        Ended,
+    };
+    // More starts than are ever sent for one run.
+    static constexpr int unknownStartCount = 1 << 20;
+
+    Stage stage = Stage::Reserved;
+    // The resources that the run uses.
+    Resources demand;
+    // When the run was reserved, released or adopted, or when its stop was requested.
+    absl::Time since;
+    // When the last start and the last stop command were sent.
+    absl::Time startSentAt = absl::InfinitePast();
+    absl::Time stopSentAt = absl::InfinitePast();
+    // A start or a stop command was sent and its call has not ended.
+    bool isStartPending = false;
+    bool isStopPending = false;
+    // When the worker last confirmed a start or a stop of the run.
+    absl::Time confirmedAt = absl::InfiniteFuture();
+    // The start, in Unix milliseconds, of the process that the run was placed on. The start is repeated there only.
+    std::int64_t placedProcessStartMs = 0;
+    // The start, in Unix milliseconds, of the process that has shown the run: it has listed the run as running, or was
+    // named in the reply to the start. 0 while no reply names it.
+    std::int64_t processStartMs = 0;
+    // The present process has shown the run: by a list, or by its reply to a start.
+    bool isShown = false;
+    // The owner wants the run stopped.
+    bool isStopWanted = false;
+    // The worker's present process has confirmed a stop command: it refuses a start that arrives later.
+    bool isStopConfirmed = false;
+    // The number of starts that got no reply and are not known to have been executed, and until when they may be; the
+    // infinite past if there is none.
+    int unansweredStarts = 0;
+    absl::Time mayStartUntil = absl::InfinitePast();
+    // The pending start is known to have been executed.
+    bool isPendingStartExecuted = false;
+    // In stage Ended, the end that the worker has listed.
+    EndedRun end;
+    // Progress in percent, 0 to 100.
+    std::int32_t percent = 0;
+    // When the worker first reported the present percentage.
+    absl::Time percentChangedAt = absl::InfiniteFuture();
+    // The first percentage that was seen, and when. A run that an earlier owner had started, or that has resumed from a
+    // checkpoint, begins with any.
+    std::int32_t firstPercent = 0;
+    absl::Time firstPercentAt = absl::InfiniteFuture();
+    // When the session has sent the start; the infinite past for a run that it has not started.
+    absl::Time begunAt = absl::InfinitePast();
+
+    // No start was sent for the run.
+    bool isUnsent() const
+    {
+        return stage == Stage::Reserved || (stage == Stage::Starting && startSentAt == absl::InfinitePast());
+    }
+    // A start may still be executed, now or by a later process. Until none may, the run keeps its capacity, and its
+    // task may run nowhere else.
+    bool mayStillStart() const
+    {
+        return mayStartUntil != absl::InfinitePast() || (isStartPending && !isPendingStartExecuted);
+    }
+    // Records that a start got no reply and may be executed until then.
+    void recordUnanswered(absl::Time until)
+    {
+        ++unansweredStarts;
+        mayStartUntil = until;
+    }
+    // Records that an earlier owner may have sent any number of starts, which may be executed until then.
+    void recordUnansweredOfEarlierOwner(absl::Time until)
+    {
+        unansweredStarts = unknownStartCount;
+        mayStartUntil = until;
+    }
+    // Records that the worker lists the run, as running or as ended: its present process has executed one of the
+    // starts.
+    void recordListed()
+    {
+        if (isShown)
+            return;
+        isShown = true;
+        if (unansweredStarts == 0)
+            isPendingStartExecuted = isStartPending;
+        else if (--unansweredStarts == 0)
+            mayStartUntil = absl::InfinitePast();
+    }
+    // Records that no unanswered start may be executed any more.
+    void expireStarts()
+    {
+        unansweredStarts = 0;
+        mayStartUntil = absl::InfinitePast();
+    }
+    // Records that another process has replaced the one that may have shown the run; the new one may still start it.
+    void restartUnknown()
+    {
+        isShown = false;
+        processStartMs = 0;
+        // A stop that the old process has confirmed does not bar the run at the new one.
+        isStopConfirmed = false;
+        confirmedAt = absl::InfiniteFuture();
+        if (stage == Stage::Ended) {
+            end.number = 0;
+            isStopWanted = isStopWanted || end.end == RunEnd::Done;
+        } else {
+            stage = Stage::Starting;
+        }
+    }
+};
+
+} // namespace mangohall::batch
--- a/src/batch/worker/worker_session_base.cpp
+++ b/src/batch/worker/worker_session_base.cpp
@@ -136,19 +136,21 @@
 }
 
 // Only runs that the old process has shown are known to have ended with it. Either process may have executed the start
-// of any other run, whose confirmation need not name the process; the next poll of the new process decides. What was
-// placed by the row of the old process and not sent yet may not fit the new one.
+// of any other run, whose confirmation need not name the process; the next poll of the new process decides, unless a
+// start may still be executed. What was placed by the row of the old process and not sent yet may not fit the new one.
 std::vector<EndedRun> WorkerSession::endRunsOfEarlierProcess()
 {
     std::vector<EndedRun> ended;
     endUnsentRuns(ended);
     for (auto it = m_runs.begin(); it != m_runs.end();) {
         RunSlot& slot = it->second;
-        if (slot.processStartMs != 0) {
+        if (slot.mayStillStart()) {
+            slot.restartUnknown();
+            ++it;
+        } else if (slot.processStartMs != 0 || slot.stage == RunSlot::Stage::Ended) {
             ended.push_back({ it->first, RunEnd::LeaseLapsed, "", 0, EndEvidence::ProcessReplaced });
             it = m_runs.erase(it);
         } else {
-            // A stop that the old process has confirmed does not bar the run at the new one.
             slot.isStopConfirmed = false;
             ++it;
         }
@@ -174,7 +176,7 @@
 {
     Resources capacity = entry().capacity;
     for (const auto& [run, slot] : m_runs) {
-        if (!slot.isStopWanted || slot.hasUnknownOutcome())
+        if (!slot.isStopWanted || slot.mayStillStart())
             capacity -= slot.demand;
     }
     return capacity;
@@ -185,6 +187,7 @@
     RunSlot slot;
     slot.demand = demand;
     slot.since = now;
+    slot.placedProcessStartMs = m_processStartMs;
     m_runs[run] = slot;
 }
 
@@ -198,16 +201,31 @@
     found->second.begunAt = now;
 }
 
-void WorkerSession::adopt(const RunKey& run, const Resources& demand, bool isStarted, absl::Time now)
+void WorkerSession::adopt(
+    const RunKey& run, const Resources& demand, std::int64_t placedProcessStartMs, bool isStarted, absl::Time now)
 {
     RunSlot slot;
     slot.stage = RunSlot::Stage::Adopted;
     slot.demand = demand;
     slot.since = now;
+    slot.startSentAt = now;
+    slot.placedProcessStartMs = placedProcessStartMs;
     if (isStarted)
         slot.confirmedAt = absl::InfinitePast();
     else
-        slot.mayStartUntil = now + maxCommandDelay;
+        slot.recordUnansweredOfEarlierOwner(now + maxCommandDelay);
+    m_runs[run] = slot;
+    extendLeaseBound(now);
+}
+
+void WorkerSession::adoptDone(const RunKey& run, const Resources& demand, absl::Time now)
+{
+    RunSlot slot;
+    slot.stage = RunSlot::Stage::Ended;
+    slot.demand = demand;
+    slot.since = now;
+    slot.end = { run, RunEnd::Done, "", 0, EndEvidence::Listed };
+    slot.recordUnansweredOfEarlierOwner(now + maxCommandDelay);
     m_runs[run] = slot;
     extendLeaseBound(now);
 }
@@ -287,7 +305,7 @@
 {
     if (slot.stage == RunSlot::Stage::Reserved || slot.isStartPending)
         return absl::InfiniteFuture();
-    if (!slot.hasUnknownOutcome())
+    if (!slot.mayStillStart())
         return m_leaseBound;
     const absl::Duration longestLease = m_settings.maxLease * (1 + clockDrift) + leaseMargin;
     return std::max(slot.mayStartUntil + longestLease, m_leaseBound + maxCommandDelay);
@@ -300,13 +318,16 @@
         return ended;
     for (auto it = m_runs.begin(); it != m_runs.end();) {
         const RunSlot& slot = it->second;
-        const bool isGone = hasLeft() && !slot.hasUnknownOutcome() && slot.stage != RunSlot::Stage::Reserved;
+        const bool isGone = hasLeft() && !slot.mayStillStart() && slot.stage != RunSlot::Stage::Reserved;
         if (now < lapsesAt(slot) && !isGone) {
             ++it;
             continue;
         }
         const EndEvidence evidence = now < lapsesAt(slot) ? EndEvidence::WorkerLeft : EndEvidence::LeaseExpired;
-        ended.push_back({ it->first, RunEnd::LeaseLapsed, "", 0, evidence });
+        if (slot.stage == RunSlot::Stage::Ended)
+            ended.push_back(slot.end);
+        else
+            ended.push_back({ it->first, RunEnd::LeaseLapsed, "", 0, evidence });
         it = m_runs.erase(it);
     }
     return ended;
--- a/src/batch/worker/worker_session_base.h
+++ b/src/batch/worker/worker_session_base.h
@@ -11,6 +11,7 @@
 #include "absl/strings/string_view.h"
 #include "absl/time/time.h"
 #include "absl/types/optional.h"
+#include "batch/worker/run_slot_type.h"
 #include "batch/worker/worker_health_base.h"
 #include "batch/worker/worker_type.h"
 
@@ -26,93 +27,10 @@
     absl::Duration entryTimeout = absl::Milliseconds(4500);
 };
 
-// A run that uses capacity of a worker, with the state of its start and stop commands.
-struct RunSlot {
-    enum class Stage {
-        // The capacity is reserved, but the placement is not durable yet and no start has been sent.
-        Reserved,
-        // An earlier owner may have started the run.
-        Adopted,
-        // The run may be sent to the worker, which has not confirmed its start yet.
-        Starting,
-        // The worker has confirmed the start, or has listed the run as running.
-        Running,
-    };
-    Stage stage = Stage::Reserved;
-    // The resources that the run uses.
-    Resources demand;
-    // When the run was reserved, released or adopted, or when its stop was requested.
-    absl::Time since;
-    // When the start and the last stop command were sent. A start is sent once only, so that a run that the worker has
-    // shown cannot start again.
-    absl::Time startSentAt = absl::InfinitePast();
-    absl::Time stopSentAt = absl::InfinitePast();
-    // A start or a stop command was sent and its call has not ended.
-    bool isStartPending = false;
-    bool isStopPending = false;
-    // When the worker last confirmed a start or a stop of the run.
-    absl::Time confirmedAt = absl::InfiniteFuture();
-    // The start, in Unix milliseconds, of the process that has shown the run: it has listed the run as running, or was
-    // named in the reply to the start. 0 while no reply names it.
-    std::int64_t processStartMs = 0;
-    // The owner wants the run stopped.
-    bool isStopWanted = false;
-    // The worker's present process has confirmed a stop command: it refuses a start that arrives later.
-    bool isStopConfirmed = false;
-    // Until when the start may still be executed, by any process that the worker has by then; the infinite past unless
-    // the start got no reply.
-    absl::Time mayStartUntil = absl::InfinitePast();
-    // Progress in percent, 0 to 100.
-    std::int32_t percent = 0;
-    // When the worker first reported the present percentage.
-    absl::Time percentChangedAt = absl::InfiniteFuture();
-    // The first percentage that was seen, and when. A run that an earlier owner had started, or that has resumed from a
-    // checkpoint, begins with any.
-    std::int32_t firstPercent = 0;
-    absl::Time firstPercentAt = absl::InfiniteFuture();
-    // When the session has sent the start; the infinite past for a run that it has not started.
-    absl::Time begunAt = absl::InfinitePast();
-
-    // No start was sent for the run.
-    bool isUnsent() const
-    {
-        return stage == Stage::Reserved || (stage == Stage::Starting && startSentAt == absl::InfinitePast());
-    }
-    // It is not known yet whether the start is executed. Until then the run keeps its capacity, and its task may run
-    // nowhere else.
-    bool hasUnknownOutcome() const { return isStartPending || mayStartUntil != absl::InfinitePast(); }
-};
-
-// From what the owner has concluded that a run no longer uses capacity of its worker.
-enum class EndEvidence {
-    // The worker lists the end.
-    Listed,
-    // The worker's reply to a poll lists the run neither as running nor as ended.
-    AbsentFromPoll,
-    // The worker has refused the start.
-    StartRefused,
-    // No start was sent, or it did not reach the worker.
-    NeverSent,
-    // Another process of the worker has replaced the one that had confirmed the run.
-    ProcessReplaced,
-    // The worker has left after it had drained.
-    WorkerLeft,
-    // All leases that were granted to the worker must have expired.
-    LeaseExpired,
-};
-
-// A run that no longer uses capacity of its worker.
-struct EndedRun {
-    RunKey run;
-    RunEnd end = RunEnd::Stopped;
-    std::string checkpoint;
-    // The sequence number in the worker's list of ends; 0 if the worker has not listed the end.
-    std::int64_t number = 0;
-    EndEvidence evidence = EndEvidence::Listed;
-};
-
 // The changes that follow from one reply or from a missing reply.
 struct SessionUpdate {
+    // Runs that have ended. One that was done while a start may still be executed stays in the session, and is returned
+    // again once none may.
     std::vector<EndedRun> ended;
     // The runs that the worker lists as running; filled in by the reply to a poll only.
     std::vector<RunningRow> running;
@@ -142,6 +60,8 @@
     absl::Time sentAt;
     // When the called process started, in Unix milliseconds, as far as its row or its replies had shown then.
     std::int64_t processStartMs = 0;
+    // The same start was sent before.
+    bool isRepeated = false;
 };
 
 // A call that is due. The caller of `takeDueCalls` fills in the payload and checkpoint of a start.
@@ -197,9 +117,13 @@
     void reserve(const RunKey& run, const Resources& demand, absl::Time now);
     // Marks the placement of a reserved run as durable, so that its start is sent with the next due calls.
     void release(const RunKey& run, absl::Time now);
-    // Reserves capacity for a run that an earlier owner has placed. If it is known to have started, a reply to a poll
-    // with this owner's epoch decides whether it still runs; otherwise its start may still be executed for a while.
-    void adopt(const RunKey& run, const Resources& demand, bool isStarted, absl::Time now);
+    // Reserves capacity for a run that an earlier owner has placed on this process of the worker. If all its starts are
+    // known to have been executed, a reply to a poll with this owner's epoch decides whether it still runs; otherwise
+    // one may still be executed for a while.
+    void adopt(
+        const RunKey& run, const Resources& demand, std::int64_t placedProcessStartMs, bool isStarted, absl::Time now);
+    // The same for a run that was done while one of its starts might still be executed.
+    void adoptDone(const RunKey& run, const Resources& demand, absl::Time now);
     // Requests the stop of a run. A run whose start was never sent is dropped at once and returned.
     absl::optional<EndedRun> stop(const RunKey& run, absl::Time now);
     bool isStopWanted(const RunKey& run) const;
@@ -239,6 +163,13 @@
     void handleStartReply(const SessionCall& context, const WorkerReply& reply, absl::Time now, SessionUpdate& update);
     // Handles a start that may have been executed, or did not reach the worker.
     void handleFailedStart(const SessionCall& context, const WorkerReply& reply, absl::Time now, SessionUpdate& update);
+    void dropUnstartedRun(
+        absl::btree_map<RunKey, RunSlot>::iterator found, EndEvidence evidence, SessionUpdate& update);
+    static bool recordListedEnd(RunSlot& slot, const EndedRun& ended);
+    // Records that no start of the run may be executed any more.
+    static void settleStarts(RunSlot& slot);
+    // The end of a run that the worker does not list as running.
+    static EndedRun describeEnd(const RunKey& run, const RunSlot& slot);
     void handleStopReply(const SessionCall& context, const WorkerReply& reply, absl::Time now, SessionUpdate& update);
     void handlePollReply(const SessionCall& context, const WorkerReply& reply, absl::Time now, SessionUpdate& update);
     // Records a call without a usable reply.
--- a/src/batch/worker/worker_session_call_cmd.cpp
+++ b/src/batch/worker/worker_session_call_cmd.cpp
@@ -79,13 +79,19 @@
     if (!hasAddress())
         return absl::InfiniteFuture();
     // A stop does not wait for the reply to the start: it bars a start that has not arrived.
-    if (slot.isStopWanted)
-        return slot.isStopPending || slot.isStopConfirmed ? absl::InfiniteFuture()
-                                                          : slot.stopSentAt + commandRetryPeriod;
+    if (slot.isStopWanted) {
+        const bool isDone = slot.isStopPending || slot.isStopConfirmed || slot.end.number != 0;
+        return isDone ? absl::InfiniteFuture() : slot.stopSentAt + commandRetryPeriod;
+    }
     // A start renews the lease, so none is sent to a worker that does not reply: its lease has to expire.
-    const bool isDue = slot.stage == RunSlot::Stage::Starting && slot.isUnsent();
     const bool mayStart = m_mayStart && isProcessCertain() && m_processEntry && !isAcknowledgementPending();
-    return isDue && mayStart ? absl::InfinitePast() : absl::InfiniteFuture();
+    if (slot.stage != RunSlot::Stage::Starting || slot.isStartPending || !mayStart)
+        return absl::InfiniteFuture();
+    if (slot.isUnsent())
+        return absl::InfinitePast();
+    // Another process may have other room.
+    const bool mayRepeat = slot.placedProcessStartMs == m_processStartMs;
+    return mayRepeat ? std::max(slot.startSentAt + commandRetryPeriod, m_startsPausedUntil) : absl::InfiniteFuture();
 }
 
 // A draining worker is sent no start. One that it has not confirmed may still be executed, so it is barred by a stop.
@@ -111,9 +117,11 @@
         if (commandDueAt(slot) > now)
             continue;
         const auto kind = slot.isStopWanted ? SessionCall::Kind::Stop : SessionCall::Kind::Start;
+        const bool isRepeated = !slot.isStopWanted && !slot.isUnsent();
         (slot.isStopWanted ? slot.stopSentAt : slot.startSentAt) = now;
         (slot.isStopWanted ? slot.isStopPending : slot.isStartPending) = true;
         calls.push_back(makeRunCall(kind, run, now));
+        calls.back().context.isRepeated = isRepeated;
     }
     if (isPollDue(now))
         calls.push_back(makePoll(now));
@@ -178,7 +186,7 @@
 bool WorkerSession::isAcknowledgementHeldBack() const
 {
     const bool isStartUnknown
-        = std::any_of(m_runs.begin(), m_runs.end(), [](const auto& entry) { return entry.second.hasUnknownOutcome(); });
+        = std::any_of(m_runs.begin(), m_runs.end(), [](const auto& entry) { return entry.second.mayStillStart(); });
     const bool isHeldBack = isStartUnknown || m_lateAcknowledgementUntil != absl::InfinitePast();
     return isHeldBack && m_acknowledgedEnd > m_confirmedAcknowledgement;
 }
--- a/src/batch/worker/worker_session_reply_cmd.cpp
+++ b/src/batch/worker/worker_session_reply_cmd.cpp
@@ -2,6 +2,7 @@
 #include "batch/worker/worker_session_base.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "core/error_func.h"
 
@@ -74,18 +75,29 @@
     const SessionCall& context, const WorkerReply& reply, absl::Time now, SessionUpdate& update)
 {
     const auto found = m_runs.find(context.run);
-    // A poll may have shown the run meanwhile.
-    if (found == m_runs.end() || found->second.stage != RunSlot::Stage::Starting)
+    if (found == m_runs.end())
+        return;
+    RunSlot& slot = found->second;
+    if (std::exchange(slot.isPendingStartExecuted, false))
         return;
     if (isUndelivered(reply)) {
-        update.ended.push_back({ context.run, RunEnd::NotStarted, "", 0, EndEvidence::NeverSent });
-        m_runs.erase(found);
+        dropUnstartedRun(found, EndEvidence::NeverSent, update);
         return;
     }
-    found->second.mayStartUntil = now + maxCommandDelay;
+    slot.recordUnanswered(now + maxCommandDelay);
     update.unansweredStart = context.run;
 }
 
+// Drops a run of which no start was or may be executed.
+void WorkerSession::dropUnstartedRun(
+    absl::btree_map<RunKey, RunSlot>::iterator found, EndEvidence evidence, SessionUpdate& update)
+{
+    if (found->second.stage != RunSlot::Stage::Starting || found->second.mayStillStart())
+        return;
+    update.ended.push_back({ found->first, RunEnd::NotStarted, "", 0, evidence });
+    m_runs.erase(found);
+}
+
 absl::Time WorkerSession::lateAcknowledgementEnd() const
 {
     const absl::Time pendingSince = isAcknowledgementPending() ? m_polledAt : absl::InfinitePast();
@@ -162,18 +174,21 @@
     if (found == m_runs.end())
         return;
     RunSlot& slot = found->second;
-    if (reply.refusal == WorkerRefusal::None) {
-        update.confirmedStart = context.run;
-        slot.stage = RunSlot::Stage::Running;
-        if (reply.processStartMs != 0)
-            slot.processStartMs = reply.processStartMs;
-        if (!slot.isStopConfirmed)
-            slot.confirmedAt = now;
+    slot.isPendingStartExecuted = false;
+    if (reply.refusal != WorkerRefusal::None) {
+        m_startsPausedUntil = now + refusalPause;
+        dropUnstartedRun(found, EndEvidence::StartRefused, update);
         return;
     }
-    m_startsPausedUntil = now + refusalPause;
-    update.ended.push_back({ context.run, RunEnd::NotStarted, "", 0, EndEvidence::StartRefused });
-    m_runs.erase(found);
+    // An unanswered start may have been executed before, or may still come.
+    slot.isShown = true;
+    if (slot.stage == RunSlot::Stage::Starting)
+        slot.stage = RunSlot::Stage::Running;
+    if (reply.processStartMs != 0)
+        slot.processStartMs = reply.processStartMs;
+    if (!slot.isStopConfirmed)
+        slot.confirmedAt = now;
+    update.confirmedStart = context.run;
 }
 
 void WorkerSession::handleStopReply(
@@ -226,7 +241,7 @@
         slot.percentChangedAt = now;
     slot.percent = row.percent;
     slot.processStartMs = m_processStartMs;
-    slot.mayStartUntil = absl::InfinitePast();
+    slot.recordListed();
     if (slot.stage == RunSlot::Stage::Running)
         return;
     slot.stage = RunSlot::Stage::Running;
@@ -238,8 +253,25 @@
     if (row.number <= m_acknowledgedEnd || m_listedEnds.find(row.number) != m_listedEnds.end())
         return;
     m_listedEnds[row.number] = false;
-    m_runs.erase(row.run);
-    update.ended.push_back({ row.run, row.end, row.checkpoint, row.number });
+    const EndedRun ended { row.run, row.end, row.checkpoint, row.number };
+    const auto found = m_runs.find(row.run);
+    const bool isSettled = found == m_runs.end() || !recordListedEnd(found->second, ended);
+    if (isSettled && found != m_runs.end())
+        m_runs.erase(found);
+    // The task is not started again before no earlier start can be executed, so other ends are returned then.
+    if (isSettled || row.end == RunEnd::Done)
+        update.ended.push_back(ended);
+}
+
+// Returns whether a start of the run may still be executed.
+bool WorkerSession::recordListedEnd(RunSlot& slot, const EndedRun& ended)
+{
+    slot.recordListed();
+    if (!slot.mayStillStart())
+        return false;
+    slot.stage = RunSlot::Stage::Ended;
+    slot.end = ended;
+    return true;
 }
 
 // A run is over if its start was executed or refused before the poll was sent, or could not be executed any more by
@@ -250,19 +282,38 @@
     for (const RunningRow& row : reply.running)
         listed[row.run] = true;
     for (auto it = m_runs.begin(); it != m_runs.end();) {
-        const RunSlot& slot = it->second;
-        const bool isDecided = !slot.isStartPending
-            && (slot.hasUnknownOutcome() ? slot.mayStartUntil <= context.sentAt : slot.confirmedAt < context.sentAt);
-        if (listed.contains(it->first) || !isDecided) {
+        RunSlot& slot = it->second;
+        if (!slot.isStartPending && slot.mayStartUntil <= context.sentAt && slot.unansweredStarts > 0)
+            settleStarts(slot);
+        const bool isOver = slot.stage == RunSlot::Stage::Ended || slot.confirmedAt < context.sentAt;
+        if (listed.contains(it->first) || slot.mayStillStart() || !isOver) {
+            if (slot.stage == RunSlot::Stage::Adopted && slot.mayStillStart())
+                slot.stage = RunSlot::Stage::Starting;
             ++it;
             continue;
         }
-        const RunEnd end = slot.hasUnknownOutcome() ? RunEnd::NotStarted
-            : slot.isStopConfirmed                  ? RunEnd::Stopped
-                                                    : RunEnd::LeaseLapsed;
-        update.ended.push_back({ it->first, end, "", 0, EndEvidence::AbsentFromPoll });
+        update.ended.push_back(describeEnd(it->first, slot));
         it = m_runs.erase(it);
     }
 }
 
+// The run is over unless the worker lists it.
+void WorkerSession::settleStarts(RunSlot& slot)
+{
+    const bool hasShown = slot.stage == RunSlot::Stage::Running || slot.stage == RunSlot::Stage::Ended;
+    slot.expireStarts();
+    if (!hasShown) {
+        slot.end = { RunKey(), RunEnd::NotStarted, "", 0, EndEvidence::AbsentFromPoll };
+        slot.stage = RunSlot::Stage::Ended;
+    }
+}
+
+EndedRun WorkerSession::describeEnd(const RunKey& run, const RunSlot& slot)
+{
+    if (slot.stage == RunSlot::Stage::Ended)
+        return { run, slot.end.end, slot.end.checkpoint, slot.end.number, slot.end.evidence };
+    const RunEnd end = slot.isStopConfirmed ? RunEnd::Stopped : RunEnd::LeaseLapsed;
+    return { run, end, "", 0, EndEvidence::AbsentFromPoll };
+}
+
 } // namespace mangohall::batch
