Fix: ends are not acknowledged while a command without a reply may be executed

What callers would see: work stands still while most of the room is free. On a worker that leaves orders unanswered, many acknowledgements got no reply, and each keeps the worker from new work for up to 14 s. Change: after any command without a reply on a worker its ends are acknowledged once that command cannot be executed any more, so that the acknowledgements do not get lost one after the other. The test RepeatsAnAcknowledgementOnlyOnce... counts from the last call without a reply, which is later.

--- a/src/batch/worker/worker_session_base.h
+++ b/src/batch/worker/worker_session_base.h
@@ -204,7 +204,7 @@
     void barStartsWhileDraining(absl::Time now);
     // When the first of the starts was sent that have no reply yet; the infinite future if there is none.
     absl::Time firstPendingStartSentAt() const;
-    // Whether an end is not acknowledged yet since the outcome of a start, or of an earlier acknowledgement, is
+    // Whether an end is not acknowledged yet since the outcome of a start, or of another command, is
     // unknown.
     bool isAcknowledgementHeldBack() const;
     // Whether the pending poll acknowledges ends. No start is sent beside it.
@@ -263,6 +263,9 @@
     // Until when, on the owner's clock, the leases granted so far may keep a run going.
     absl::Time m_leaseBound = absl::InfinitePast();
 
+    // Until when a command that got no reply may still be executed; the infinite past if there is none. More may get no
+    // reply, so ends are not acknowledged meanwhile: an acknowledgement without a reply keeps the worker from new work.
+    absl::Time m_lateCommandUntil = absl::InfinitePast();
     // Until when an acknowledgement that got no reply may still be executed, by any process that the worker has by
     // then; the infinite past if there is none.
     absl::Time m_lateAcknowledgementUntil = absl::InfinitePast();
--- a/src/batch/worker/worker_session_call_cmd.cpp
+++ b/src/batch/worker/worker_session_call_cmd.cpp
@@ -110,6 +110,8 @@
 std::vector<DueCall> WorkerSession::takeDueCalls(absl::Time now)
 {
     barStartsWhileDraining(now);
+    if (m_lateCommandUntil <= now)
+        m_lateCommandUntil = absl::InfinitePast();
     if (m_lateAcknowledgementUntil <= now)
         m_lateAcknowledgementUntil = absl::InfinitePast();
     std::vector<DueCall> calls;
@@ -187,7 +189,7 @@
 {
     const bool isStartUnknown
         = std::any_of(m_runs.begin(), m_runs.end(), [](const auto& entry) { return entry.second.mayStillStart(); });
-    const bool isHeldBack = isStartUnknown || m_lateAcknowledgementUntil != absl::InfinitePast();
+    const bool isHeldBack = isStartUnknown || m_lateCommandUntil != absl::InfinitePast();
     return isHeldBack && m_acknowledgedEnd > m_confirmedAcknowledgement;
 }
 
--- a/src/batch/worker/worker_session_reply_cmd.cpp
+++ b/src/batch/worker/worker_session_reply_cmd.cpp
@@ -42,7 +42,10 @@
     if (!reply.status.ok() || reply.refusal == WorkerRefusal::OtherProcess || isPollRefused) {
         if (context.kind == SessionCall::Kind::Start)
             handleFailedStart(context, reply, now, update);
-        if (context.kind == SessionCall::Kind::Poll && !reply.status.ok() && !isUndelivered(reply))
+        const bool mayBeExecuted = !reply.status.ok() && !isUndelivered(reply);
+        if (mayBeExecuted)
+            m_lateCommandUntil = now + maxCommandDelay;
+        if (mayBeExecuted && context.kind == SessionCall::Kind::Poll)
             recordLateAcknowledgement(now);
         recordFailedCall(reply.status, update);
         return update;
--- a/tests/batch/worker_session_process_test.cpp
+++ b/tests/batch/worker_session_process_test.cpp
@@ -162,13 +162,14 @@
     const DueCall lost = due(SessionCall::Kind::Poll);
     EXPECT_EQ(std::get<PollRuns>(lost.call.command).acknowledgedEnd, 1);
     m_session.handleReply(lost.context, noAnswer(), m_now);
-    const absl::Time lostAt = m_now;
     for (int tries = 0; tries < 3; ++tries) {
         m_now += absl::Seconds(1);
         const DueCall asking = due(SessionCall::Kind::Poll);
         EXPECT_EQ(std::get<PollRuns>(asking.call.command).acknowledgedEnd, 0);
         m_session.handleReply(asking.context, noAnswer(), m_now);
     }
+    // The last call without a reply, which is later than the acknowledgement.
+    const absl::Time lostAt = m_now;
     // The worker lists the end again, which is durable already: the first acknowledgement may still be executed.
     WorkerReply reply = answerOf(9200);
     reply.ended = { { 1, runOf(0), RunEnd::Done, "" } };
