Fix: nodes near the store claim the ownership first

Cause: which node takes the ownership then is left to chance. Change: a node waits ten times as long as its lease took to be granted before it claims, at most 400 ms. Besides, an end that a worker had listed is reported as it was when its process is replaced before it could be settled. Test: OwnershipTest.IsClaimedLaterTheLongerTheStoreTakesToGrantTheLease, red before.

--- a/src/batch/owner/ownership_base.cpp
+++ b/src/batch/owner/ownership_base.cpp
@@ -18,6 +18,10 @@
 constexpr absl::Duration holderWatchWait = absl::Milliseconds(3000);
 // A random delay up to this spreads the claims of nodes that would all claim at the same time.
 constexpr absl::Duration claimSpread = absl::Milliseconds(120);
+// A node waits this many times as long as its lease took to be granted before it claims, so that nodes near the store
+// claim first, but no longer than this.
+constexpr double claimDelayPerGrantTime = 10;
+constexpr absl::Duration longestGrantDelay = absl::Milliseconds(400);
 // Delay before a failed call is repeated, or before the next claim after a failed one.
 constexpr absl::Duration retryPeriod = absl::Milliseconds(250);
 
@@ -155,6 +159,7 @@
     }
     m_lease = reply.lease;
     m_leaseConfirmedAt = m_sentAt;
+    m_nextTryAt = now + std::min((now - m_sentAt) * claimDelayPerGrantTime, longestGrantDelay);
     return {};
 }
 
--- a/src/batch/worker/worker_session_base.cpp
+++ b/src/batch/worker/worker_session_base.cpp
@@ -147,7 +147,11 @@
         if (slot.mayStillStart()) {
             slot.restartUnknown();
             ++it;
-        } else if (slot.processStartMs != 0 || slot.stage == RunSlot::Stage::Ended) {
+        } else if (slot.stage == RunSlot::Stage::Ended) {
+            ended.push_back(slot.end);
+            ended.back().number = 0;
+            it = m_runs.erase(it);
+        } else if (slot.processStartMs != 0) {
             ended.push_back({ it->first, RunEnd::LeaseLapsed, "", 0, EndEvidence::ProcessReplaced });
             it = m_runs.erase(it);
         } else {
--- a/tests/batch/ownership_test.cpp
+++ b/tests/batch/ownership_test.cpp
@@ -54,6 +54,23 @@
     absl::Time m_now = absl::FromUnixSeconds(1700000000);
 };
 
+// Guards against LOST: after an outage of the store a node of another region became the owner by chance, whose calls to
+// the store and to most workers crossed the narrow link between the regions.
+TEST_F(OwnershipTest, IsClaimedLaterTheLongerTheStoreTakesToGrantTheLease)
+{
+    constexpr absl::Duration grantTime = absl::Milliseconds(22);
+    answer<ReadCollection>({});
+    m_now += absl::Milliseconds(200);
+    const CallId grant = findCall<GrantLease>();
+    m_now += grantTime;
+    StoreReply granted;
+    granted.lease = lease;
+    m_ownership.handleReply(grant, granted, m_now);
+    EXPECT_EQ(m_ownership.nextDue(), m_now + grantTime * 10);
+    m_now += grantTime * 10;
+    EXPECT_NE(findCall<CommitRecords>(), 0);
+}
+
 TEST_F(OwnershipTest, IsLostOnceTheLeaseMayHaveLapsed)
 {
     becomeOwner();
