Feature: log lines for renewals without a reply and for the age of an expired lease

A renewal without a reply left no line, and a run that was taken for lapsed did not tell from which command its lease was reckoned.

Change: renewalUnanswered names the process that the renewal was sent to; a runEnded with leaseExpired has ageMs since the last command that might have renewed the lease. No decision changes, but that the bound of a silent worker is extended for a renewal of a worker without runs as well: the reply to such a poll may list a run.

--- a/src/batch/node/event_type.h
+++ b/src/batch/node/event_type.h
@@ -194,6 +194,8 @@
         // The list of workers was not confirmed for so long that no run is started, or is confirmed again.
         WorkerListOld,
         WorkerListCurrent,
+        // A poll that renews the lease of a worker got no reply, so that it may still be executed.
+        RenewalUnanswered,
     };
     Kind kind = Kind::Submitted;
     std::string job;
--- a/src/batch/owner/owner_log_cmd.cpp
+++ b/src/batch/owner/owner_log_cmd.cpp
@@ -9,7 +9,7 @@
 namespace mangohall::batch {
 
 void OwnerPart::logRun(DecisionEffect::Kind kind, const RunKey& run, const WorkerName& worker,
-    absl::string_view outcome, absl::string_view reason)
+    absl::string_view outcome, absl::string_view reason, absl::Duration age)
 {
     DecisionEffect decision;
     decision.kind = kind;
@@ -18,6 +18,7 @@
     decision.worker = worker.str();
     decision.outcome = std::string(outcome);
     decision.reason = std::string(reason);
+    decision.age = age;
     decision.epoch = m_ownership.epoch();
     const auto session = m_workers.sessions().find(worker);
     if (session != m_workers.sessions().end()) {
@@ -87,6 +88,16 @@
         logRun(DecisionEffect::Kind::StartBarred, *update.session.barredStart, update.worker);
 }
 
+void OwnerPart::logUnansweredRenewal(const WorkerUpdate& update)
+{
+    DecisionEffect decision;
+    decision.kind = DecisionEffect::Kind::RenewalUnanswered;
+    decision.worker = update.worker.str();
+    decision.epoch = m_ownership.epoch();
+    decision.workerProcessStartMs = *update.session.unansweredRenewal;
+    m_outbox.log(std::move(decision));
+}
+
 void OwnerPart::logWorker(const WorkerUpdate& update)
 {
     DecisionEffect decision;
--- a/src/batch/owner/owner_part_base.h
+++ b/src/batch/owner/owner_part_base.h
@@ -95,12 +95,13 @@
     absl::Time nextDue(absl::Time now) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void logJobEnd(const JobEntry& entry, absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void logRun(DecisionEffect::Kind kind, const RunKey& run, const WorkerName& worker, absl::string_view outcome = "",
-        absl::string_view reason = "") ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+        absl::string_view reason = "", absl::Duration age = absl::InfiniteDuration()) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void logAllocation(const Allocation& allocation, const AllocationInput& input, absl::Duration took, absl::Time now)
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void logGuarantees(const AllocationInput& input, absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     // Logs what became of a start command.
     void logStart(const WorkerUpdate& update) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    void logUnansweredRenewal(const WorkerUpdate& update) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void logWorker(const WorkerUpdate& update) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void logWorkerList(bool isCurrent, absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void logUnreadable(const Record& record) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
--- a/src/batch/owner/owner_run_cmd.cpp
+++ b/src/batch/owner/owner_run_cmd.cpp
@@ -84,6 +84,8 @@
         return;
     }
     logStart(update);
+    if (update.session.unansweredRenewal)
+        logUnansweredRenewal(update);
     if (update.session.isLost || update.session.isFound)
         logWorker(update);
     if (update.session.isFound)
@@ -132,7 +134,7 @@
         return;
     recordHealth(ended, update.worker, now);
     logRun(DecisionEffect::Kind::RunEnded, ended.run, update.worker, runEndName(ended.end),
-        endEvidenceName(ended.evidence));
+        endEvidenceName(ended.evidence), ended.leaseAge);
     const bool wasFinal = entry != nullptr && entry->progress.isFinal();
     const bool isChanged
         = entry != nullptr && entry->progress.recordEnd(task, ended.run.attempt, ended.end, ended.checkpoint, now);
--- a/src/batch/worker/run_slot_type.h
+++ b/src/batch/worker/run_slot_type.h
@@ -35,6 +35,8 @@
     // The sequence number in the worker's list of ends; 0 if the worker's present process does not list the end.
     std::int64_t number = 0;
     EndEvidence evidence = EndEvidence::Listed;
+    // For an expired lease: the time since the last command was sent that might have renewed it.
+    absl::Duration leaseAge = absl::InfiniteDuration();
 };
 
 // A run that uses capacity of a worker, with the state of its start and stop commands. A start that gets no reply may
--- a/src/batch/worker/worker_session_base.cpp
+++ b/src/batch/worker/worker_session_base.cpp
@@ -332,6 +332,8 @@
             ended.push_back(slot.end);
         else
             ended.push_back({ it->first, RunEnd::LeaseLapsed, "", 0, evidence });
+        if (evidence == EndEvidence::LeaseExpired)
+            ended.back().leaseAge = now - m_leaseSentAt;
         it = m_runs.erase(it);
     }
     return ended;
--- a/src/batch/worker/worker_session_base.h
+++ b/src/batch/worker/worker_session_base.h
@@ -38,6 +38,8 @@
     absl::optional<RunKey> confirmedStart;
     // A run whose start got no reply, so that it may still be executed.
     absl::optional<RunKey> unansweredStart;
+    // The start, in Unix milliseconds, of the process that a poll without a reply was sent to, if it renews the lease.
+    absl::optional<std::int64_t> unansweredRenewal;
     // A run that the worker has barred by a stop before its start was confirmed.
     absl::optional<RunKey> barredStart;
     // The worker has seen a larger epoch, so another node is the owner.
@@ -62,6 +64,8 @@
     std::int64_t processStartMs = 0;
     // The same start was sent before.
     bool isRepeated = false;
+    // The call renews the lease of everything that runs on the worker.
+    bool renewsLease = false;
 };
 
 // A call that is due. The caller of `takeDueCalls` fills in the payload and checkpoint of a start.
@@ -232,6 +236,8 @@
     // The longest lease, on the worker's clock; 0 if that clock is unknown.
     WorkerMillis leaseUntil(absl::Time now) const;
     void extendLeaseBound(absl::Time now);
+    // Makes the call renew the lease if the worker's clock is known.
+    void grantLease(DueCall& due, absl::Time now);
     // When the next start or stop command of the run is due.
     absl::Time commandDueAt(const RunSlot& slot) const;
 
@@ -260,6 +266,8 @@
     // The worker's clock in its last reply, and when that reply was received.
     WorkerMillis m_workerClock = 0;
     absl::Time m_clockReadAt = absl::InfinitePast();
+    // When the last command that renews the lease was sent.
+    absl::Time m_leaseSentAt = absl::InfinitePast();
     // Until when, on the owner's clock, the leases granted so far may keep a run going.
     absl::Time m_leaseBound = absl::InfinitePast();
 
--- a/src/batch/worker/worker_session_call_cmd.cpp
+++ b/src/batch/worker/worker_session_call_cmd.cpp
@@ -152,6 +152,16 @@
     return m_workerClock + absl::ToInt64Milliseconds(now - m_clockReadAt + m_settings.maxLease);
 }
 
+void WorkerSession::grantLease(DueCall& due, absl::Time now)
+{
+    due.call.leaseUntil = leaseUntil(now);
+    due.context.renewsLease = due.call.leaseUntil != 0;
+    if (!due.context.renewsLease)
+        return;
+    m_leaseSentAt = now;
+    extendLeaseBound(now);
+}
+
 WorkerCall WorkerSession::makeCall(absl::Duration timeout) const
 {
     WorkerCall call;
@@ -170,8 +180,7 @@
         return due;
     }
     due.call.command = StartRun { run, "", "" };
-    due.call.leaseUntil = leaseUntil(now);
-    extendLeaseBound(now);
+    grantLease(due, now);
     return due;
 }
 
@@ -211,9 +220,7 @@
     // The lease of a worker that does not reply is not renewed, so that it expires: the renewal might arrive even
     // though the reply does not.
     if (m_failedCalls == 0)
-        due.call.leaseUntil = leaseUntil(now);
-    if (hasLiveRuns() && due.call.leaseUntil != 0)
-        extendLeaseBound(now);
+        grantLease(due, now);
     m_isPollPending = true;
     m_polledAt = now;
     return due;
--- a/src/batch/worker/worker_session_reply_cmd.cpp
+++ b/src/batch/worker/worker_session_reply_cmd.cpp
@@ -47,6 +47,8 @@
             m_lateCommandUntil = now + maxCommandDelay;
         if (mayBeExecuted && context.kind == SessionCall::Kind::Poll)
             recordLateAcknowledgement(now);
+        if (mayBeExecuted && context.kind == SessionCall::Kind::Poll && context.renewsLease)
+            update.unansweredRenewal = context.processStartMs;
         recordFailedCall(reply.status, update);
         return update;
     }
