Test: late commands reach workers behind a cut, and renewals that outlive their worker's process

A partition cuts a worker off from the store as well, so that its entry expires and comes back. Each process has a clock that starts anywhere and may be 2% slow. Random histories have tasks that outlast a lease, faults that last beyond the last action, and workers that are restarted among late commands and cut off soon after; half of the faults of workers meet one worker. New tests of whole nodes: a renewal is executed 10 or 11.9 s after it was sent by the next process, with and without a longer absence, with and without a change of all nodes.

--- a/tests/batch/batch_cluster_base.cpp
+++ b/tests/batch/batch_cluster_base.cpp
@@ -41,7 +41,7 @@
 BatchCluster::BatchCluster(int nodes, std::uint64_t seed)
     : m_random(seed)
     , m_store(m_timeline, m_random)
-    , m_workers(m_timeline, m_random, m_store)
+    , m_workers(m_timeline, m_random, m_store, seed)
     , m_manifest(makeManifest())
 {
     putManifest(m_manifest);
--- a/tests/batch/batch_fuzz_base.cpp
+++ b/tests/batch/batch_fuzz_base.cpp
@@ -14,6 +14,10 @@
 constexpr int workerCount = 8;
 // The time from the end of all faults to the checks. Leases lapse, delayed commands arrive and the jobs run in it.
 constexpr absl::Duration settleTime = absl::Seconds(120);
+// Longer than a worker's lease, so that a run outlasts an owner's wait for its end.
+constexpr absl::Duration longestRunTime = absl::Seconds(25);
+// How long the faults may last after the last random action, so that leases of workers behind a cut expire.
+constexpr int longestFaultTail = 16000;
 
 std::string workerName(int worker)
 {
@@ -27,9 +31,11 @@
     , m_random(options.seed)
     , m_cluster(options.nodes, options.seed)
 {
+    m_weakWorker = randomBelow(workerCount);
     m_cluster.setTraced(options.isTraced);
     m_cluster.workers().setFailing("failing");
     m_cluster.workers().setRunTime("long", absl::Seconds(6));
+    m_cluster.workers().setRunTime("longest", longestRunTime);
 }
 
 int BatchFuzz::randomBelow(int count)
@@ -54,6 +60,8 @@
         runStep();
         m_cluster.runFor(absl::Milliseconds(20 + randomBelow(900)));
     }
+    if (randomBelow(2) == 0)
+        m_cluster.runFor(absl::Milliseconds(randomBelow(longestFaultTail)));
     clearFaults();
     m_cluster.runFor(settleTime);
     for (const std::string& violation : m_cluster.workers().violations())
@@ -90,17 +98,27 @@
 }
 
 void BatchFuzz::submitNewJob()
+{
+    submitNewJob(pickPayload());
+}
+
+void BatchFuzz::submitNewJob(const std::string& chosenPayload)
 {
     FuzzJob job;
     job.id = absl::StrFormat("%016x", m_jobs.size() + 1);
     const bool isUrgent = randomBelow(3) == 0;
     job.path = absl::StrCat(isUrgent ? "/urgent/" : "/batch/", job.id);
     job.isFailing = randomBelow(12) == 0;
-    const std::string payload = job.isFailing ? "failing" : randomBelow(3) == 0 ? "long" : "short";
+    const std::string payload = job.isFailing ? "failing" : chosenPayload;
     const int accelerators = 1 << randomBelow(4);
-    job.spec = randomBelow(3) == 0 ? gangOf(payload, 1 + randomBelow(4), accelerators)
-                                   : tasksOf(payload, 1 + randomBelow(6), accelerators);
-    if (randomBelow(3) == 0) {
+    const bool isLongest = payload == "longest";
+    if (isLongest)
+        job.spec = tasksOf(payload, 1, accelerators);
+    else if (randomBelow(3) == 0)
+        job.spec = gangOf(payload, 1 + randomBelow(4), accelerators);
+    else
+        job.spec = tasksOf(payload, 1 + randomBelow(6), accelerators);
+    if (!isLongest && randomBelow(3) == 0) {
         job.spec.steps.push_back(job.spec.steps.front());
         job.spec.steps.back().after = { 0 };
     }
@@ -108,6 +126,12 @@
     submitLastJob();
 }
 
+std::string BatchFuzz::pickPayload()
+{
+    const int choice = randomBelow(6);
+    return choice == 0 ? "longest" : choice <= 2 ? "long" : "short";
+}
+
 void BatchFuzz::submitLastJob()
 {
     if (m_jobs.empty())
@@ -180,17 +204,24 @@
 
 void BatchFuzz::injectWorkerFault()
 {
-    const int worker = randomBelow(workerCount);
-    switch (randomBelow(4)) {
+    // Half of the faults meet one worker, so that several act there together.
+    const int worker = randomBelow(2) == 0 ? m_weakWorker : randomBelow(workerCount);
+    switch (randomBelow(6)) {
     case 0:
         m_isCutOff[worker] = !m_isCutOff[worker];
         m_cluster.workers().setCutOff(workerName(worker), m_isCutOff[worker]);
         break;
+    case 4:
+        setPartitioned(worker, !m_isPartitioned[worker]);
+        break;
+    case 5:
+        restartAndPartition(worker);
+        break;
     case 1:
         m_cluster.workers().restart(workerName(worker), absl::Milliseconds(randomBelow(2000)));
         break;
     case 2:
-        m_cluster.workers().setLateCommands(0.3);
+        m_cluster.workers().setLateCommands(randomBelow(2) == 0 ? 0.3 : 0.7);
         break;
     default:
         m_cluster.workers().setLateCommands(0);
@@ -198,16 +229,45 @@
     }
 }
 
+void BatchFuzz::setPartitioned(int worker, bool isPartitioned)
+{
+    if (m_isPartitioned[worker] == isPartitioned)
+        return;
+    m_isPartitioned[worker] = isPartitioned;
+    m_cluster.workers().setPartitioned(workerName(worker), isPartitioned);
+}
+
+void BatchFuzz::restartAndPartition(int worker)
+{
+    SimulatedWorkers& workers = m_cluster.workers();
+    Timeline& timeline = m_cluster.timeline();
+    workers.setLateCommands(0.7);
+    const absl::Duration untilRestart = absl::Milliseconds(300 + randomBelow(1500));
+    timeline.after(untilRestart, [this, &workers, worker] {
+        workers.setLateCommands(0);
+        workers.losePower(workerName(worker), absl::Milliseconds(randomBelow(400)));
+    });
+    const absl::Duration untilCut = untilRestart + absl::Milliseconds(500 + randomBelow(3000));
+    timeline.after(untilCut, [this, worker] {
+        if (!m_areFaultsCleared)
+            setPartitioned(worker, true);
+    });
+    submitNewJob("longest");
+}
+
 void BatchFuzz::clearFaults()
 {
+    m_areFaultsCleared = true;
     BatchStore& store = m_cluster.store();
     store.setOut(false);
     store.setLostAnswers(0);
     store.setLateCommits(0);
     store.setDelay(absl::Milliseconds(4));
     m_cluster.workers().setLateCommands(0);
-    for (int worker = 0; worker < workerCount; ++worker)
+    for (int worker = 0; worker < workerCount; ++worker) {
         m_cluster.workers().setCutOff(workerName(worker), false);
+        setPartitioned(worker, false);
+    }
     for (int node = 0; node < m_options.nodes; ++node) {
         store.refuseNode(absl::StrCat("node-", node), false);
         if (m_isSuspended[node])
--- a/tests/batch/batch_fuzz_base.h
+++ b/tests/batch/batch_fuzz_base.h
@@ -48,6 +48,9 @@
     // Carries out one random action.
     void runStep();
     void submitNewJob();
+    void submitNewJob(const std::string& chosenPayload);
+    // How long the tasks of a new job run, by its payload.
+    std::string pickPayload();
     // Submits the newest job, which may have been submitted before.
     void submitLastJob();
     void cancelRandomJob();
@@ -55,6 +58,10 @@
     void injectNodeFault();
     void injectStoreFault();
     void injectWorkerFault();
+    void setPartitioned(int worker, bool isPartitioned);
+    // Restarts the worker among late commands and cuts it off soon after, so that commands to its earlier process meet
+    // a process that nobody reaches.
+    void restartAndPartition(int worker);
     void clearFaults();
     // The check functions add a violation if the job's end contradicts the answers that its callers got.
     void checkJob(const FuzzJob& job);
@@ -71,10 +78,14 @@
     SeededRandom m_random;
     BatchCluster m_cluster;
     std::vector<FuzzJob> m_jobs;
+    // The worker that half of the faults of workers meet.
+    int m_weakWorker = 0;
+    bool m_areFaultsCleared = false;
     // The faults that are present, by node or by worker.
     std::map<int, bool> m_isKilled;
     std::map<int, bool> m_isSuspended;
     std::map<int, bool> m_isCutOff;
+    std::map<int, bool> m_isPartitioned;
     std::vector<std::string> m_violations;
 };
 
--- a/tests/batch/simulated_workers_base.cpp
+++ b/tests/batch/simulated_workers_base.cpp
@@ -15,6 +15,9 @@
 constexpr absl::Duration callDelay = absl::Milliseconds(1);
 constexpr absl::Duration minLateness = absl::Seconds(2);
 constexpr absl::Duration maxLease = absl::Seconds(10);
+// A process' clock starts anew, anywhere up to this, and may be slow.
+constexpr double longestClockOrigin = 500000;
+constexpr double slowestClockRate = 0.98;
 constexpr absl::Duration stopTime = absl::Milliseconds(300);
 constexpr absl::Duration defaultRunTime = absl::Seconds(1);
 // How long a worker is silent until the store removes its entry.
@@ -27,9 +30,10 @@
 
 } // namespace
 
-SimulatedWorkers::SimulatedWorkers(Timeline& timeline, RandomSource& random, BatchStore& store)
+SimulatedWorkers::SimulatedWorkers(Timeline& timeline, RandomSource& random, BatchStore& store, std::uint64_t clockSeed)
     : m_timeline(timeline)
     , m_random(random)
+    , m_clocks(clockSeed)
     , m_store(store)
 {
 }
@@ -45,20 +49,35 @@
     worker.entry.rack = RackName(rack);
     worker.entry.labels = { WorkerLabel("a"), WorkerLabel(rack) };
     worker.entry.capacity = capacity;
-    worker.startedAt = m_timeline.now();
-    worker.entry.processStartMs = absl::ToUnixMillis(worker.startedAt) + 1;
+    startClock(worker);
     writeEntry(worker);
     m_workers[name] = std::move(worker);
 }
 
 void SimulatedWorkers::writeEntry(const Worker& worker)
 {
+    if (worker.isPartitioned)
+        return;
     m_store.put({ Collection::Workers, worker.entry.name.str() }, worker.entry);
 }
 
+void SimulatedWorkers::startClock(Worker& worker)
+{
+    worker.startedAt = m_timeline.now();
+    worker.entry.processStartMs = absl::ToUnixMillis(worker.startedAt) + 1;
+    worker.clockOrigin = 1 + static_cast<WorkerMillis>(longestClockOrigin * m_clocks.uniform());
+    worker.clockRate = m_clocks.uniform() < 0.5 ? 1 : slowestClockRate;
+}
+
 WorkerMillis SimulatedWorkers::clockOf(const Worker& worker) const
 {
-    return absl::ToInt64Milliseconds(m_timeline.now() - worker.startedAt) + 1;
+    const absl::Duration elapsed = (m_timeline.now() - worker.startedAt) * worker.clockRate;
+    return worker.clockOrigin + absl::ToInt64Milliseconds(elapsed);
+}
+
+absl::Time SimulatedWorkers::timeOf(const Worker& worker, WorkerMillis clock) const
+{
+    return worker.startedAt + absl::Milliseconds(clock - worker.clockOrigin) / worker.clockRate;
 }
 
 void SimulatedWorkers::call(const WorkerCall& call, Reply reply)
@@ -83,11 +102,11 @@
     }
     if (m_repeatsStarts && std::holds_alternative<StartRun>(call.command))
         delay(call);
-    if (tryOutlive(call))
+    if (tryOutlive(call) || tryKeepRenewal(call))
         return;
     m_timeline.after(callDelay, [this, call, once] {
         Worker& worker = m_workers.at(call.worker.str());
-        if (worker.isCutOff)
+        if (worker.isCutOff || worker.isPartitioned)
             return;
         if (worker.isGone || worker.isIsolated) {
             WorkerReply refused;
@@ -113,8 +132,7 @@
     const absl::Duration lateness = minLateness + (m_longestDelay - minLateness) * m_random.uniform();
     m_timeline.after(lateness, [this, call] {
         Worker& worker = m_workers.at(call.worker.str());
-        const bool isReachable = !worker.isCutOff && !worker.isGone && !worker.isIsolated;
-        if (isReachable)
+        if (!worker.isGone)
             executeLate(worker, call);
     });
 }
@@ -135,6 +153,23 @@
     return true;
 }
 
+bool SimulatedWorkers::tryKeepRenewal(const WorkerCall& call)
+{
+    const bool isRenewal = std::holds_alternative<PollRuns>(call.command) && call.leaseUntil != 0;
+    if (!isRenewal || call.worker.str() != m_renewalKeptOf)
+        return false;
+    m_renewalKeptOf.clear();
+    m_keptRenewal = call;
+    return true;
+}
+
+void SimulatedWorkers::executeKeptRenewal()
+{
+    const WorkerCall call = *m_keptRenewal;
+    m_keptRenewal.reset();
+    executeLate(m_workers.at(call.worker.str()), call);
+}
+
 std::string SimulatedWorkers::workerOfOutlivedStart() const
 {
     return m_outlivedStart ? m_outlivedStart->worker.str() : "";
@@ -157,12 +192,13 @@
     }
     worker.epoch = call.epoch;
     if (call.leaseUntil != 0) {
-        const absl::Time until = worker.startedAt + absl::Milliseconds(call.leaseUntil);
+        const absl::Time until = timeOf(worker, call.leaseUntil);
         if (until <= m_timeline.now() && std::holds_alternative<StartRun>(call.command)) {
             reply.refusal = WorkerRefusal::LeaseExpired;
             return reply;
         }
-        worker.leaseUntil = std::max(worker.leaseUntil, std::min(until, m_timeline.now() + maxLease));
+        worker.leaseUntil
+            = std::max(worker.leaseUntil, std::min(until, m_timeline.now() + maxLease / worker.clockRate));
         const std::string name = worker.entry.name.str();
         m_timeline.at(worker.leaseUntil, [this, name] { expireLease(m_workers.at(name)); });
     }
@@ -261,7 +297,7 @@
             return;
         const Reply waiting = found->reply;
         later.polls.erase(found);
-        if (!later.isCutOff)
+        if (!later.isCutOff && !later.isPartitioned)
             waiting(report(later));
     });
 }
@@ -315,7 +351,7 @@
 
 void SimulatedWorkers::answerPolls(Worker& worker)
 {
-    if (worker.isCutOff || worker.isIsolated)
+    if (worker.isCutOff || worker.isPartitioned || worker.isIsolated)
         return;
     for (const PendingPoll& held : std::exchange(worker.polls, {}))
         m_timeline.after(callDelay, [answer = report(worker), reply = held.reply] { reply(answer); });
@@ -383,8 +419,9 @@
     Worker fresh;
     fresh.entry = worker.entry;
     fresh.isCutOff = worker.isCutOff;
-    fresh.startedAt = m_timeline.now();
-    fresh.entry.processStartMs = absl::ToUnixMillis(fresh.startedAt) + 1;
+    fresh.isPartitioned = worker.isPartitioned;
+    fresh.partitionedAt = worker.partitionedAt;
+    startClock(fresh);
     worker = std::move(fresh);
     m_timeline.after(untilReport, [this, name] { writeEntry(m_workers.at(name)); });
     if (workerOfOutlivedStart() == name) {
@@ -425,6 +462,22 @@
     });
 }
 
+void SimulatedWorkers::setPartitioned(const std::string& name, bool isPartitioned)
+{
+    Worker& worker = m_workers.at(name);
+    worker.isPartitioned = isPartitioned;
+    if (!isPartitioned) {
+        writeEntry(worker);
+        return;
+    }
+    worker.partitionedAt = m_timeline.now();
+    m_timeline.after(entryTimeout, [this, name, since = worker.partitionedAt] {
+        const Worker& later = m_workers.at(name);
+        if (later.isPartitioned && later.partitionedAt == since)
+            m_store.remove({ Collection::Workers, name });
+    });
+}
+
 void SimulatedWorkers::isolate(const std::string& name)
 {
     Worker& worker = m_workers.at(name);
--- a/tests/batch/simulated_workers_base.h
+++ b/tests/batch/simulated_workers_base.h
@@ -35,7 +35,8 @@
 public:
     using Reply = std::function<void(const WorkerReply&)>;
 
-    SimulatedWorkers(Timeline& timeline, RandomSource& random, BatchStore& store);
+    // The seed decides on the clocks of the workers' processes.
+    SimulatedWorkers(Timeline& timeline, RandomSource& random, BatchStore& store, std::uint64_t clockSeed = 1);
 
     // Adds a worker that writes its entry to the store.
     void add(const std::string& name, const std::string& rack, const Resources& capacity,
@@ -49,6 +50,9 @@
 
     // While it is cut off, no call reaches the worker and no reply is returned; its runs go on.
     void setCutOff(const std::string& name, bool isCutOff) { m_workers.at(name).isCutOff = isCutOff; }
+    // Cuts the worker off from the nodes and from the store without a sign, or ends that: its runs go on, and its entry
+    // is removed once it has been silent for the entry timeout, and written again at the end.
+    void setPartitioned(const std::string& name, bool isPartitioned);
     // Cuts the worker off from the nodes and from the store: calls to it are refused at its address and pending polls
     // are broken off, its runs go on, and its entry is removed once it has been silent for the entry timeout.
     void isolate(const std::string& name);
@@ -62,13 +66,18 @@
     // Marks the worker as draining; it is gone after the time.
     void drain(const std::string& name, absl::Duration after);
     // Sets the share of commands that get no reply and are executed seconds later, by whichever process the worker has
-    // then.
+    // then, also if the worker is cut off: such a command has reached its machine already.
     void setLateCommands(double share) { m_lateCommands = share; }
     // The next start gets no reply. Its worker refuses all further starts, and is unhealthy, until it is restarted; its
     // next process executes the start first of all.
     void outliveNextStart() { m_isNextStartOutlived = true; }
     // The worker of the start that was sent then; empty if none was sent.
     std::string workerOfOutlivedStart() const;
+    // The next renewal of this worker's lease gets no reply. It is executed at `executeKeptRenewal`, by whichever
+    // process the worker has then.
+    void keepNextRenewal(const std::string& name) { m_renewalKeptOf = name; }
+    bool hasKeptRenewal() const { return m_keptRenewal.has_value(); }
+    void executeKeptRenewal();
     // Let the workers break their own rules: to refuse a smaller epoch, and to refuse the start of a run that was
     // stopped.
     void setObeysAnyEpoch(bool obeysAnyEpoch) { m_obeysAnyEpoch = obeysAnyEpoch; }
@@ -113,12 +122,18 @@
     struct Worker {
         WorkerEntry entry;
         bool isCutOff = false;
+        // Cut off from the nodes and from the store, since then.
+        bool isPartitioned = false;
+        absl::Time partitionedAt = absl::InfinitePast();
         bool isGone = false;
         // Calls to the address are refused, although the worker runs on.
         bool isIsolated = false;
         Epoch epoch = 0;
         absl::Time leaseUntil = absl::InfinitePast();
         absl::Time startedAt;
+        // The process' clock as it starts, and how fast it goes.
+        WorkerMillis clockOrigin = 0;
+        double clockRate = 1;
         std::int64_t lastEnd = 0;
         std::map<RunKey, Running> running;
         // The last attempt of each task that was stopped or has ended; it and earlier ones are refused.
@@ -132,10 +147,12 @@
     WorkerReply carryOut(Worker& worker, const WorkerCall& call);
     // Keeps the call for the worker's next process if it is the start that is to outlive the present one.
     bool tryOutlive(const WorkerCall& call);
+    // Keeps the call if it is the renewal that is to be executed later.
+    bool tryKeepRenewal(const WorkerCall& call);
     void start(Worker& worker, const StartRun& start, WorkerReply& reply);
     void stop(Worker& worker, const StopRun& stop);
     void poll(Worker& worker, const PollRuns& poll, const Reply& reply);
-    // Executes a command seconds later, unless its worker cannot be reached then.
+    // Executes a command seconds later, unless its worker has left by then.
     void delay(const WorkerCall& call);
     void executeLate(Worker& worker, const WorkerCall& call);
     // Forgets the ends that the poll acknowledges.
@@ -156,11 +173,16 @@
     const Job* jobOf(const TaskKey& task) const;
     // Adds the starts that came after the end of their task was settled: it was done, or had no attempt left.
     void addNeedlessStarts(std::vector<std::string>& violations) const;
+    // Gives the worker's new process a clock of its own.
+    void startClock(Worker& worker);
     WorkerMillis clockOf(const Worker& worker) const;
+    // When the worker's clock shows this.
+    absl::Time timeOf(const Worker& worker, WorkerMillis clock) const;
     Resources demandOf(const RunKey& run) const;
 
     Timeline& m_timeline;
     RandomSource& m_random;
+    SeededRandom m_clocks;
     BatchStore& m_store;
     std::map<std::string, Worker> m_workers;
     std::map<std::string, absl::Duration> m_runTimes;
@@ -168,6 +190,8 @@
     double m_lateCommands = 0;
     bool m_isNextStartOutlived = false;
     absl::optional<WorkerCall> m_outlivedStart;
+    std::string m_renewalKeptOf;
+    absl::optional<WorkerCall> m_keptRenewal;
     bool m_obeysAnyEpoch = false;
     bool m_forgetsStops = false;
     absl::Duration m_longestDelay = absl::Seconds(12);
