--- a/src/batch/job/job_progress_base.cpp
+++ b/src/batch/job/job_progress_base.cpp
@@ -223,17 +223,22 @@
         m_record.phase = JobPhase::Active;
 }
 
-bool JobProgress::recordStarted(const TaskRef& task, std::int32_t attempt, bool mayStartAgain)
+bool JobProgress::recordStarted(
+    const TaskRef& task, std::int32_t attempt, bool mayStartAgain, std::int64_t workerProcessStartMs)
 {
     TaskProgress* found = findTask(task);
     if (found == nullptr)
         return false;
     m_hasBegun = true;
     const bool isDone = found->phase == TaskProgress::Phase::Done;
-    const bool isNew = !mayStartAgain && attempt > found->lastStartedAttempt;
+    const bool isPlaced = found->phase == TaskProgress::Phase::Placed && found->attempt == attempt;
+    const bool isProcessKnown = !isPlaced || workerProcessStartMs != 0;
+    const bool isNew = !mayStartAgain && attempt > found->lastStartedAttempt && isProcessKnown;
     const bool isSettledAnew = isDone && found->mayStartAgain != mayStartAgain;
     if (isNew)
         found->lastStartedAttempt = attempt;
+    if (isNew && isPlaced)
+        found->workerProcessStartMs = workerProcessStartMs;
     if (isSettledAnew)
         found->mayStartAgain = mayStartAgain;
     return isNew || isSettledAnew;
--- a/src/batch/job/job_progress_base.h
+++ b/src/batch/job/job_progress_base.h
@@ -63,9 +63,11 @@
     // milliseconds. A pending job becomes active.
     void place(const TaskRef& task, std::int32_t attempt, const WorkerName& worker, std::int64_t workerProcessStartMs);
 
-    // Records that a worker has shown this attempt of the task as started, and whether a start of it may still be
-    // executed. Returns whether the record has changed.
-    bool recordStarted(const TaskRef& task, std::int32_t attempt, bool mayStartAgain);
+    // Records that a worker's process, given by its start, has shown this attempt of the task as started, and whether a
+    // start of it may still be executed. A placed task whose process is unknown (0) does not count as shown. Returns
+    // whether the record has changed.
+    bool recordStarted(
+        const TaskRef& task, std::int32_t attempt, bool mayStartAgain, std::int64_t workerProcessStartMs);
     // The tasks that are done and of which a start may still be executed.
     std::vector<TaskRef> startableDoneTasks() const;
     // Whether a worker has shown the last attempt of the task as started.
--- a/src/batch/owner/allocation_input_func.cpp
+++ b/src/batch/owner/allocation_input_func.cpp
@@ -35,19 +35,19 @@
 
 using JobNames = absl::flat_hash_set<std::string>;
 
-AllocatedRun describeRun(
-    const RunKey& run, const RunSlot& slot, const JobRegistry& jobs, const JobNames& guaranteed, absl::Time now)
+AllocatedRun describeRun(const RunKey& run, const RunSlot& slot, bool mayStillStart, const JobRegistry& jobs,
+    const JobNames& guaranteed, absl::Time now)
 {
     AllocatedRun allocatedRun;
     allocatedRun.run = run;
     allocatedRun.demand = slot.demand;
-    allocatedRun.isStopping = slot.isStopWanted && !slot.mayStillStart();
+    allocatedRun.isStopping = slot.isStopWanted && !mayStillStart;
     const JobEntry* entry = jobs.find(run.task.job);
     if (entry == nullptr || entry->progress.find(run.task.task) == nullptr)
         return allocatedRun;
     const StepSpec& spec = entry->progress.stepSpec(run.task.task.step);
     allocatedRun.priority = entry->progress.job().terms.priority;
-    allocatedRun.isEvictable = !spec.isLongRunning && !slot.mayStillStart();
+    allocatedRun.isEvictable = !spec.isLongRunning && !mayStillStart;
     allocatedRun.isGang = spec.isGang;
     allocatedRun.isGuaranteed = guaranteed.contains(run.task.job.text());
     allocatedRun.evictionCost = stopCostOf(spec, slot, now);
@@ -68,7 +68,7 @@
     worker.failureSuspicion = session.health().failureSuspicion();
     worker.runs.reserve(session.runs().size());
     for (const auto& [run, slot] : session.runs()) {
-        worker.runs.push_back(describeRun(run, slot, jobs, guaranteed, now));
+        worker.runs.push_back(describeRun(run, slot, session.mayStillStart(run), jobs, guaranteed, now));
         // Waiting for a run that is about to end takes no longer than stopping another run.
         AllocatedRun& allocatedRun = worker.runs.back();
         if (allocatedRun.isStopping || WorkerSession::remainingTime(slot, now) > stopTime)
--- a/src/batch/owner/owner_load_cmd.cpp
+++ b/src/batch/owner/owner_load_cmd.cpp
@@ -24,7 +24,7 @@
     decision.epoch = m_ownership.epoch();
     m_outbox.log(std::move(decision));
     m_jobs.clear();
-    m_workers.reset(m_ownership.epoch());
+    m_workers.reset(m_ownership.epoch(), now);
     m_writer.reset();
     m_jobFollower.stop();
     m_workerFollower.stop();
--- a/src/batch/owner/owner_run_cmd.cpp
+++ b/src/batch/owner/owner_run_cmd.cpp
@@ -165,17 +165,18 @@
 bool OwnerPart::mayStillStart(const RunKey& run, const WorkerName& worker) const
 {
     const auto session = m_workers.sessions().find(worker);
-    if (session == m_workers.sessions().end())
-        return false;
-    const auto slot = session->second.runs().find(run);
-    return slot != session->second.runs().end() && slot->second.mayStillStart();
+    return session != m_workers.sessions().end() && session->second.mayStillStart(run);
 }
 
 // The next owner need not wait for the starts of a run that has shown, unless one may still be executed.
 void OwnerPart::recordStarted(const RunKey& run, const WorkerName& worker)
 {
     JobEntry* entry = m_jobs.find(run.task.job);
-    if (entry != nullptr && entry->progress.recordStarted(run.task.task, run.attempt, mayStillStart(run, worker)))
+    if (entry == nullptr)
+        return;
+    const auto session = m_workers.sessions().find(worker);
+    const std::int64_t shownBy = session == m_workers.sessions().end() ? 0 : session->second.processOf(run);
+    if (entry->progress.recordStarted(run.task.task, run.attempt, mayStillStart(run, worker), shownBy))
         m_jobs.markDirtyLater(*entry);
 }
 
--- a/src/batch/owner/worker_registry_base.cpp
+++ b/src/batch/owner/worker_registry_base.cpp
@@ -15,9 +15,10 @@
 
 } // namespace
 
-void WorkerRegistry::reset(Epoch epoch)
+void WorkerRegistry::reset(Epoch epoch, absl::Time ownedSince)
 {
     m_epoch = epoch;
+    m_ownedSince = ownedSince;
     m_sessions.clear();
     m_calls.clear();
     m_pendingPolls = 0;
@@ -45,7 +46,7 @@
     WorkerEntry entry;
     entry.name = worker;
     entry.processStartMs = processStartMs;
-    WorkerSession& session = m_sessions.try_emplace(worker, entry, m_epoch, m_settings).first->second;
+    WorkerSession& session = m_sessions.try_emplace(worker, entry, m_epoch, m_settings, m_ownedSince).first->second;
     session.markUnlisted();
     markChanged(worker);
     return session;
@@ -54,7 +55,7 @@
 void WorkerRegistry::applyEntry(const WorkerEntry& entry, absl::Time reportedAfter, absl::Time now)
 {
     markChanged(entry.name);
-    WorkerSession& session = m_sessions.try_emplace(entry.name, entry, m_epoch, m_settings).first->second;
+    WorkerSession& session = m_sessions.try_emplace(entry.name, entry, m_epoch, m_settings, m_ownedSince).first->second;
     session.update(entry, reportedAfter, now);
 }
 
--- a/src/batch/owner/worker_registry_base.h
+++ b/src/batch/owner/worker_registry_base.h
@@ -37,8 +37,9 @@
     {
     }
 
-    // Removes all workers. Workers that are added later are called with the epoch.
-    void reset(Epoch epoch);
+    // Removes all workers. Workers that are added later are called with the epoch; earlier owners may have sent
+    // commands to them until `ownedSince`.
+    void reset(Epoch epoch, absl::Time ownedSince);
 
     // Applies rows of the worker list; if they are complete, a worker without a row is not listed any more.
     void applyRecords(const CollectionUpdate& update, absl::Time now);
@@ -94,6 +95,7 @@
 
     const SessionSettings m_settings;
     Epoch m_epoch = 0;
+    absl::Time m_ownedSince = absl::InfinitePast();
     absl::Time m_ownedUntil = absl::InfinitePast();
     absl::btree_map<WorkerName, WorkerSession> m_sessions;
     absl::flat_hash_map<CallId, PendingCall> m_calls;
--- /dev/null
+++ b/src/batch/worker/outstanding_commands_base.cpp
@@ -0,0 +1,216 @@
+#include "batch/worker/outstanding_commands_base.h"
+
+#include <algorithm>
+
+namespace mangohall::batch {
+
+namespace {
+
+// The times of day of a worker, at its process' start, and of this node differ by less than this.
+constexpr absl::Duration maxTimeOfDayError = absl::Seconds(10);
+
+} // namespace
+
+OutstandingCommands::OutstandingCommands(absl::Time ownedSince, absl::Duration longestLease)
+    : m_earlierOwnersUntil(ownedSince + maxDelay)
+    , m_longestLease(longestLease)
+{
+}
+
+OutstandingCommands::Command* OutstandingCommands::find(const SessionCall& call)
+{
+    const auto found = std::find_if(m_commands.begin(), m_commands.end(),
+        [&call](const Command& command) { return call.number != 0 && command.call.number == call.number; });
+    return found == m_commands.end() ? nullptr : &*found;
+}
+
+void OutstandingCommands::erase(const SessionCall& call)
+{
+    if (const Command* command = find(call))
+        m_commands.erase(m_commands.begin() + (command - m_commands.data()));
+}
+
+void OutstandingCommands::recordSent(SessionCall& call)
+{
+    call.number = ++m_lastNumber;
+    const bool isStart = call.kind == SessionCall::Kind::Start;
+    if (isStart || call.renewsLease || call.acknowledgedEnd != 0)
+        m_commands.push_back({ call, call.sentAt + maxDelay, true, isStart, false });
+}
+
+void OutstandingCommands::markExecuted(Command& command, absl::Time now)
+{
+    command.mayStart = false;
+    command.call.acknowledgedEnd = 0;
+    command.until = std::min(command.until, now);
+}
+
+void OutstandingCommands::recordReply(const SessionCall& call, std::int64_t repliedBy, absl::Time now)
+{
+    Command* command = find(call);
+    if (command == nullptr)
+        return;
+    const bool isOtherProcess = repliedBy == 0 || repliedBy != command->call.processStartMs;
+    if (!command->call.renewsLease || !isOtherProcess) {
+        erase(call);
+        return;
+    }
+    command->isPending = false;
+    markExecuted(*command, now);
+}
+
+bool OutstandingCommands::recordNotExecuted(const SessionCall& call)
+{
+    const Command* command = find(call);
+    const bool wasUnknown = command == nullptr || command->call.kind != SessionCall::Kind::Start || command->mayStart;
+    erase(call);
+    return wasUnknown;
+}
+
+bool OutstandingCommands::recordNoReply(const SessionCall& call, absl::Time now)
+{
+    m_anyUntil = std::max(m_anyUntil, now + maxDelay);
+    Command* command = find(call);
+    if (command == nullptr)
+        return true;
+    command->isPending = false;
+    if (command->call.kind == SessionCall::Kind::Start && !command->mayStart)
+        return false;
+    command->until = now + maxDelay;
+    return true;
+}
+
+void OutstandingCommands::recordStartsOfEarlierOwner(const RunKey& run, absl::Time now)
+{
+    SessionCall call;
+    call.kind = SessionCall::Kind::Start;
+    call.run = run;
+    call.sentAt = now;
+    m_commands.push_back({ call, now + maxDelay, false, true, true });
+}
+
+// Of several starts, one without a reply counts as executed first: a pending one may still get its reply.
+void OutstandingCommands::recordShown(const RunKey& run, absl::Time now)
+{
+    Command* executed = nullptr;
+    for (Command& command : m_commands) {
+        if (!command.mayStart || command.call.run != run)
+            continue;
+        if (command.isOfEarlierOwner)
+            return;
+        if (executed == nullptr || (executed->isPending && !command.isPending))
+            executed = &command;
+    }
+    if (executed != nullptr)
+        markExecuted(*executed, now);
+}
+
+void OutstandingCommands::settleStarts(const RunKey& run)
+{
+    for (Command& command : m_commands) {
+        if (command.call.run == run)
+            command.mayStart = false;
+    }
+}
+
+void OutstandingCommands::settleAcknowledgements()
+{
+    for (Command& command : m_commands) {
+        if (!command.isPending)
+            command.call.acknowledgedEnd = 0;
+    }
+}
+
+void OutstandingCommands::expire(absl::Time now)
+{
+    if (m_anyUntil <= now)
+        m_anyUntil = absl::InfinitePast();
+    const auto isOver = [this, now](const Command& command) {
+        return !command.isPending && !command.mayStart && command.until + m_longestLease <= now;
+    };
+    m_commands.erase(std::remove_if(m_commands.begin(), m_commands.end(), isOver), m_commands.end());
+}
+
+bool OutstandingCommands::mayStart(const RunKey& run) const
+{
+    return std::any_of(m_commands.begin(), m_commands.end(),
+        [&run](const Command& command) { return command.mayStart && command.call.run == run; });
+}
+
+absl::Time OutstandingCommands::startsMayComeUntil(const RunKey& run) const
+{
+    absl::Time until = absl::InfinitePast();
+    for (const Command& command : m_commands) {
+        if (command.mayStart && !command.isPending && command.call.run == run)
+            until = std::max(until, command.until);
+    }
+    return until;
+}
+
+bool OutstandingCommands::mayStartAny() const
+{
+    return std::any_of(m_commands.begin(), m_commands.end(), [](const Command& command) { return command.mayStart; });
+}
+
+// A command can only come to a later process than it was sent to if that process started within the longest delay
+// after.
+absl::Time OutstandingCommands::foreignRenewalUntil(std::int64_t processStartMs) const
+{
+    absl::Time until = m_earlierOwnersUntil;
+    if (processStartMs != 0)
+        until = std::min(until, absl::FromUnixMillis(processStartMs) + maxTimeOfDayError + maxDelay);
+    for (const Command& command : m_commands) {
+        const bool isForeign = processStartMs == 0 || command.call.processStartMs != processStartMs;
+        if (command.call.renewsLease && isForeign)
+            until = std::max(until, command.until);
+    }
+    return until;
+}
+
+// Any later process may have a run that may still start, and its start carries a lease.
+absl::Time OutstandingCommands::foreignLeaseEnd(const RunKey& run, std::int64_t processStartMs) const
+{
+    if (mayStart(run))
+        return std::max(startsMayComeUntil(run), foreignRenewalUntil(0)) + m_longestLease;
+    return foreignRenewalUntil(processStartMs) + m_longestLease;
+}
+
+std::int64_t OutstandingCommands::unansweredAcknowledgement(std::int64_t processStartMs) const
+{
+    std::int64_t end = 0;
+    for (const Command& command : m_commands) {
+        if (!command.isPending && command.call.processStartMs == processStartMs)
+            end = std::max(end, command.call.acknowledgedEnd);
+    }
+    return end;
+}
+
+absl::Time OutstandingCommands::unansweredAcknowledgementUntil() const
+{
+    absl::Time until = absl::InfinitePast();
+    for (const Command& command : m_commands) {
+        if (!command.isPending && command.call.acknowledgedEnd != 0)
+            until = std::max(until, command.until);
+    }
+    return until;
+}
+
+absl::Time OutstandingCommands::acknowledgementsMayComeUntil() const
+{
+    absl::Time until = absl::InfinitePast();
+    for (const Command& command : m_commands) {
+        if (command.call.acknowledgedEnd != 0)
+            until = std::max(until, command.until);
+    }
+    return until;
+}
+
+absl::Time OutstandingCommands::settledAt() const
+{
+    absl::Time until = absl::InfinitePast();
+    for (const Command& command : m_commands)
+        until = std::max(until, command.until);
+    return until;
+}
+
+} // namespace mangohall::batch
--- /dev/null
+++ b/src/batch/worker/outstanding_commands_base.h
@@ -0,0 +1,98 @@
+// The aggregate of the commands to one worker that may still be executed.
+#pragma once
+
+#include <cstdint>
+#include <vector>
+
+#include "absl/time/time.h"
+#include "batch/worker/session_call_type.h"
+
+namespace mangohall::batch {
+
+// The commands to one worker whose outcome is unknown: their calls are pending, or have ended without a reply.
+// Whichever process the worker has by then may execute such a command: a later one than it was sent to knows neither a
+// stop nor an epoch that the earlier one has seen, counts its ends anew, and takes a time on the earlier one's clock
+// for the longest lease from that moment on. Commands that change nothing at a later process, as stops do, count only
+// in `mayAnyBeExecuted`. Not safe to call from several threads.
+class OutstandingCommands {
+public:
+    // A command without a reply is executed within this time after its call has failed, or never.
+    static constexpr absl::Duration maxDelay = absl::Seconds(14);
+
+    // `ownedSince` is when this node became the owner: what earlier owners had sent until then is unknown.
+    // `longestLease` is the longest time for which a worker's lease lasts after a command, on the owner's clock.
+    OutstandingCommands(absl::Time ownedSince, absl::Duration longestLease);
+
+    // Records a call that is sent now, and numbers it.
+    void recordSent(SessionCall& call);
+    // Records that the command was executed or refused by this process, given by its start; 0 if that is unknown.
+    void recordReply(const SessionCall& call, std::int64_t repliedBy, absl::Time now);
+    // The following two return whether the outcome was unknown until now. It is not if a list has shown that the
+    // command was executed.
+    bool recordNotExecuted(const SessionCall& call);
+    bool recordNoReply(const SessionCall& call, absl::Time now);
+    // Records that an earlier owner may have sent any number of starts of the run.
+    void recordStartsOfEarlierOwner(const RunKey& run, absl::Time now);
+    // Records that the worker's present process shows the run for the first time, so that one of its starts was
+    // executed.
+    void recordShown(const RunKey& run, absl::Time now);
+    // Records that no start of the run may be executed any more.
+    void settleStarts(const RunKey& run);
+    // Records that the unanswered acknowledgements were executed.
+    void settleAcknowledgements();
+    // Drops what can have no effect any more.
+    void expire(absl::Time now);
+
+    // Whether a start of the run may still be executed, and until when one without a reply may be: the infinite past if
+    // there is none.
+    bool mayStart(const RunKey& run) const;
+    absl::Time startsMayComeUntil(const RunKey& run) const;
+    // Whether a start of any run may still be executed.
+    bool mayStartAny() const;
+    // Whether any command without a reply may still be executed, as of the last `expire`.
+    bool mayAnyBeExecuted() const { return m_anyUntil != absl::InfinitePast(); }
+
+    // Until when, on the owner's clock, a lease may last that keeps the run going and was granted by a command to an
+    // earlier process than the one that has the run. That one is given by its start; 0 if it may be any. The infinite
+    // past if there is none.
+    absl::Time foreignLeaseEnd(const RunKey& run, std::int64_t processStartMs) const;
+
+    // The last end that an unanswered acknowledgement of this process' ends acknowledges; 0 if there is none.
+    std::int64_t unansweredAcknowledgement(std::int64_t processStartMs) const;
+    // Until when an unanswered acknowledgement may be executed, and any: a pending one as well. The infinite past if
+    // there is none.
+    absl::Time unansweredAcknowledgementUntil() const;
+    absl::Time acknowledgementsMayComeUntil() const;
+
+    // From when on no command may be executed that renews a lease or acknowledges ends; the infinite past if there is
+    // none.
+    absl::Time settledAt() const;
+
+private:
+    struct Command {
+        SessionCall call;
+        // Until when it may be executed.
+        absl::Time until;
+        bool isPending = true;
+        // A start that may still be executed.
+        bool mayStart = false;
+        // It stands for any number of starts.
+        bool isOfEarlierOwner = false;
+    };
+
+    Command* find(const SessionCall& call);
+    void erase(const SessionCall& call);
+    // Keeps of an executed command only the lease that it may have granted to another process than it was sent to.
+    static void markExecuted(Command& command, absl::Time now);
+    // Until when a command may be executed that renews a lease and was sent to an earlier process.
+    absl::Time foreignRenewalUntil(std::int64_t processStartMs) const;
+
+    const absl::Time m_earlierOwnersUntil;
+    const absl::Duration m_longestLease;
+    std::int64_t m_lastNumber = 0;
+    std::vector<Command> m_commands;
+    // Until when any command without a reply may be executed.
+    absl::Time m_anyUntil = absl::InfinitePast();
+};
+
+} // namespace mangohall::batch
--- a/src/batch/worker/run_slot_type.h
+++ b/src/batch/worker/run_slot_type.h
@@ -39,9 +39,9 @@
     absl::Duration leaseAge = absl::InfiniteDuration();
 };
 
-// A run that uses capacity of a worker, with the state of its start and stop commands. A start that gets no reply may
-// still be executed, by the worker's next process too, and the start may be repeated, so that several commands may be
-// on their way. Only the present process refuses them once it has shown the run or has confirmed a stop.
+// A run that uses capacity of a worker, with the state of its start and stop commands. Starts that may still be
+// executed stand in the session's `OutstandingCommands`; only the present process refuses them once it has shown the
+// run or has confirmed a stop.
 struct RunSlot {
     enum class Stage {
         // The capacity is reserved, but the placement is not durable yet and no start has been sent.
@@ -55,9 +55,6 @@
         // The worker has listed the end, and its next process may still execute a start.
         Ended,
     };
-    // More starts than are ever sent for one run.
-    static constexpr int unknownStartCount = 1 << 20;
-
     Stage stage = Stage::Reserved;
     // The resources that the run uses.
     Resources demand;
@@ -76,18 +73,14 @@
     // The start, in Unix milliseconds, of the process that has shown the run: it has listed the run as running, or was
     // named in the reply to the start. 0 while no reply names it.
     std::int64_t processStartMs = 0;
+    // The same, but also of a process whose reply to the start names none and has the clock that was expected of it.
+    std::int64_t likelyProcessStartMs = 0;
     // The present process has shown the run: by a list, or by its reply to a start.
     bool isShown = false;
     // The owner wants the run stopped.
     bool isStopWanted = false;
     // The worker's present process has confirmed a stop command: it refuses a start that arrives later.
     bool isStopConfirmed = false;
-    // The number of starts that got no reply and are not known to have been executed, and until when they may be; the
-    // infinite past if there is none.
-    int unansweredStarts = 0;
-    absl::Time mayStartUntil = absl::InfinitePast();
-    // The pending start is known to have been executed.
-    bool isPendingStartExecuted = false;
     // In stage Ended, the end that the worker has listed.
     EndedRun end;
     // Progress in percent, 0 to 100.
@@ -106,47 +99,12 @@
     {
         return stage == Stage::Reserved || (stage == Stage::Starting && startSentAt == absl::InfinitePast());
     }
-    // A start may still be executed, now or by a later process. Until none may, the run keeps its capacity, and its
-    // task may run nowhere else.
-    bool mayStillStart() const
-    {
-        return mayStartUntil != absl::InfinitePast() || (isStartPending && !isPendingStartExecuted);
-    }
-    // Records that a start got no reply and may be executed until then.
-    void recordUnanswered(absl::Time until)
-    {
-        ++unansweredStarts;
-        mayStartUntil = until;
-    }
-    // Records that an earlier owner may have sent any number of starts, which may be executed until then.
-    void recordUnansweredOfEarlierOwner(absl::Time until)
-    {
-        unansweredStarts = unknownStartCount;
-        mayStartUntil = until;
-    }
-    // Records that the worker lists the run, as running or as ended: its present process has executed one of the
-    // starts.
-    void recordListed()
-    {
-        if (isShown)
-            return;
-        isShown = true;
-        if (unansweredStarts == 0)
-            isPendingStartExecuted = isStartPending;
-        else if (--unansweredStarts == 0)
-            mayStartUntil = absl::InfinitePast();
-    }
-    // Records that no unanswered start may be executed any more.
-    void expireStarts()
-    {
-        unansweredStarts = 0;
-        mayStartUntil = absl::InfinitePast();
-    }
     // Records that another process has replaced the one that may have shown the run; the new one may still start it.
     void restartUnknown()
     {
         isShown = false;
         processStartMs = 0;
+        likelyProcessStartMs = 0;
         // A stop that the old process has confirmed does not bar the run at the new one.
         isStopConfirmed = false;
         confirmedAt = absl::InfiniteFuture();
--- a/src/batch/worker/worker_session_base.cpp
+++ b/src/batch/worker/worker_session_base.cpp
@@ -17,12 +17,20 @@
 // they are delayed, and overtake each other.
 constexpr absl::Duration clockTolerance = absl::Milliseconds(500);
 
+// The longest time for which a worker's lease lasts after it was granted, on the owner's clock.
+absl::Duration longestLeaseOf(const SessionSettings& settings)
+{
+    return settings.maxLease * (1 + clockDrift) + leaseMargin;
+}
+
 } // namespace
 
-WorkerSession::WorkerSession(WorkerEntry entry, Epoch epoch, SessionSettings settings)
+WorkerSession::WorkerSession(WorkerEntry entry, Epoch epoch, SessionSettings settings, absl::Time ownedSince)
     : m_entry(std::move(entry))
     , m_epoch(epoch)
     , m_settings(settings)
+    , m_leaseBound(ownedSince + longestLeaseOf(settings))
+    , m_commands(ownedSince, longestLeaseOf(settings))
     , m_pollWait(settings.pollWait)
 {
 }
@@ -105,13 +113,12 @@
         ended = endRunsOfEarlierProcess();
         // The new process counts its ends anew. A late acknowledgement of the earlier ones would make it forget ends
         // that nobody has heard of, so it gets no work until none can arrive any more.
-        if (lateAcknowledgementEnd() > now)
-            m_startsPausedUntil = std::max(m_startsPausedUntil, lateAcknowledgementEnd());
+        if (m_commands.acknowledgementsMayComeUntil() > now)
+            m_startsPausedUntil = std::max(m_startsPausedUntil, m_commands.acknowledgementsMayComeUntil());
         m_listedEnds.clear();
         m_acknowledgedEnd = 0;
         m_sentAcknowledgedEnd = 0;
         m_confirmedAcknowledgement = 0;
-        m_lateAcknowledgement = 0;
         m_hasAnswered = false;
         m_workerClock = 0;
         m_clockReadAt = absl::InfinitePast();
@@ -144,7 +151,7 @@
     endUnsentRuns(ended);
     for (auto it = m_runs.begin(); it != m_runs.end();) {
         RunSlot& slot = it->second;
-        if (slot.mayStillStart()) {
+        if (mayStillStart(it->first)) {
             slot.restartUnknown();
             ++it;
         } else if (slot.stage == RunSlot::Stage::Ended) {
@@ -156,6 +163,7 @@
             it = m_runs.erase(it);
         } else {
             slot.isStopConfirmed = false;
+            slot.likelyProcessStartMs = 0;
             ++it;
         }
     }
@@ -164,7 +172,7 @@
 
 bool WorkerSession::acceptsWork(absl::Time now) const
 {
-    const absl::Time from = std::max(m_startsPausedUntil, m_lateAcknowledgementUntil);
+    const absl::Time from = std::max(m_startsPausedUntil, m_commands.unansweredAcknowledgementUntil());
     return m_isListed && isProcessCertain() && m_processEntry && !m_entry.isDraining && now >= from;
 }
 
@@ -180,7 +188,7 @@
 {
     Resources capacity = entry().capacity;
     for (const auto& [run, slot] : m_runs) {
-        if (!slot.isStopWanted || slot.mayStillStart())
+        if (!slot.isStopWanted || mayStillStart(run))
             capacity -= slot.demand;
     }
     return capacity;
@@ -214,10 +222,12 @@
     slot.since = now;
     slot.startSentAt = now;
     slot.placedProcessStartMs = placedProcessStartMs;
-    if (isStarted)
+    if (isStarted) {
         slot.confirmedAt = absl::InfinitePast();
-    else
-        slot.recordUnansweredOfEarlierOwner(now + maxCommandDelay);
+        slot.likelyProcessStartMs = placedProcessStartMs;
+    } else {
+        m_commands.recordStartsOfEarlierOwner(run, now);
+    }
     m_runs[run] = slot;
     extendLeaseBound(now);
 }
@@ -229,7 +239,7 @@
     slot.demand = demand;
     slot.since = now;
     slot.end = { run, RunEnd::Done, "", 0, EndEvidence::Listed };
-    slot.recordUnansweredOfEarlierOwner(now + maxCommandDelay);
+    m_commands.recordStartsOfEarlierOwner(run, now);
     m_runs[run] = slot;
     extendLeaseBound(now);
 }
@@ -304,15 +314,20 @@
     return m_entry.isDraining && m_hasDeregistered && m_isUnreachable && !m_isPollPending;
 }
 
-// A late start is executed with a lease of its own, which late polls may have renewed.
-absl::Time WorkerSession::lapsesAt(const RunSlot& slot) const
+std::int64_t WorkerSession::processOf(const RunKey& run) const
+{
+    const auto found = m_runs.find(run);
+    if (found == m_runs.end())
+        return 0;
+    const RunSlot& slot = found->second;
+    return slot.processStartMs != 0 ? slot.processStartMs : slot.likelyProcessStartMs;
+}
+
+absl::Time WorkerSession::lapsesAt(const RunKey& run, const RunSlot& slot) const
 {
     if (slot.stage == RunSlot::Stage::Reserved || slot.isStartPending)
         return absl::InfiniteFuture();
-    if (!slot.mayStillStart())
-        return m_leaseBound;
-    const absl::Duration longestLease = m_settings.maxLease * (1 + clockDrift) + leaseMargin;
-    return std::max(slot.mayStartUntil + longestLease, m_leaseBound + maxCommandDelay);
+    return std::max(m_leaseBound, m_commands.foreignLeaseEnd(run, processOf(run)));
 }
 
 std::vector<EndedRun> WorkerSession::takeLapsedRuns(absl::Time now)
@@ -322,18 +337,20 @@
         return ended;
     for (auto it = m_runs.begin(); it != m_runs.end();) {
         const RunSlot& slot = it->second;
-        const bool isGone = hasLeft() && !slot.mayStillStart() && slot.stage != RunSlot::Stage::Reserved;
-        if (now < lapsesAt(slot) && !isGone) {
+        const bool hasLapsed = now >= lapsesAt(it->first, slot);
+        const bool isGone = hasLeft() && !mayStillStart(it->first) && slot.stage != RunSlot::Stage::Reserved;
+        if (!hasLapsed && !isGone) {
             ++it;
             continue;
         }
-        const EndEvidence evidence = now < lapsesAt(slot) ? EndEvidence::WorkerLeft : EndEvidence::LeaseExpired;
+        const EndEvidence evidence = hasLapsed ? EndEvidence::LeaseExpired : EndEvidence::WorkerLeft;
         if (slot.stage == RunSlot::Stage::Ended)
             ended.push_back(slot.end);
         else
             ended.push_back({ it->first, RunEnd::LeaseLapsed, "", 0, evidence });
         if (evidence == EndEvidence::LeaseExpired)
             ended.back().leaseAge = now - m_leaseSentAt;
+        m_commands.settleStarts(it->first);
         it = m_runs.erase(it);
     }
     return ended;
--- a/src/batch/worker/worker_session_base.h
+++ b/src/batch/worker/worker_session_base.h
@@ -11,7 +11,9 @@
 #include "absl/strings/string_view.h"
 #include "absl/time/time.h"
 #include "absl/types/optional.h"
+#include "batch/worker/outstanding_commands_base.h"
 #include "batch/worker/run_slot_type.h"
+#include "batch/worker/session_call_type.h"
 #include "batch/worker/worker_health_base.h"
 #include "batch/worker/worker_type.h"
 
@@ -50,30 +52,6 @@
     bool isLost = false;
 };
 
-// What a call was for; needed to interpret its reply.
-struct SessionCall {
-    enum class Kind {
-        Start,
-        Stop,
-        Poll,
-    };
-    Kind kind = Kind::Poll;
-    RunKey run;
-    absl::Time sentAt;
-    // When the called process started, in Unix milliseconds, as far as its row or its replies had shown then.
-    std::int64_t processStartMs = 0;
-    // The same start was sent before.
-    bool isRepeated = false;
-    // The call renews the lease of everything that runs on the worker.
-    bool renewsLease = false;
-};
-
-// A call that is due. The caller of `takeDueCalls` fills in the payload and checkpoint of a start.
-struct DueCall {
-    SessionCall context;
-    WorkerCall call;
-};
-
 // One worker: the runs that use its capacity, the latest time at which its lease can end, and the calls that are due. A
 // run is dropped only after the worker has shown that the run is over and cannot start any more, or after its lease
 // must have expired. A start without a reply may be executed by a later process of the worker, which knows neither a
@@ -81,7 +59,9 @@
 // call from several threads.
 class WorkerSession {
 public:
-    WorkerSession(WorkerEntry entry, Epoch epoch, SessionSettings settings);
+    // `ownedSince` is when this node became the owner; earlier owners may have sent commands to the worker until then.
+    WorkerSession(
+        WorkerEntry entry, Epoch epoch, SessionSettings settings, absl::Time ownedSince = absl::InfinitePast());
 
     // The last row of the worker's present process; before there is one, the last row of any process.
     const WorkerEntry& entry() const { return m_processEntry ? *m_processEntry : m_entry; }
@@ -90,6 +70,11 @@
     WorkerHealth& health() { return m_health; }
     const WorkerHealth& health() const { return m_health; }
     const absl::btree_map<RunKey, RunSlot>& runs() const { return m_runs; }
+    // Whether a start of the run may still be executed, now or by a later process. Until none may, the run keeps its
+    // capacity, and its task may run nowhere else.
+    bool mayStillStart(const RunKey& run) const { return m_commands.mayStart(run); }
+    // When the process started that has the run, in Unix milliseconds; 0 if that is unknown.
+    std::int64_t processOf(const RunKey& run) const;
 
     // Applies a new row of the worker list. The worker has reported the row after `reportedAfter`, which is the
     // infinite past if that is unknown. A row may come from another writer, so a later start of the process that it
@@ -103,7 +88,8 @@
     // The earliest time at which a draining worker may be gone; the infinite future for a worker that stays.
     absl::Time leavesAt() const { return m_leavesAt; }
     // Whether the session may be deleted: the worker is not listed, has no run, no poll is pending whose reply may
-    // still list ends, and no acknowledgement may still be executed by a later process.
+    // still list ends, and no command may still be executed by a later process that renews its lease or acknowledges
+    // ends.
     bool isRemovable(absl::Time now) const;
 
     // Whether the worker has replied to a poll with this owner's epoch.
@@ -161,17 +147,18 @@
     std::vector<EndedRun> takeLapsedRuns(absl::Time now);
 
 private:
-    // A command without a reply is executed within this time after its call has failed, or never.
-    static constexpr absl::Duration maxCommandDelay = absl::Seconds(14);
-
     void handleStartReply(const SessionCall& context, const WorkerReply& reply, absl::Time now, SessionUpdate& update);
     // Handles a start that may have been executed, or did not reach the worker.
-    void handleFailedStart(const SessionCall& context, const WorkerReply& reply, absl::Time now, SessionUpdate& update);
+    // Handles a call that got no reply, or whose reply shows that it was not executed.
+    void handleFailure(const SessionCall& context, const WorkerReply& reply, absl::Time now, SessionUpdate& update);
+    void handleFailedStart(const SessionCall& context, const WorkerReply& reply, SessionUpdate& update);
     void dropUnstartedRun(
         absl::btree_map<RunKey, RunSlot>::iterator found, EndEvidence evidence, SessionUpdate& update);
-    static bool recordListedEnd(RunSlot& slot, const EndedRun& ended);
-    // Records that no start of the run may be executed any more.
-    static void settleStarts(RunSlot& slot);
+    bool recordListedEnd(RunSlot& slot, const EndedRun& ended, absl::Time now);
+    // Records that the worker lists the run, as running or as ended.
+    void recordListed(const RunKey& run, RunSlot& slot, absl::Time now);
+    // Ends the wait for starts of the run that could not be executed any more when the poll was sent.
+    void settleStarts(const RunKey& run, RunSlot& slot, absl::Time polledAt);
     // The end of a run that the worker does not list as running.
     static EndedRun describeEnd(const RunKey& run, const RunSlot& slot);
     void handleStopReply(const SessionCall& context, const WorkerReply& reply, absl::Time now, SessionUpdate& update);
@@ -204,7 +191,9 @@
     // Drops the runs whose start was not sent.
     void endUnsentRuns(std::vector<EndedRun>& ended);
     // When the run must be over if the worker does not reply.
-    absl::Time lapsesAt(const RunSlot& slot) const;
+    absl::Time lapsesAt(const RunKey& run, const RunSlot& slot) const;
+    // The process that has sent the reply, given by its start; 0 if that is unknown.
+    std::int64_t replyingProcess(const SessionCall& context, const WorkerReply& reply, absl::Time now) const;
     void barStartsWhileDraining(absl::Time now);
     // When the first of the starts was sent that have no reply yet; the infinite future if there is none.
     absl::Time firstPendingStartSentAt() const;
@@ -213,16 +202,12 @@
     bool isAcknowledgementHeldBack() const;
     // Whether the pending poll acknowledges ends. No start is sent beside it.
     bool isAcknowledgementPending() const { return m_isPollPending && m_sentAcknowledgedEnd != 0; }
-    // Records that an acknowledgement got no reply.
-    void recordLateAcknowledgement(absl::Time now);
     // Ends the wait for a late acknowledgement if the worker lists none of the ends any more that it acknowledges.
     void reviewLateAcknowledgement(const WorkerReply& reply);
     // The end that the next poll acknowledges; 0 if none is to be acknowledged, or not yet.
     std::int64_t nextAcknowledgement() const;
-    // Until when the pending poll, or one that got no reply, may still acknowledge ends; the infinite past if none may.
-    absl::Time lateAcknowledgementEnd() const;
     void handleRunningRow(const RunningRow& row, absl::Time now);
-    void handleEndedRow(const EndedRow& row, SessionUpdate& update);
+    void handleEndedRow(const EndedRow& row, absl::Time now, SessionUpdate& update);
     void dropUnlistedRuns(const SessionCall& context, const WorkerReply& reply, SessionUpdate& update);
     bool isPollDue(absl::Time now) const;
     absl::Time nextPollAt() const;
@@ -271,14 +256,7 @@
     // Until when, on the owner's clock, the leases granted so far may keep a run going.
     absl::Time m_leaseBound = absl::InfinitePast();
 
-    // Until when a command that got no reply may still be executed; the infinite past if there is none. More may get no
-    // reply, so ends are not acknowledged meanwhile: an acknowledgement without a reply keeps the worker from new work.
-    absl::Time m_lateCommandUntil = absl::InfinitePast();
-    // Until when an acknowledgement that got no reply may still be executed, by any process that the worker has by
-    // then; the infinite past if there is none.
-    absl::Time m_lateAcknowledgementUntil = absl::InfinitePast();
-    // The last end that it acknowledges; 0 if it was sent to an earlier process.
-    std::int64_t m_lateAcknowledgement = 0;
+    OutstandingCommands m_commands;
 
     absl::Duration m_pollWait;
     bool m_mayStart = true;
--- a/src/batch/worker/worker_session_call_cmd.cpp
+++ b/src/batch/worker/worker_session_call_cmd.cpp
@@ -110,10 +110,7 @@
 std::vector<DueCall> WorkerSession::takeDueCalls(absl::Time now)
 {
     barStartsWhileDraining(now);
-    if (m_lateCommandUntil <= now)
-        m_lateCommandUntil = absl::InfinitePast();
-    if (m_lateAcknowledgementUntil <= now)
-        m_lateAcknowledgementUntil = absl::InfinitePast();
+    m_commands.expire(now);
     std::vector<DueCall> calls;
     for (auto& [run, slot] : m_runs) {
         if (commandDueAt(slot) > now)
@@ -137,11 +134,11 @@
         due = std::min(due, commandDueAt(slot));
     for (const auto& [run, slot] : m_runs) {
         if (!isReachable())
-            due = std::min(due, lapsesAt(slot));
+            due = std::min(due, lapsesAt(run, slot));
     }
     // An unlisted worker is removed then.
-    if (!m_isListed && m_runs.empty() && !m_isPollPending && lateAcknowledgementEnd() != absl::InfinitePast())
-        due = std::min(due, lateAcknowledgementEnd());
+    if (!m_isListed && m_runs.empty() && !m_isPollPending && m_commands.settledAt() != absl::InfinitePast())
+        due = std::min(due, m_commands.settledAt());
     return due;
 }
 
@@ -177,10 +174,12 @@
     DueCall due { { kind, run, now, calledProcessStart() }, makeCall(callTimeout) };
     if (kind == SessionCall::Kind::Stop) {
         due.call.command = StopRun { run };
+        m_commands.recordSent(due.context);
         return due;
     }
     due.call.command = StartRun { run, "", "" };
     grantLease(due, now);
+    m_commands.recordSent(due.context);
     return due;
 }
 
@@ -196,9 +195,7 @@
 
 bool WorkerSession::isAcknowledgementHeldBack() const
 {
-    const bool isStartUnknown
-        = std::any_of(m_runs.begin(), m_runs.end(), [](const auto& entry) { return entry.second.mayStillStart(); });
-    const bool isHeldBack = isStartUnknown || m_lateCommandUntil != absl::InfinitePast();
+    const bool isHeldBack = m_commands.mayStartAny() || m_commands.mayAnyBeExecuted();
     return isHeldBack && m_acknowledgedEnd > m_confirmedAcknowledgement;
 }
 
@@ -221,6 +218,8 @@
     // though the reply does not.
     if (m_failedCalls == 0)
         grantLease(due, now);
+    due.context.acknowledgedEnd = m_sentAcknowledgedEnd;
+    m_commands.recordSent(due.context);
     m_isPollPending = true;
     m_polledAt = now;
     return due;
--- a/src/batch/worker/worker_session_reply_cmd.cpp
+++ b/src/batch/worker/worker_session_reply_cmd.cpp
@@ -40,18 +40,10 @@
         return update;
     }
     if (!reply.status.ok() || reply.refusal == WorkerRefusal::OtherProcess || isPollRefused) {
-        if (context.kind == SessionCall::Kind::Start)
-            handleFailedStart(context, reply, now, update);
-        const bool mayBeExecuted = !reply.status.ok() && !isUndelivered(reply);
-        if (mayBeExecuted)
-            m_lateCommandUntil = now + maxCommandDelay;
-        if (mayBeExecuted && context.kind == SessionCall::Kind::Poll)
-            recordLateAcknowledgement(now);
-        if (mayBeExecuted && context.kind == SessionCall::Kind::Poll && context.renewsLease)
-            update.unansweredRenewal = context.processStartMs;
-        recordFailedCall(reply.status, update);
+        handleFailure(context, reply, now, update);
         return update;
     }
+    m_commands.recordReply(context, replyingProcess(context, reply, now), now);
     // The reply comes from an earlier process of the worker. One that does not name its process is taken for a reply of
     // the called one.
     const std::int64_t repliedBy = reply.processStartMs != 0 ? reply.processStartMs : context.processStartMs;
@@ -76,20 +68,38 @@
     return update;
 }
 
-void WorkerSession::handleFailedStart(
+// A reply to a start does not name its process; the clock tells whether it is the called one.
+std::int64_t WorkerSession::replyingProcess(const SessionCall& context, const WorkerReply& reply, absl::Time now) const
+{
+    if (reply.processStartMs != 0)
+        return reply.processStartMs;
+    return m_isRestartSuspected || isClockUnexpected(reply.clock, now) ? 0 : context.processStartMs;
+}
+
+void WorkerSession::handleFailure(
     const SessionCall& context, const WorkerReply& reply, absl::Time now, SessionUpdate& update)
+{
+    const bool mayBeExecuted = !reply.status.ok() && !isUndelivered(reply);
+    const bool wasUnknown
+        = mayBeExecuted ? m_commands.recordNoReply(context, now) : m_commands.recordNotExecuted(context);
+    if (context.kind == SessionCall::Kind::Start && wasUnknown)
+        handleFailedStart(context, reply, update);
+    if (mayBeExecuted && context.kind == SessionCall::Kind::Poll && context.renewsLease)
+        update.unansweredRenewal = context.processStartMs;
+    recordFailedCall(reply.status, update);
+}
+
+void WorkerSession::handleFailedStart(const SessionCall& context, const WorkerReply& reply, SessionUpdate& update)
 {
     const auto found = m_runs.find(context.run);
-    if (found == m_runs.end())
-        return;
-    RunSlot& slot = found->second;
-    if (std::exchange(slot.isPendingStartExecuted, false))
+    if (found == m_runs.end()) {
+        m_commands.settleStarts(context.run);
         return;
+    }
     if (isUndelivered(reply)) {
         dropUnstartedRun(found, EndEvidence::NeverSent, update);
         return;
     }
-    slot.recordUnanswered(now + maxCommandDelay);
     update.unansweredStart = context.run;
 }
 
@@ -97,41 +107,27 @@
 void WorkerSession::dropUnstartedRun(
     absl::btree_map<RunKey, RunSlot>::iterator found, EndEvidence evidence, SessionUpdate& update)
 {
-    if (found->second.stage != RunSlot::Stage::Starting || found->second.mayStillStart())
+    if (found->second.stage != RunSlot::Stage::Starting || mayStillStart(found->first))
         return;
     update.ended.push_back({ found->first, RunEnd::NotStarted, "", 0, evidence });
     m_runs.erase(found);
 }
 
-absl::Time WorkerSession::lateAcknowledgementEnd() const
-{
-    const absl::Time pendingSince = isAcknowledgementPending() ? m_polledAt : absl::InfinitePast();
-    return std::max(m_lateAcknowledgementUntil, pendingSince + maxCommandDelay);
-}
-
-void WorkerSession::recordLateAcknowledgement(absl::Time now)
-{
-    if (m_sentAcknowledgedEnd == 0)
-        return;
-    m_lateAcknowledgementUntil = now + maxCommandDelay;
-    m_lateAcknowledgement = m_sentAcknowledgedEnd;
-}
-
 // The ends were not acknowledged otherwise: no acknowledgement is sent while one without a reply may be executed.
 void WorkerSession::reviewLateAcknowledgement(const WorkerReply& reply)
 {
+    const std::int64_t acknowledged = m_commands.unansweredAcknowledgement(calledProcessStart());
     const bool isExecuted = std::none_of(reply.ended.begin(), reply.ended.end(),
-        [this](const EndedRow& row) { return row.number <= m_lateAcknowledgement; });
-    if (m_lateAcknowledgement == 0 || !isExecuted)
+        [acknowledged](const EndedRow& row) { return row.number <= acknowledged; });
+    if (acknowledged == 0 || !isExecuted)
         return;
-    m_confirmedAcknowledgement = std::max(m_confirmedAcknowledgement, m_lateAcknowledgement);
-    m_lateAcknowledgement = 0;
-    m_lateAcknowledgementUntil = absl::InfinitePast();
+    m_confirmedAcknowledgement = std::max(m_confirmedAcknowledgement, acknowledged);
+    m_commands.settleAcknowledgements();
 }
 
 bool WorkerSession::isRemovable(absl::Time now) const
 {
-    return !m_isListed && m_runs.empty() && !m_isPollPending && lateAcknowledgementEnd() <= now;
+    return !m_isListed && m_runs.empty() && !m_isPollPending && m_commands.settledAt() <= now;
 }
 
 void WorkerSession::recordFailedCall(const absl::Status& status, SessionUpdate& update)
@@ -179,7 +175,6 @@
     if (found == m_runs.end())
         return;
     RunSlot& slot = found->second;
-    slot.isPendingStartExecuted = false;
     if (reply.refusal != WorkerRefusal::None) {
         m_startsPausedUntil = now + refusalPause;
         dropUnstartedRun(found, EndEvidence::StartRefused, update);
@@ -191,6 +186,7 @@
         slot.stage = RunSlot::Stage::Running;
     if (reply.processStartMs != 0)
         slot.processStartMs = reply.processStartMs;
+    slot.likelyProcessStartMs = m_isRestartSuspected ? 0 : m_processStartMs;
     if (!slot.isStopConfirmed)
         slot.confirmedAt = now;
     update.confirmedStart = context.run;
@@ -216,7 +212,7 @@
     for (const RunningRow& row : reply.running)
         handleRunningRow(row, now);
     for (const EndedRow& row : reply.ended)
-        handleEndedRow(row, update);
+        handleEndedRow(row, now, update);
     if (reply.ended.size() < maxListedEnds)
         dropUnlistedRuns(context, reply, update);
     update.running = reply.running;
@@ -246,21 +242,27 @@
         slot.percentChangedAt = now;
     slot.percent = row.percent;
     slot.processStartMs = m_processStartMs;
-    slot.recordListed();
+    recordListed(row.run, slot, now);
     if (slot.stage == RunSlot::Stage::Running)
         return;
     slot.stage = RunSlot::Stage::Running;
     slot.confirmedAt = now;
 }
 
-void WorkerSession::handleEndedRow(const EndedRow& row, SessionUpdate& update)
+void WorkerSession::recordListed(const RunKey& run, RunSlot& slot, absl::Time now)
+{
+    if (!std::exchange(slot.isShown, true))
+        m_commands.recordShown(run, now);
+}
+
+void WorkerSession::handleEndedRow(const EndedRow& row, absl::Time now, SessionUpdate& update)
 {
     if (row.number <= m_acknowledgedEnd || m_listedEnds.find(row.number) != m_listedEnds.end())
         return;
     m_listedEnds[row.number] = false;
     const EndedRun ended { row.run, row.end, row.checkpoint, row.number };
     const auto found = m_runs.find(row.run);
-    const bool isSettled = found == m_runs.end() || !recordListedEnd(found->second, ended);
+    const bool isSettled = found == m_runs.end() || !recordListedEnd(found->second, ended, now);
     if (isSettled && found != m_runs.end())
         m_runs.erase(found);
     // The task is not started again before no earlier start can be executed, so other ends are returned then.
@@ -269,10 +271,10 @@
 }
 
 // Returns whether a start of the run may still be executed.
-bool WorkerSession::recordListedEnd(RunSlot& slot, const EndedRun& ended)
+bool WorkerSession::recordListedEnd(RunSlot& slot, const EndedRun& ended, absl::Time now)
 {
-    slot.recordListed();
-    if (!slot.mayStillStart())
+    recordListed(ended.run, slot, now);
+    if (!mayStillStart(ended.run))
         return false;
     slot.stage = RunSlot::Stage::Ended;
     slot.end = ended;
@@ -288,11 +290,10 @@
         listed[row.run] = true;
     for (auto it = m_runs.begin(); it != m_runs.end();) {
         RunSlot& slot = it->second;
-        if (!slot.isStartPending && slot.mayStartUntil <= context.sentAt && slot.unansweredStarts > 0)
-            settleStarts(slot);
+        settleStarts(it->first, slot, context.sentAt);
         const bool isOver = slot.stage == RunSlot::Stage::Ended || slot.confirmedAt < context.sentAt;
-        if (listed.contains(it->first) || slot.mayStillStart() || !isOver) {
-            if (slot.stage == RunSlot::Stage::Adopted && slot.mayStillStart())
+        if (listed.contains(it->first) || mayStillStart(it->first) || !isOver) {
+            if (slot.stage == RunSlot::Stage::Adopted && mayStillStart(it->first))
                 slot.stage = RunSlot::Stage::Starting;
             ++it;
             continue;
@@ -303,10 +304,12 @@
 }
 
 // The run is over unless the worker lists it.
-void WorkerSession::settleStarts(RunSlot& slot)
+void WorkerSession::settleStarts(const RunKey& run, RunSlot& slot, absl::Time polledAt)
 {
+    if (!mayStillStart(run) || slot.isStartPending || m_commands.startsMayComeUntil(run) > polledAt)
+        return;
     const bool hasShown = slot.stage == RunSlot::Stage::Running || slot.stage == RunSlot::Stage::Ended;
-    slot.expireStarts();
+    m_commands.settleStarts(run);
     if (!hasShown) {
         slot.end = { RunKey(), RunEnd::NotStarted, "", 0, EndEvidence::AbsentFromPoll };
         slot.stage = RunSlot::Stage::Ended;
--- a/tests/batch/job_registry_test.cpp
+++ b/tests/batch/job_registry_test.cpp
@@ -59,8 +59,8 @@
     progress.recordEnd(task, 1, RunEnd::NotStarted, "", absl::UnixEpoch());
     EXPECT_EQ(jobs.countWaiting().waiting[queue], 1);
     progress.place(task, 2, WorkerName("w"), 1);
-    EXPECT_TRUE(progress.recordStarted(task, 2, false));
-    EXPECT_FALSE(progress.recordStarted(task, 2, false));
+    EXPECT_TRUE(progress.recordStarted(task, 2, false, 1000));
+    EXPECT_FALSE(progress.recordStarted(task, 2, false, 1000));
     EXPECT_EQ(jobs.countWaiting().waiting.count(queue), 0U);
     JobRegistry later;
     later.add(job);
--- a/tests/batch/worker_registry_test.cpp
+++ b/tests/batch/worker_registry_test.cpp
@@ -58,7 +58,7 @@
     // Adds workers that have replied once and run nothing.
     void settle(int workers)
     {
-        m_workers.reset(1);
+        m_workers.reset(1, begin);
         m_workers.applyRecords(workerList(workers), begin);
         m_workers.advance(m_source, m_outbox, begin);
         EXPECT_FALSE(m_workers.hasEveryWorkerAnswered());
@@ -182,7 +182,7 @@
 {
     constexpr std::size_t workers = 3000;
     constexpr std::size_t mostAtATime = 64;
-    m_workers.reset(1);
+    m_workers.reset(1, begin);
     m_workers.applyRecords(workerList(workers), begin);
     m_workers.advance(m_source, m_outbox, begin);
     std::vector<CallId> calls = callsIn(m_outbox.take());
@@ -208,7 +208,7 @@
 TEST_F(WorkerRegistryTest, PollsEveryNewWorkerBesideOnesThatDoNotReply)
 {
     constexpr int workers = 200;
-    m_workers.reset(1);
+    m_workers.reset(1, begin);
     m_workers.applyRecords(workerList(workers), begin);
     WorkerReply noReply;
     noReply.status = absl::UnavailableError("nothing came");
--- a/tests/batch/worker_session_lease_test.cpp
+++ b/tests/batch/worker_session_lease_test.cpp
@@ -133,7 +133,10 @@
     m_session.markUnlisted();
     EXPECT_FALSE(m_session.isRemovable(m_now));
     m_session.handleReply(poll.context, noAnswer(ErrorKind::PeerGone), m_now);
-    EXPECT_TRUE(m_session.isRemovable(m_now));
+    // The poll renews the lease, and the next process under the worker's name may still execute it.
+    constexpr absl::Duration longestDelay = absl::Seconds(14);
+    EXPECT_FALSE(m_session.isRemovable(m_now + longestDelay - absl::Milliseconds(1)));
+    EXPECT_TRUE(m_session.isRemovable(m_now + longestDelay));
 }
 
 // Guards against a second run of a task: the lease end was reckoned from an old time of a clock that has gone slower
@@ -172,5 +175,93 @@
     EXPECT_TRUE(isDue(SessionCall::Kind::Poll));
 }
 
+// A run of the worker's next process, while a renewal to the one before got no reply.
+class LateRenewal : public WorkerSessionTest {
+protected:
+    static constexpr std::int64_t nextProcessStartMs = processStartMs + 1;
+
+    // Returns until when the renewal may be executed.
+    absl::Time startAtTheNextProcess()
+    {
+        settle();
+        m_session.handleReply(startRun(runOf(0)), answerOf(5100), m_now);
+        m_session.handleReply(due(SessionCall::Kind::Poll).context, noAnswer(), m_now);
+        const absl::Time until = m_now + absl::Seconds(14);
+        m_now += absl::Milliseconds(500);
+        answerPoll(listOfNextProcess(50));
+        nameLaterStart();
+        WorkerReply confirmed;
+        confirmed.clock = 51;
+        m_session.handleReply(startRun(runOf(1)), confirmed, m_now);
+        return until;
+    }
+
+    static WorkerReply listOfNextProcess(WorkerMillis clock)
+    {
+        WorkerReply reply = answerOf(clock);
+        reply.processStartMs = nextProcessStartMs;
+        return reply;
+    }
+
+    // The worker is silent from now on; returns when its runs count as lapsed.
+    absl::Time lapseOfASilentWorker()
+    {
+        m_session.handleReply(due(SessionCall::Kind::Poll).context, noAnswer(), m_now);
+        while (m_session.takeLapsedRuns(m_now).empty()) {
+            takeCalls();
+            for (const DueCall& call : std::exchange(m_pending, {}))
+                m_session.handleReply(call.context, noAnswer(), m_now);
+            m_now = std::max(m_now + absl::Milliseconds(1), m_session.nextDue());
+        }
+        return m_now;
+    }
+};
+
+// Guards against TWICE: the next process takes the deadline of the late renewal for the longest lease, and its run goes
+// on while the task is started elsewhere.
+TEST_F(LateRenewal, KeepsTheRunOfTheNextProcessUntilTheLeaseItMayGrantIsOver)
+{
+    const absl::Time until = startAtTheNextProcess();
+    EXPECT_GT(lapseOfASilentWorker(), until + SessionSettings().maxLease);
+}
+
+// Guards against TWICE: a session that was made anew knew nothing of the renewal.
+TEST_F(LateRenewal, KeepsTheSessionOfAnUnlistedWorkerWhileTheRenewalMayCome)
+{
+    settle();
+    m_session.handleReply(startRun(runOf(0)), answerOf(5100), m_now);
+    m_session.handleReply(due(SessionCall::Kind::Poll).context, noAnswer(), m_now);
+    const absl::Time until = m_now + absl::Seconds(14);
+    m_now += absl::Seconds(1);
+    m_session.markUnlisted();
+    ASSERT_EQ(answerPoll(listOfNextProcess(50)).ended.size(), 1U);
+    ASSERT_TRUE(m_session.runs().empty());
+    EXPECT_FALSE(m_session.isRemovable(until - absl::Milliseconds(1)));
+    EXPECT_LE(m_session.nextDue(), until);
+    EXPECT_TRUE(m_session.isRemovable(until));
+}
+
+// Usual work does not wait: a renewal that got no reply keeps its deadline at the process that it was meant for.
+TEST_F(LateRenewal, EndsTheRunsOfTheCalledProcessWithTheLastLease)
+{
+    settle();
+    m_session.handleReply(startRun(runOf(0)), answerOf(5100), m_now);
+    const absl::Time renewedAt = m_now;
+    EXPECT_LT(lapseOfASilentWorker(), renewedAt + SessionSettings().maxLease + absl::Seconds(1));
+}
+
+// Guards against TWICE after a change of owner: the worker's process has just started, and the former owner may have
+// sent a renewal to the one before.
+TEST_F(LateRenewal, KeepsAnAdoptedRunOfAYoungProcessUntilTheLeaseItMayGrantIsOver)
+{
+    const std::int64_t young = absl::ToUnixMillis(m_now - absl::Seconds(2));
+    WorkerSession session(makeWorkerEntry("w"), 1, SessionSettings(), m_now);
+    session.adopt(runOf(0), { 100, 100, 4 }, young, true, m_now);
+    session.handleReply(session.takeDueCalls(m_now).front().context, noAnswer(), m_now);
+    const absl::Time longestEnd = m_now + absl::Seconds(14) + SessionSettings().maxLease;
+    EXPECT_TRUE(session.takeLapsedRuns(longestEnd).empty());
+    EXPECT_EQ(session.takeLapsedRuns(longestEnd + absl::Seconds(1)).size(), 1U);
+}
+
 } // namespace
 } // namespace mangohall::batch
--- a/tests/batch/worker_session_start_test.cpp
+++ b/tests/batch/worker_session_start_test.cpp
@@ -51,7 +51,7 @@
     EXPECT_EQ(std::get<StartRun>(repeated.call.command).run, runOf(0));
     m_session.handleReply(repeated.context, answerOf(5400), m_now);
     EXPECT_EQ(m_session.runs().at(runOf(0)).stage, RunSlot::Stage::Running);
-    EXPECT_TRUE(m_session.runs().at(runOf(0)).mayStillStart());
+    EXPECT_TRUE(m_session.mayStillStart(runOf(0)));
 }
 
 // Guards against a start on a process that may have other room and labels.
@@ -161,7 +161,7 @@
     m_now += absl::Milliseconds(250);
     EXPECT_TRUE(answerPoll(list).ended.empty());
     EXPECT_EQ(m_session.runs().at(runOf(0)).stage, RunSlot::Stage::Running);
-    EXPECT_FALSE(m_session.runs().at(runOf(0)).mayStillStart());
+    EXPECT_FALSE(m_session.mayStillStart(runOf(0)));
 }
 
 // What was done is barred at the next process.
@@ -184,7 +184,7 @@
     list.running = { { runOf(0), "", 10 } };
     EXPECT_TRUE(answerPoll(list).ended.empty());
     EXPECT_EQ(m_session.runs().at(runOf(0)).stage, RunSlot::Stage::Running);
-    EXPECT_FALSE(m_session.runs().at(runOf(0)).mayStillStart());
+    EXPECT_FALSE(m_session.mayStillStart(runOf(0)));
     m_now += absl::Seconds(1);
     EXPECT_FALSE(isDue(SessionCall::Kind::Stop));
     EXPECT_FALSE(isDue(SessionCall::Kind::Start));
@@ -247,7 +247,7 @@
     m_now += absl::Milliseconds(250);
     m_session.handleReply(due(SessionCall::Kind::Start).context, answerOf(5250), m_now);
     EXPECT_EQ(m_session.runs().at(runOf(0)).stage, RunSlot::Stage::Running);
-    EXPECT_TRUE(m_session.runs().at(runOf(0)).mayStillStart());
+    EXPECT_TRUE(m_session.mayStillStart(runOf(0)));
 }
 
 // Guards against a second run of a task: the earlier owner may have repeated the start, so a list that shows the run
@@ -259,7 +259,7 @@
     WorkerReply list = answerOf(5000);
     list.running = { { runOf(0), "", 50 } };
     answerPoll(list);
-    EXPECT_TRUE(m_session.runs().at(runOf(0)).mayStillStart());
+    EXPECT_TRUE(m_session.mayStillStart(runOf(0)));
     m_now += absl::Seconds(1);
     list = answerOf(6000);
     list.ended = { { 1, runOf(0), RunEnd::Done, "" } };
