Fix: the next owner knows until when commands to an earlier process of a worker may come

Cause: a new owner that finds a run on a silent worker whose process has started shortly before cannot tell whether a former owner had sent something to a process before that one.

Change: whoever places a run writes with it until when a command to an earlier process of the worker may come; the owner knows that from its own commands and from when it became owner. A process that shows a run after another one replaces it in the record.

Ruled out: a shorter wait for all silent workers; a wait by the process' start alone, which a reborn worker's process fails by just the delay of a command.

--- a/src/adapters/json/batch_record_json_func.cpp
+++ b/src/adapters/json/batch_record_json_func.cpp
@@ -155,7 +155,8 @@
         return 0;
     json fields = json::array({ static_cast<int>(task.phase), task.attempt, task.failures, task.checkpoint,
         task.worker.str(), task.workerProcessStartMs });
-    const std::int32_t lastFields[] = { task.lastFailedAttempt, task.lastStartedAttempt, task.mayStartAgain ? 1 : 0 };
+    const std::int64_t lastFields[]
+        = { task.lastFailedAttempt, task.lastStartedAttempt, task.mayStartAgain ? 1 : 0, task.earlierCommandsUntilMs };
     std::size_t count = std::size(lastFields);
     while (count > 0 && lastFields[count - 1] == 0)
         --count;
@@ -167,7 +168,7 @@
 absl::Status malformedTask()
 {
     return makeError(
-        ErrorKind::MalformedBody, "the progress of a task is not a list of six to nine fields of the expected types");
+        ErrorKind::MalformedBody, "the progress of a task is not a list of six to ten fields of the expected types");
 }
 
 absl::Status taskFromJson(const json& source, TaskProgress& task)
@@ -175,16 +176,17 @@
     if (source.is_number())
         return absl::OkStatus();
     constexpr std::size_t minFieldCount = 6;
-    constexpr std::size_t maxFieldCount = 9;
+    constexpr std::size_t maxFieldCount = 10;
     constexpr std::size_t failedPosition = 6;
     constexpr std::size_t startedPosition = 7;
     constexpr std::size_t startsAgainPosition = 8;
+    constexpr std::size_t earlierCommandsPosition = 9;
     const bool hasExpectedTypes = source.is_array() && source.size() >= minFieldCount && source.size() <= maxFieldCount
         && source[3].is_string() && source[4].is_string();
     if (!hasExpectedTypes)
         return malformedTask();
-    const auto optionalNumber = [&source](std::size_t position) {
-        return position < source.size() ? integerInRange(source[position], 0, maxInt32) : 0;
+    const auto optionalNumber = [&source](std::size_t position, std::int64_t max = maxInt32) {
+        return position < source.size() ? integerInRange(source[position], 0, max) : 0;
     };
     const absl::optional<std::int64_t> phase = integerInRange(source[0], 0, maxInt32);
     const absl::optional<std::int64_t> attempt = integerInRange(source[1], 0, maxInt32);
@@ -193,7 +195,9 @@
     const absl::optional<std::int64_t> lastFailedAttempt = optionalNumber(failedPosition);
     const absl::optional<std::int64_t> lastStartedAttempt = optionalNumber(startedPosition);
     const absl::optional<std::int64_t> mayStartAgain = optionalNumber(startsAgainPosition);
-    if (!phase || !attempt || !failures || !processStart || !lastFailedAttempt || !lastStartedAttempt || !mayStartAgain)
+    const absl::optional<std::int64_t> earlierCommandsUntil = optionalNumber(earlierCommandsPosition, maxInt64);
+    if (!phase || !attempt || !failures || !processStart || !lastFailedAttempt || !lastStartedAttempt || !mayStartAgain
+        || !earlierCommandsUntil)
         return malformedTask();
     if (*phase > static_cast<int>(TaskProgress::Phase::Done))
         return makeError(ErrorKind::MalformedBody, "the phase of a task is unknown");
@@ -206,6 +210,7 @@
     task.lastFailedAttempt = static_cast<std::int32_t>(*lastFailedAttempt);
     task.lastStartedAttempt = static_cast<std::int32_t>(*lastStartedAttempt);
     task.mayStartAgain = *mayStartAgain != 0;
+    task.earlierCommandsUntilMs = *earlierCommandsUntil;
     return absl::OkStatus();
 }
 
--- a/src/batch/job/job_progress_base.cpp
+++ b/src/batch/job/job_progress_base.cpp
@@ -210,7 +210,7 @@
 }
 
 void JobProgress::place(
-    const TaskRef& task, std::int32_t attempt, const WorkerName& worker, std::int64_t workerProcessStartMs)
+    const TaskRef& task, std::int32_t attempt, const WorkerName& worker, const WorkerProcess& process)
 {
     TaskProgress* found = findTask(task);
     if (found == nullptr)
@@ -218,13 +218,14 @@
     found->phase = TaskProgress::Phase::Placed;
     found->attempt = attempt;
     found->worker = worker;
-    found->workerProcessStartMs = workerProcessStartMs;
+    found->workerProcessStartMs = process.startMs;
+    found->earlierCommandsUntilMs = process.earlierCommandsUntilMs;
     if (m_record.phase == JobPhase::Pending)
         m_record.phase = JobPhase::Active;
 }
 
 bool JobProgress::recordStarted(
-    const TaskRef& task, std::int32_t attempt, bool mayStartAgain, std::int64_t workerProcessStartMs)
+    const TaskRef& task, std::int32_t attempt, bool mayStartAgain, const WorkerProcess& process)
 {
     TaskProgress* found = findTask(task);
     if (found == nullptr)
@@ -232,13 +233,15 @@
     m_hasBegun = true;
     const bool isDone = found->phase == TaskProgress::Phase::Done;
     const bool isPlaced = found->phase == TaskProgress::Phase::Placed && found->attempt == attempt;
-    const bool isProcessKnown = !isPlaced || workerProcessStartMs != 0;
+    const bool isProcessKnown = !isPlaced || process.startMs != 0;
     const bool isNew = !mayStartAgain && attempt > found->lastStartedAttempt && isProcessKnown;
     const bool isSettledAnew = isDone && found->mayStartAgain != mayStartAgain;
     if (isNew)
         found->lastStartedAttempt = attempt;
-    if (isNew && isPlaced)
-        found->workerProcessStartMs = workerProcessStartMs;
+    if (isNew && isPlaced && found->workerProcessStartMs != process.startMs) {
+        found->workerProcessStartMs = process.startMs;
+        found->earlierCommandsUntilMs = process.earlierCommandsUntilMs;
+    }
     if (isSettledAnew)
         found->mayStartAgain = mayStartAgain;
     return isNew || isSettledAnew;
@@ -291,6 +294,7 @@
     released.phase = TaskProgress::Phase::Waiting;
     released.worker = WorkerName();
     released.workerProcessStartMs = 0;
+    released.earlierCommandsUntilMs = 0;
     if (!checkpoint.empty())
         setCheckpoint(task, checkpoint);
     if (end == RunEnd::Failed && !stepSpec(task.step).isLongRunning)
--- a/src/batch/job/job_progress_base.h
+++ b/src/batch/job/job_progress_base.h
@@ -59,15 +59,13 @@
     // The tasks that may be running on a worker.
     std::vector<TaskRef> placedTasks() const;
 
-    // Records that an attempt of the task is placed on the worker, whose process started at the given Unix time in
-    // milliseconds. A pending job becomes active.
-    void place(const TaskRef& task, std::int32_t attempt, const WorkerName& worker, std::int64_t workerProcessStartMs);
-
-    // Records that a worker's process, given by its start, has shown this attempt of the task as started, and whether a
-    // start of it may still be executed. A placed task whose process is unknown (0) does not count as shown. Returns
-    // whether the record has changed.
-    bool recordStarted(
-        const TaskRef& task, std::int32_t attempt, bool mayStartAgain, std::int64_t workerProcessStartMs);
+    // Records that an attempt of the task is placed on this process of the worker. A pending job becomes active.
+    void place(const TaskRef& task, std::int32_t attempt, const WorkerName& worker, const WorkerProcess& process);
+
+    // Records that a worker's process has shown this attempt of the task as started, and whether a start of it may
+    // still be executed. A placed task whose process is unknown does not count as shown. Returns whether the record has
+    // changed.
+    bool recordStarted(const TaskRef& task, std::int32_t attempt, bool mayStartAgain, const WorkerProcess& process);
     // The tasks that are done and of which a start may still be executed.
     std::vector<TaskRef> startableDoneTasks() const;
     // Whether a worker has shown the last attempt of the task as started.
--- a/src/batch/job/progress_record_type.h
+++ b/src/batch/job/progress_record_type.h
@@ -9,6 +9,15 @@
 
 namespace mangohall::batch {
 
+// A process of a worker, as the record of a task names it.
+struct WorkerProcess {
+    // When it started, in Unix milliseconds; 0 if that is unknown.
+    std::int64_t startMs = 0;
+    // Until when a command that was sent to an earlier process of the worker may be executed by this one, in Unix
+    // milliseconds by the clock of the owner that writes the record; 0 if that is unknown.
+    std::int64_t earlierCommandsUntilMs = 0;
+};
+
 // The progress of one task.
 struct TaskProgress {
     enum class Phase {
@@ -33,6 +42,8 @@
     // The start time of the worker's process, in Unix milliseconds. It tells apart processes of the same worker; 0
     // without a worker.
     std::int64_t workerProcessStartMs = 0;
+    // Until when a command to an earlier process of the worker may be executed by that one, as in `WorkerProcess`.
+    std::int64_t earlierCommandsUntilMs = 0;
     // The checkpoint to resume from; empty if there is none.
     std::string checkpoint;
 
--- a/src/batch/owner/owner_load_cmd.cpp
+++ b/src/batch/owner/owner_load_cmd.cpp
@@ -101,8 +101,9 @@
         const TaskProgress& placed = *entry.progress.find(task);
         const RunKey run { { entry.progress.job().id, task }, placed.attempt };
         WorkerSession& session = m_workers.findOrAdd(placed.worker, placed.workerProcessStartMs);
-        session.adopt(run, countedDemand(entry.progress.stepSpec(task.step)), placed.workerProcessStartMs,
-            entry.progress.isLastAttemptStarted(task), now);
+        session.adopt(run, countedDemand(entry.progress.stepSpec(task.step)),
+            { placed.workerProcessStartMs, placed.earlierCommandsUntilMs }, entry.progress.isLastAttemptStarted(task),
+            now);
     }
     for (const TaskRef& task : entry.progress.startableDoneTasks()) {
         const TaskProgress& done = *entry.progress.find(task);
--- a/src/batch/owner/owner_part_cmd.cpp
+++ b/src/batch/owner/owner_part_cmd.cpp
@@ -167,7 +167,7 @@
     JobEntry& entry = *m_jobs.find(run.task.job);
     WorkerSession& session = *m_workers.find(worker);
     session.reserve(run, countedDemand(entry.progress.stepSpec(task.step)), now);
-    entry.progress.place(task, run.attempt, worker, session.processStartMs());
+    entry.progress.place(task, run.attempt, worker, session.describeProcess(session.processStartMs()));
     entry.pending.placed.push_back({ run, worker });
     entry.readySince.erase({ task.occurrence, task.step });
     m_jobs.markDirty(entry);
--- a/src/batch/owner/owner_run_cmd.cpp
+++ b/src/batch/owner/owner_run_cmd.cpp
@@ -175,7 +175,9 @@
     if (entry == nullptr)
         return;
     const auto session = m_workers.sessions().find(worker);
-    const std::int64_t shownBy = session == m_workers.sessions().end() ? 0 : session->second.processOf(run);
+    WorkerProcess shownBy;
+    if (session != m_workers.sessions().end())
+        shownBy = session->second.describeProcess(session->second.processOf(run));
     if (entry->progress.recordStarted(run.task.task, run.attempt, mayStillStart(run, worker), shownBy))
         m_jobs.markDirtyLater(*entry);
 }
--- a/src/batch/worker/outstanding_commands_base.cpp
+++ b/src/batch/worker/outstanding_commands_base.cpp
@@ -6,8 +6,10 @@
 
 namespace {
 
-// The times of day of a worker, at its process' start, and of this node differ by less than this.
-constexpr absl::Duration maxTimeOfDayError = absl::Seconds(10);
+// The times of day of two machines, as their processes have read them at their start, differ by less than this.
+constexpr absl::Duration maxTimeOfDayError = absl::Seconds(5);
+// A pending call ends within this time.
+constexpr absl::Duration longestCall = absl::Seconds(3);
 
 } // namespace
 
@@ -154,15 +156,29 @@
 
 // A command can only come to a later process than it was sent to if that process started within the longest delay
 // after.
+absl::Time OutstandingCommands::earlierOwnersUntil(std::int64_t processStartMs) const
+{
+    if (processStartMs == 0)
+        return m_earlierOwnersUntil;
+    const absl::Time byStart = absl::FromUnixMillis(processStartMs) + maxTimeOfDayError + maxDelay;
+    const auto written = m_earlierCommandsUntil.find(processStartMs);
+    const absl::Time byRecord
+        = written == m_earlierCommandsUntil.end() ? absl::InfiniteFuture() : written->second + maxTimeOfDayError;
+    return std::min({ m_earlierOwnersUntil, byStart, byRecord });
+}
+
+void OutstandingCommands::recordEarlierCommandsUntil(std::int64_t processStartMs, absl::Time until)
+{
+    m_earlierCommandsUntil[processStartMs] = until;
+}
+
 absl::Time OutstandingCommands::foreignRenewalUntil(std::int64_t processStartMs) const
 {
-    absl::Time until = m_earlierOwnersUntil;
-    if (processStartMs != 0)
-        until = std::min(until, absl::FromUnixMillis(processStartMs) + maxTimeOfDayError + maxDelay);
+    absl::Time until = earlierOwnersUntil(processStartMs);
     for (const Command& command : m_commands) {
         const bool isForeign = processStartMs == 0 || command.call.processStartMs != processStartMs;
         if (command.call.renewsLease && isForeign)
-            until = std::max(until, command.until);
+            until = std::max(until, command.until + (command.isPending ? longestCall : absl::ZeroDuration()));
     }
     return until;
 }
--- a/src/batch/worker/outstanding_commands_base.h
+++ b/src/batch/worker/outstanding_commands_base.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <vector>
 
+#include "absl/container/flat_hash_map.h"
 #include "absl/time/time.h"
 #include "batch/worker/session_call_type.h"
 
@@ -33,6 +34,9 @@
     bool recordNoReply(const SessionCall& call, absl::Time now);
     // Records that an earlier owner may have sent any number of starts of the run.
     void recordStartsOfEarlierOwner(const RunKey& run, absl::Time now);
+    // Records that an earlier owner has written that no command to an earlier process than this one, given by its
+    // start, is executed by it after `until`, on the clock of that owner.
+    void recordEarlierCommandsUntil(std::int64_t processStartMs, absl::Time until);
     // Records that the worker's present process shows the run for the first time, so that one of its starts was
     // executed.
     void recordShown(const RunKey& run, absl::Time now);
@@ -57,6 +61,10 @@
     // past if there is none.
     absl::Time foreignLeaseEnd(const RunKey& run, std::int64_t processStartMs) const;
 
+    // Until when a command that renews a lease and was sent to an earlier process may be executed by the process, given
+    // by its start; 0 stands for any. The infinite past if there is none.
+    absl::Time foreignRenewalUntil(std::int64_t processStartMs) const;
+
     // The last end that an unanswered acknowledgement of this process' ends acknowledges; 0 if there is none.
     std::int64_t unansweredAcknowledgement(std::int64_t processStartMs) const;
     // Until when an unanswered acknowledgement may be executed, and any: a pending one as well. The infinite past if
@@ -84,13 +92,15 @@
     void erase(const SessionCall& call);
     // Keeps of an executed command only the lease that it may have granted to another process than it was sent to.
     static void markExecuted(Command& command, absl::Time now);
-    // Until when a command may be executed that renews a lease and was sent to an earlier process.
-    absl::Time foreignRenewalUntil(std::int64_t processStartMs) const;
+    // Until when a command of an earlier owner to an earlier process may be executed by the process; 0 stands for any.
+    absl::Time earlierOwnersUntil(std::int64_t processStartMs) const;
 
     const absl::Time m_earlierOwnersUntil;
     const absl::Duration m_longestLease;
     std::int64_t m_lastNumber = 0;
     std::vector<Command> m_commands;
+    // What earlier owners have written of processes of the worker.
+    absl::flat_hash_map<std::int64_t, absl::Time> m_earlierCommandsUntil;
     // Until when any command without a reply may be executed.
     absl::Time m_anyUntil = absl::InfinitePast();
 };
--- a/src/batch/worker/worker_session_base.cpp
+++ b/src/batch/worker/worker_session_base.cpp
@@ -214,17 +214,19 @@
 }
 
 void WorkerSession::adopt(
-    const RunKey& run, const Resources& demand, std::int64_t placedProcessStartMs, bool isStarted, absl::Time now)
+    const RunKey& run, const Resources& demand, const WorkerProcess& placedOn, bool isStarted, absl::Time now)
 {
     RunSlot slot;
     slot.stage = RunSlot::Stage::Adopted;
     slot.demand = demand;
     slot.since = now;
     slot.startSentAt = now;
-    slot.placedProcessStartMs = placedProcessStartMs;
+    slot.placedProcessStartMs = placedOn.startMs;
+    if (placedOn.earlierCommandsUntilMs != 0)
+        m_commands.recordEarlierCommandsUntil(placedOn.startMs, absl::FromUnixMillis(placedOn.earlierCommandsUntilMs));
     if (isStarted) {
         slot.confirmedAt = absl::InfinitePast();
-        slot.likelyProcessStartMs = placedProcessStartMs;
+        slot.likelyProcessStartMs = placedOn.startMs;
     } else {
         m_commands.recordStartsOfEarlierOwner(run, now);
     }
@@ -323,6 +325,14 @@
     return slot.processStartMs != 0 ? slot.processStartMs : slot.likelyProcessStartMs;
 }
 
+WorkerProcess WorkerSession::describeProcess(std::int64_t processStartMs) const
+{
+    if (processStartMs == 0)
+        return {};
+    const absl::Time until = std::max(m_commands.foreignRenewalUntil(processStartMs), absl::UnixEpoch());
+    return { processStartMs, absl::ToUnixMillis(until) + 1 };
+}
+
 absl::Time WorkerSession::lapsesAt(const RunKey& run, const RunSlot& slot) const
 {
     if (slot.stage == RunSlot::Stage::Reserved || slot.isStartPending)
--- a/src/batch/worker/worker_session_base.h
+++ b/src/batch/worker/worker_session_base.h
@@ -11,6 +11,7 @@
 #include "absl/strings/string_view.h"
 #include "absl/time/time.h"
 #include "absl/types/optional.h"
+#include "batch/job/progress_record_type.h"
 #include "batch/worker/outstanding_commands_base.h"
 #include "batch/worker/run_slot_type.h"
 #include "batch/worker/session_call_type.h"
@@ -75,6 +76,8 @@
     bool mayStillStart(const RunKey& run) const { return m_commands.mayStart(run); }
     // When the process started that has the run, in Unix milliseconds; 0 if that is unknown.
     std::int64_t processOf(const RunKey& run) const;
+    // What the record of a task says of a process of this worker, given by its start.
+    WorkerProcess describeProcess(std::int64_t processStartMs) const;
 
     // Applies a new row of the worker list. The worker has reported the row after `reportedAfter`, which is the
     // infinite past if that is unknown. A row may come from another writer, so a later start of the process that it
@@ -111,7 +114,7 @@
     // known to have been executed, a reply to a poll with this owner's epoch decides whether it still runs; otherwise
     // one may still be executed for a while.
     void adopt(
-        const RunKey& run, const Resources& demand, std::int64_t placedProcessStartMs, bool isStarted, absl::Time now);
+        const RunKey& run, const Resources& demand, const WorkerProcess& placedOn, bool isStarted, absl::Time now);
     // The same for a run that was done while one of its starts might still be executed.
     void adoptDone(const RunKey& run, const Resources& demand, absl::Time now);
     // Requests the stop of a run. A run whose start was never sent is dropped at once and returned.
--- a/tests/batch/allocation_input_test.cpp
+++ b/tests/batch/allocation_input_test.cpp
@@ -94,7 +94,7 @@
     PendingSteps steps;
     JobEntry& entry = steps.add(urgentJob("half", 1, now));
     EXPECT_FALSE(steps.at(now).mayReclaim);
-    entry.progress.place({ 0, 0, 0 }, 1, WorkerName("w"), 1);
+    entry.progress.place({ 0, 0, 0 }, 1, WorkerName("w"), { 1, 1 });
     entry.readySince.clear();
     EXPECT_TRUE(steps.at(now + absl::Seconds(2)).mayReclaim);
 }
@@ -104,7 +104,7 @@
     PendingSteps steps;
     JobEntry& entry = steps.add(urgentJob("again", 1, now));
     for (const std::int32_t index : { 0, 1 }) {
-        entry.progress.place({ 0, 0, index }, 1, WorkerName("w"), 1);
+        entry.progress.place({ 0, 0, index }, 1, WorkerName("w"), { 1, 1 });
         entry.progress.recordEnd({ 0, 0, index }, 1, RunEnd::Stopped, "", now);
     }
     const absl::Time later = now + absl::Seconds(20);
--- a/tests/batch/job_progress_test.cpp
+++ b/tests/batch/job_progress_test.cpp
@@ -38,8 +38,8 @@
     second.after = { 0 };
     JobProgress progress = openedProgressOf(jobOf({ stepOf(2), second }));
     ASSERT_EQ(progress.readySteps().size(), 1U);
-    progress.place({ 0, 0, 0 }, 1, worker, 1);
-    progress.place({ 0, 0, 1 }, 1, worker, 1);
+    progress.place({ 0, 0, 0 }, 1, worker, { 1, 1 });
+    progress.place({ 0, 0, 1 }, 1, worker, { 1, 1 });
     progress.recordEnd({ 0, 0, 0 }, 1, RunEnd::Done, "", start);
     EXPECT_TRUE(progress.readySteps().empty());
     progress.recordEnd({ 0, 0, 1 }, 1, RunEnd::Done, "", start);
@@ -51,12 +51,12 @@
 {
     JobProgress progress = openedProgressOf(jobOf({ stepOf(1) }));
     const TaskRef task { 0, 0, 0 };
-    progress.place(task, 1, worker, 1);
+    progress.place(task, 1, worker, { 1, 1 });
     progress.recordEnd(task, 1, RunEnd::LeaseLapsed, "", start);
-    progress.place(task, 2, worker, 1);
+    progress.place(task, 2, worker, { 1, 1 });
     progress.recordEnd(task, 2, RunEnd::Failed, "", start);
     EXPECT_EQ(progress.phase(), JobPhase::Active);
-    progress.place(task, 3, worker, 1);
+    progress.place(task, 3, worker, { 1, 1 });
     progress.recordEnd(task, 3, RunEnd::Failed, "", start);
     EXPECT_EQ(progress.phase(), JobPhase::Failed);
     EXPECT_TRUE(progress.readySteps().empty());
@@ -68,7 +68,7 @@
     gang.isGang = true;
     JobProgress progress = openedProgressOf(jobOf({ gang }));
     for (int index = 0; index < 3; ++index)
-        progress.place({ 0, 0, index }, 1, worker, 1);
+        progress.place({ 0, 0, index }, 1, worker, { 1, 1 });
     progress.recordEnd({ 0, 0, 1 }, 1, RunEnd::Done, "", start);
     EXPECT_EQ(progress.phase(), JobPhase::Completed);
 }
@@ -78,8 +78,8 @@
     StepSpec gang = stepOf(2);
     gang.isGang = true;
     JobProgress progress = openedProgressOf(jobOf({ gang }));
-    progress.place({ 0, 0, 0 }, 1, worker, 1);
-    progress.place({ 0, 0, 1 }, 1, worker, 1);
+    progress.place({ 0, 0, 0 }, 1, worker, { 1, 1 });
+    progress.place({ 0, 0, 1 }, 1, worker, { 1, 1 });
     progress.recordEnd({ 0, 0, 0 }, 1, RunEnd::GangBroken, "saved", start);
     EXPECT_TRUE(progress.readySteps().empty());
     progress.recordEnd({ 0, 0, 1 }, 1, RunEnd::Stopped, "", start);
@@ -97,7 +97,7 @@
     gang.isGang = true;
     JobProgress progress = openedProgressOf(jobOf({ gang }));
     for (int index = 0; index < 3; ++index)
-        progress.place({ 0, 0, index }, 1, worker, 1);
+        progress.place({ 0, 0, index }, 1, worker, { 1, 1 });
     progress.recordEnd({ 0, 0, 0 }, 1, RunEnd::Failed, "", start);
     // The next owner goes on from the record.
     JobProgress restored(progress.job());
@@ -107,7 +107,7 @@
     EXPECT_EQ(restored.phase(), JobPhase::Active);
     ASSERT_EQ(restored.readySteps().size(), 1U);
     for (int index = 0; index < 3; ++index)
-        restored.place({ 0, 0, index }, 2, worker, 1);
+        restored.place({ 0, 0, index }, 2, worker, { 1, 1 });
     restored.recordEnd({ 0, 0, 2 }, 2, RunEnd::Failed, "", start);
     EXPECT_EQ(restored.phase(), JobPhase::Failed);
 }
@@ -116,9 +116,9 @@
 {
     JobProgress progress = openedProgressOf(jobOf({ stepOf(1) }));
     const TaskRef task { 0, 0, 0 };
-    progress.place(task, 1, worker, 1);
+    progress.place(task, 1, worker, { 1, 1 });
     progress.recordEnd(task, 1, RunEnd::LeaseLapsed, "", start);
-    progress.place(task, 2, worker, 1);
+    progress.place(task, 2, worker, { 1, 1 });
     EXPECT_FALSE(progress.recordEnd(task, 1, RunEnd::Stopped, "", start));
     EXPECT_TRUE(progress.recordEnd(task, 1, RunEnd::Done, "", start));
     EXPECT_EQ(progress.phase(), JobPhase::Completed);
@@ -135,11 +135,11 @@
     EXPECT_FALSE(progress.openDueOccurrences(start));
     EXPECT_TRUE(progress.openDueOccurrences(start + absl::Milliseconds(1100)));
     EXPECT_EQ(progress.record().occurrences.size(), 1U);
-    progress.place({ 0, 0, 0 }, 1, worker, 1);
+    progress.place({ 0, 0, 0 }, 1, worker, { 1, 1 });
     progress.recordEnd({ 0, 0, 0 }, 1, RunEnd::Done, "", start);
     EXPECT_EQ(progress.phase(), JobPhase::Active);
     EXPECT_TRUE(progress.openDueOccurrences(start + absl::Milliseconds(3100)));
-    progress.place({ 1, 0, 0 }, 1, worker, 1);
+    progress.place({ 1, 0, 0 }, 1, worker, { 1, 1 });
     progress.recordEnd({ 1, 0, 0 }, 1, RunEnd::Done, "", start);
     EXPECT_EQ(progress.phase(), JobPhase::Completed);
 }
@@ -151,7 +151,7 @@
     JobProgress progress = openedProgressOf(jobOf({ longRunning }));
     const TaskRef task { 0, 0, 0 };
     for (int attempt = 1; attempt < 5; ++attempt) {
-        progress.place(task, attempt, worker, 1);
+        progress.place(task, attempt, worker, { 1, 1 });
         progress.recordEnd(task, attempt, attempt % 2 == 0 ? RunEnd::Done : RunEnd::Failed, "", start);
         EXPECT_EQ(progress.readySteps().size(), 1U);
     }
--- a/tests/batch/job_registry_test.cpp
+++ b/tests/batch/job_registry_test.cpp
@@ -54,13 +54,13 @@
     jobs.add(job);
     JobProgress& progress = jobs.find(job.id)->progress;
     progress.openDueOccurrences(absl::UnixEpoch());
-    progress.place(task, 1, WorkerName("w"), 1);
+    progress.place(task, 1, WorkerName("w"), { 1, 1 });
     EXPECT_EQ(jobs.countWaiting().waiting[queue], 1);
     progress.recordEnd(task, 1, RunEnd::NotStarted, "", absl::UnixEpoch());
     EXPECT_EQ(jobs.countWaiting().waiting[queue], 1);
-    progress.place(task, 2, WorkerName("w"), 1);
-    EXPECT_TRUE(progress.recordStarted(task, 2, false, 1000));
-    EXPECT_FALSE(progress.recordStarted(task, 2, false, 1000));
+    progress.place(task, 2, WorkerName("w"), { 1, 1 });
+    EXPECT_TRUE(progress.recordStarted(task, 2, false, { 1000, 1 }));
+    EXPECT_FALSE(progress.recordStarted(task, 2, false, { 1000, 1 }));
     EXPECT_EQ(jobs.countWaiting().waiting.count(queue), 0U);
     JobRegistry later;
     later.add(job);
--- a/tests/batch/outstanding_commands_test.cpp
+++ b/tests/batch/outstanding_commands_test.cpp
@@ -108,6 +108,17 @@
     EXPECT_LE(commands.foreignLeaseEnd(run, old), begin + longestLease);
 }
 
+TEST_F(OutstandingCommandsTest, TakesWhatAnEarlierOwnerHasWrittenOfAProcess)
+{
+    OutstandingCommands commands(begin, longestLease);
+    const std::int64_t young = absl::ToUnixMillis(begin - absl::Seconds(1));
+    commands.recordEarlierCommandsUntil(young, begin - absl::Seconds(30));
+    EXPECT_LT(commands.foreignLeaseEnd(run, young), begin);
+    // It says nothing of any other process.
+    EXPECT_EQ(commands.foreignLeaseEnd(run, young + 1), begin + longestDelay + longestLease);
+    EXPECT_EQ(commands.foreignLeaseEnd(run, 0), begin + longestDelay + longestLease);
+}
+
 // Guards against TWICE: the worker may start the run by any of the commands that were sent to it.
 TEST_F(OutstandingCommandsTest, KnowsThatARunMayStartUntilEachOfItsStartsIsSettled)
 {
--- a/tests/batch/run_review_test.cpp
+++ b/tests/batch/run_review_test.cpp
@@ -182,7 +182,7 @@
     constexpr absl::Duration timeOfPercent = absl::Milliseconds(2400);
     startTask(timeOfPercent * 100);
     m_session.stop(run, start);
-    m_session.adopt(run, { 1, 1, 1 }, processStartMs, true, start);
+    m_session.adopt(run, { 1, 1, 1 }, { processStartMs, 0 }, true, start);
     m_now = start;
     for (int percent = 60; percent < 100; ++percent) {
         report(percent);
--- a/tests/batch/worker_session_lease_test.cpp
+++ b/tests/batch/worker_session_lease_test.cpp
@@ -12,8 +12,8 @@
     unlisted.address.clear();
     WorkerSession session(unlisted, 1, SessionSettings());
     session.markUnlisted();
-    session.adopt(runOf(0), { 100, 100, 4 }, processStartMs, true, m_now);
-    session.adopt(runOf(1), { 100, 100, 4 }, processStartMs, true, m_now);
+    session.adopt(runOf(0), { 100, 100, 4 }, { processStartMs, 0 }, true, m_now);
+    session.adopt(runOf(1), { 100, 100, 4 }, { processStartMs, 0 }, true, m_now);
     session.stop(runOf(1), m_now);
     EXPECT_TRUE(session.takeDueCalls(m_now).empty());
     const absl::Time lapse = session.nextDue();
@@ -29,7 +29,7 @@
     unlisted.address.clear();
     WorkerSession session(unlisted, 1, SessionSettings());
     session.markUnlisted();
-    session.adopt(runOf(0), { 100, 100, 4 }, processStartMs, true, m_now);
+    session.adopt(runOf(0), { 100, 100, 4 }, { processStartMs, 0 }, true, m_now);
     session.update(makeWorkerEntry("w"), m_now, m_now);
     const std::vector<DueCall> calls = session.takeDueCalls(m_now);
     ASSERT_EQ(calls.size(), 1U);
@@ -256,12 +256,36 @@
 {
     const std::int64_t young = absl::ToUnixMillis(m_now - absl::Seconds(2));
     WorkerSession session(makeWorkerEntry("w"), 1, SessionSettings(), m_now);
-    session.adopt(runOf(0), { 100, 100, 4 }, young, true, m_now);
+    session.adopt(runOf(0), { 100, 100, 4 }, { young, 0 }, true, m_now);
     session.handleReply(session.takeDueCalls(m_now).front().context, noAnswer(), m_now);
     const absl::Time longestEnd = m_now + absl::Seconds(14) + SessionSettings().maxLease;
     EXPECT_TRUE(session.takeLapsedRuns(longestEnd).empty());
     EXPECT_EQ(session.takeLapsedRuns(longestEnd + absl::Seconds(1)).size(), 1U);
 }
 
+// Usual work does not wait: the former owner has written that it had sent nothing to an earlier process, nor had one
+// before it.
+TEST_F(LateRenewal, EndsAnAdoptedRunOfAYoungProcessWithTheLastLeaseIfNothingElseCanCome)
+{
+    const std::int64_t young = absl::ToUnixMillis(m_now - absl::Seconds(2));
+    const std::int64_t longPast = absl::ToUnixMillis(m_now - absl::Seconds(20));
+    WorkerSession session(makeWorkerEntry("w"), 1, SessionSettings(), m_now);
+    session.adopt(runOf(0), { 100, 100, 4 }, { young, longPast }, true, m_now);
+    session.handleReply(session.takeDueCalls(m_now).front().context, noAnswer(), m_now);
+    EXPECT_TRUE(session.takeLapsedRuns(m_now + SessionSettings().maxLease).empty());
+    EXPECT_EQ(session.takeLapsedRuns(m_now + SessionSettings().maxLease + absl::Seconds(1)).size(), 1U);
+}
+
+// The record of a task tells the next owner until when a command to an earlier process may come to this one.
+TEST_F(LateRenewal, DescribesUntilWhenCommandsToAnEarlierProcessMayCome)
+{
+    // Nothing was sent to a process before the first one.
+    EXPECT_EQ(m_session.describeProcess(processStartMs).earlierCommandsUntilMs, 1);
+    const absl::Time until = startAtTheNextProcess();
+    const WorkerProcess process = m_session.describeProcess(nextProcessStartMs);
+    EXPECT_EQ(process.startMs, nextProcessStartMs);
+    EXPECT_GE(absl::FromUnixMillis(process.earlierCommandsUntilMs), until);
+}
+
 } // namespace
 } // namespace mangohall::batch
--- a/tests/batch/worker_session_start_test.cpp
+++ b/tests/batch/worker_session_start_test.cpp
@@ -231,7 +231,7 @@
 // the worker's next process has seen no epoch.
 TEST_F(WorkerSessionTest, KeepsAnAdoptedRunUntilNoProcessCanExecuteItsStart)
 {
-    m_session.adopt(runOf(0), { 100, 100, 4 }, processStartMs - 1, false, m_now);
+    m_session.adopt(runOf(0), { 100, 100, 4 }, { processStartMs - 1, 0 }, false, m_now);
     const absl::Time until = m_now + absl::Seconds(14);
     EXPECT_TRUE(answerPoll(answerOf(5000)).ended.empty());
     m_now = until - absl::Milliseconds(1);
@@ -242,7 +242,7 @@
 // Usual work does not wait: a start that the earlier owner may not have sent is repeated on its worker.
 TEST_F(WorkerSessionTest, RepeatsTheStartOfAnAdoptedRunThatNoListShows)
 {
-    m_session.adopt(runOf(0), { 100, 100, 4 }, processStartMs, false, m_now);
+    m_session.adopt(runOf(0), { 100, 100, 4 }, { processStartMs, 0 }, false, m_now);
     answerPoll(answerOf(5000));
     m_now += absl::Milliseconds(250);
     m_session.handleReply(due(SessionCall::Kind::Start).context, answerOf(5250), m_now);
@@ -254,7 +254,7 @@
 // does not show that no other start is on its way.
 TEST_F(WorkerSessionTest, AcknowledgesNoEndOfAnAdoptedRunWhileItsStartsAreUnknown)
 {
-    m_session.adopt(runOf(0), { 100, 100, 4 }, processStartMs, false, m_now);
+    m_session.adopt(runOf(0), { 100, 100, 4 }, { processStartMs, 0 }, false, m_now);
     const absl::Time until = m_now + absl::Seconds(14);
     WorkerReply list = answerOf(5000);
     list.running = { { runOf(0), "", 50 } };
@@ -293,7 +293,7 @@
 // Usual work does not wait: the earlier owner has recorded that the run had started.
 TEST_F(WorkerSessionTest, EndsAnAdoptedRunThatHadStartedWithTheFirstListWithoutIt)
 {
-    m_session.adopt(runOf(0), { 100, 100, 4 }, processStartMs, true, m_now);
+    m_session.adopt(runOf(0), { 100, 100, 4 }, { processStartMs, 0 }, true, m_now);
     const SessionUpdate update = answerPoll(answerOf(5000));
     ASSERT_EQ(update.ended.size(), 1U);
     EXPECT_EQ(update.ended.front().end, RunEnd::LeaseLapsed);
@@ -302,7 +302,7 @@
 TEST_F(WorkerSessionTest, EndsAnAdoptedRunThatHadStartedWithTheLeaseOfASilentWorker)
 {
     constexpr absl::Duration longestLease = absl::Seconds(10);
-    m_session.adopt(runOf(0), { 100, 100, 4 }, processStartMs, true, m_now);
+    m_session.adopt(runOf(0), { 100, 100, 4 }, { processStartMs, 0 }, true, m_now);
     m_session.handleReply(due(SessionCall::Kind::Poll).context, noAnswer(), m_now);
     EXPECT_TRUE(m_session.takeLapsedRuns(m_now + longestLease).empty());
     EXPECT_EQ(m_session.takeLapsedRuns(m_now + longestLease + absl::Seconds(1)).size(), 1U);
@@ -372,7 +372,7 @@
 TEST_F(WorkerSessionTest, KeepsARunThatMayStillStartWhenADrainedWorkerIsGone)
 {
     drainWithARun();
-    m_session.adopt(runOf(1), { 100, 100, 4 }, processStartMs, false, m_now);
+    m_session.adopt(runOf(1), { 100, 100, 4 }, { processStartMs, 0 }, false, m_now);
     m_session.handleReply(due(SessionCall::Kind::Poll).context, noAnswer(ErrorKind::OwnerUnreachable), m_now);
     const std::vector<EndedRun> ended = m_session.takeLapsedRuns(m_now);
     ASSERT_EQ(ended.size(), 1U);
--- a/tests/platform/record_json_test.cpp
+++ b/tests/platform/record_json_test.cpp
@@ -54,6 +54,7 @@
     gangMember.lastFailedAttempt = 3;
     TaskProgress started = task;
     started.lastStartedAttempt = 4;
+    started.earlierCommandsUntilMs = 1770477838408;
     TaskProgress done = task;
     done.phase = TaskProgress::Phase::Done;
     done.mayStartAgain = true;
