Change: the owner grants leases of 7 s

Change: the owner asks for leases that outlast a silence of 5 s and the longest pause between polls, 7 s, where the worker would grant more. What an earlier owner, or a late command, may have granted still counts as the longest. The fixture of the session's tests asks for the longest leases, so that its checks of them stand as they were; two new tests hold the shorter one.

--- a/src/batch/worker/worker_session_base.cpp
+++ b/src/batch/worker/worker_session_base.cpp
@@ -29,6 +29,7 @@
     : m_entry(std::move(entry))
     , m_epoch(epoch)
     , m_settings(settings)
+    , m_grantedLease(std::min(settings.requestedLease, settings.maxLease))
     , m_leaseBound(ownedSince + longestLeaseOf(settings))
     , m_commands(ownedSince, longestLeaseOf(settings))
     , m_pollWait(settings.pollWait)
@@ -231,7 +232,8 @@
         m_commands.recordStartsOfEarlierOwner(run, now);
     }
     m_runs[run] = slot;
-    extendLeaseBound(now);
+    // An earlier owner may have granted the longest lease just before.
+    m_leaseBound = std::max(m_leaseBound, now + longestLeaseOf(m_settings));
 }
 
 void WorkerSession::adoptDone(const RunKey& run, const Resources& demand, absl::Time now)
@@ -243,16 +245,17 @@
     slot.end = { run, RunEnd::Done, "", 0, EndEvidence::Listed };
     m_commands.recordStartsOfEarlierOwner(run, now);
     m_runs[run] = slot;
-    extendLeaseBound(now);
+    // An earlier owner may have granted the longest lease just before.
+    m_leaseBound = std::max(m_leaseBound, now + longestLeaseOf(m_settings));
 }
 
-// The lease may be renewed now, or may have been renewed by an earlier owner just before. Its end is reckoned from the
-// worker's clock when that was last read, and the clock may have gone slower since.
+// The lease may be renewed now. Its end is reckoned from the worker's clock when that was last read, and the clock may
+// have gone slower since.
 void WorkerSession::extendLeaseBound(absl::Time now)
 {
     const absl::Duration clockAge = m_clockReadAt == absl::InfinitePast() ? absl::ZeroDuration() : now - m_clockReadAt;
-    const absl::Duration drift = (m_settings.maxLease + clockAge) * clockDrift;
-    m_leaseBound = std::max(m_leaseBound, now + m_settings.maxLease + drift + leaseMargin);
+    const absl::Duration drift = (m_grantedLease + clockAge) * clockDrift;
+    m_leaseBound = std::max(m_leaseBound, now + m_grantedLease + drift + leaseMargin);
 }
 
 absl::optional<EndedRun> WorkerSession::stop(const RunKey& run, absl::Time now)
--- a/src/batch/worker/worker_session_base.h
+++ b/src/batch/worker/worker_session_base.h
@@ -24,6 +24,9 @@
 struct SessionSettings {
     // The longest lease that a worker grants.
     absl::Duration maxLease = absl::Seconds(10);
+    // The lease that the owner asks for, if it is shorter. It outlasts a silence of 5 s and the longest pause between
+    // polls.
+    absl::Duration requestedLease = absl::Seconds(7);
     // The shortest time for which the worker may hold a poll open until a run ends.
     absl::Duration pollWait = absl::Milliseconds(700);
     // The silence after which the platform removes a worker's entry.
@@ -221,7 +224,7 @@
     DueCall makePoll(absl::Time now);
     DueCall makeRunCall(SessionCall::Kind kind, const RunKey& run, absl::Time now);
     WorkerCall makeCall(absl::Duration timeout) const;
-    // The longest lease, on the worker's clock; 0 if that clock is unknown.
+    // The end of a lease that is granted now, on the worker's clock; 0 if that clock is unknown.
     WorkerMillis leaseUntil(absl::Time now) const;
     void extendLeaseBound(absl::Time now);
     // Makes the call renew the lease if the worker's clock is known.
@@ -243,6 +246,8 @@
     absl::Time m_leavesAt = absl::InfiniteFuture();
     const Epoch m_epoch;
     const SessionSettings m_settings;
+    // How long a lease lasts that the owner grants.
+    const absl::Duration m_grantedLease;
     bool m_isListed = true;
     // The worker's last known report was made after this time.
     absl::Time m_reportedAfter = absl::InfinitePast();
--- a/src/batch/worker/worker_session_call_cmd.cpp
+++ b/src/batch/worker/worker_session_call_cmd.cpp
@@ -146,7 +146,7 @@
 {
     if (m_clockReadAt == absl::InfinitePast())
         return 0;
-    return m_workerClock + absl::ToInt64Milliseconds(now - m_clockReadAt + m_settings.maxLease);
+    return m_workerClock + absl::ToInt64Milliseconds(now - m_clockReadAt + m_grantedLease);
 }
 
 void WorkerSession::grantLease(DueCall& due, absl::Time now)
--- a/tests/batch/worker_session_fixture_base.h
+++ b/tests/batch/worker_session_fixture_base.h
@@ -40,11 +40,19 @@
     return reply;
 }
 
+// Settings of a session that grants the longest leases.
+inline SessionSettings longestLeases()
+{
+    SessionSettings settings;
+    settings.requestedLease = settings.maxLease;
+    return settings;
+}
+
 // A session with one worker, whose calls the test answers.
 class WorkerSessionTest : public testing::Test {
 protected:
     WorkerSessionTest()
-        : m_session(makeWorkerEntry("w"), 1, SessionSettings())
+        : m_session(makeWorkerEntry("w"), 1, longestLeases())
     {
     }
 
--- a/tests/batch/worker_session_lease_test.cpp
+++ b/tests/batch/worker_session_lease_test.cpp
@@ -57,6 +57,39 @@
     EXPECT_EQ(lapsed.front().evidence, EndEvidence::LeaseExpired);
 }
 
+// Guards against LOST: jobs waited for the end of the longest lease after their workers had crashed behind a cut.
+TEST(WorkerSessionLease, LastsLittleLongerThanAShortSilence)
+{
+    constexpr absl::Duration shortSilence = absl::Seconds(5);
+    constexpr absl::Duration longestPause = absl::Seconds(2);
+    constexpr absl::Duration margin = absl::Milliseconds(500);
+    absl::Time now = start;
+    WorkerSession session(makeWorkerEntry("w"), 1, SessionSettings());
+    session.handleReply(session.takeDueCalls(now).front().context, answerOf(5000), now);
+    session.reserve(runOf(0), { 100, 100, 4 }, now);
+    session.release(runOf(0), now);
+    const std::vector<DueCall> calls = session.takeDueCalls(now);
+    ASSERT_EQ(calls.size(), 2U);
+    for (const DueCall& call : calls)
+        EXPECT_EQ(call.call.leaseUntil, 5000 + absl::ToInt64Milliseconds(shortSilence + longestPause));
+    session.handleReply(calls[0].context, answerOf(5000), now);
+    session.handleReply(calls[1].context, noAnswer(), now);
+    EXPECT_TRUE(session.takeLapsedRuns(now + shortSilence + longestPause).empty());
+    EXPECT_EQ(session.takeLapsedRuns(now + shortSilence + longestPause + margin).size(), 1U);
+}
+
+// A worker may grant less than the owner would ask for.
+TEST(WorkerSessionLease, IsNoLongerThanTheWorkerGrants)
+{
+    SessionSettings settings;
+    settings.maxLease = absl::Seconds(6);
+    WorkerSession session(makeWorkerEntry("w"), 1, settings);
+    session.handleReply(session.takeDueCalls(start).front().context, answerOf(5000), start);
+    session.reserve(runOf(0), { 100, 100, 4 }, start);
+    session.release(runOf(0), start);
+    EXPECT_EQ(session.takeDueCalls(start).front().call.leaseUntil, 11000);
+}
+
 TEST_F(WorkerSessionTest, LosesRunsOfADrainedWorkerThatIsGoneAtOnce)
 {
     drainWithARun();
