Fix: a reply without a process' name counts as one of the process that replied last

A start that was sent to one process and executed by the next, whose clock was expected by then, counted as executed by the first, so that the lease it had granted to the next one was forgotten. Change: an unnamed reply with the expected clock is one of the process that has replied last; one whose clock is unknown is of none. What several records say of one process holds together.

--- a/src/batch/worker/outstanding_commands_base.cpp
+++ b/src/batch/worker/outstanding_commands_base.cpp
@@ -169,7 +169,8 @@
 
 void OutstandingCommands::recordEarlierCommandsUntil(std::int64_t processStartMs, absl::Time until)
 {
-    m_earlierCommandsUntil[processStartMs] = until;
+    const auto written = m_earlierCommandsUntil.try_emplace(processStartMs, until).first;
+    written->second = std::min(written->second, until);
 }
 
 absl::Time OutstandingCommands::foreignRenewalUntil(std::int64_t processStartMs) const
--- a/src/batch/worker/worker_session_base.h
+++ b/src/batch/worker/worker_session_base.h
@@ -199,7 +199,7 @@
     // When the run must be over if the worker does not reply.
     absl::Time lapsesAt(const RunKey& run, const RunSlot& slot) const;
     // The process that has sent the reply, given by its start; 0 if that is unknown.
-    std::int64_t replyingProcess(const SessionCall& context, const WorkerReply& reply, absl::Time now) const;
+    std::int64_t replyingProcess(const WorkerReply& reply, absl::Time now) const;
     void barStartsWhileDraining(absl::Time now);
     // When the first of the starts was sent that have no reply yet; the infinite future if there is none.
     absl::Time firstPendingStartSentAt() const;
--- a/src/batch/worker/worker_session_reply_cmd.cpp
+++ b/src/batch/worker/worker_session_reply_cmd.cpp
@@ -43,7 +43,7 @@
         handleFailure(context, reply, now, update);
         return update;
     }
-    m_commands.recordReply(context, replyingProcess(context, reply, now), now);
+    m_commands.recordReply(context, replyingProcess(reply, now), now);
     // The reply comes from an earlier process of the worker. One that does not name its process is taken for a reply of
     // the called one.
     const std::int64_t repliedBy = reply.processStartMs != 0 ? reply.processStartMs : context.processStartMs;
@@ -68,12 +68,13 @@
     return update;
 }
 
-// A reply to a start does not name its process; the clock tells whether it is the called one.
-std::int64_t WorkerSession::replyingProcess(const SessionCall& context, const WorkerReply& reply, absl::Time now) const
+// A reply to a start does not name its process; the clock tells whether it is the one that has replied last.
+std::int64_t WorkerSession::replyingProcess(const WorkerReply& reply, absl::Time now) const
 {
     if (reply.processStartMs != 0)
         return reply.processStartMs;
-    return m_isRestartSuspected || isClockUnexpected(reply.clock, now) ? 0 : context.processStartMs;
+    const bool isClockKnown = reply.clock != 0 && m_clockReadAt != absl::InfinitePast();
+    return isClockKnown && !m_isRestartSuspected && !isClockUnexpected(reply.clock, now) ? m_processStartMs : 0;
 }
 
 void WorkerSession::handleFailure(
--- a/tests/batch/worker_session_lease_test.cpp
+++ b/tests/batch/worker_session_lease_test.cpp
@@ -258,6 +258,27 @@
     EXPECT_GT(lapseOfASilentWorker(), until + SessionSettings().maxLease);
 }
 
+// Guards against TWICE: the next process has executed a start that was sent to the one before, with the longest lease
+// from then on. Its reply names no process, and comes after the process is known.
+TEST_F(LateRenewal, CountsTheLeaseOfAStartThatTheNextProcessHasReplied)
+{
+    WorkerSession session(makeWorkerEntry("w"), 1, SessionSettings());
+    session.handleReply(session.takeDueCalls(m_now).front().context, answerOf(5000), m_now);
+    session.reserve(runOf(0), { 100, 100, 4 }, m_now);
+    session.release(runOf(0), m_now);
+    const std::vector<DueCall> calls = session.takeDueCalls(m_now);
+    ASSERT_EQ(calls.size(), 2U);
+    m_now += absl::Milliseconds(700);
+    session.handleReply(calls[1].context, listOfNextProcess(50), m_now);
+    m_now += absl::Milliseconds(700);
+    WorkerReply confirmed;
+    confirmed.clock = 750;
+    session.handleReply(calls[0].context, confirmed, m_now);
+    session.handleReply(session.takeDueCalls(m_now).back().context, noAnswer(), m_now);
+    EXPECT_TRUE(session.takeLapsedRuns(m_now + SessionSettings().maxLease).empty());
+    EXPECT_EQ(session.takeLapsedRuns(m_now + SessionSettings().maxLease + absl::Seconds(1)).size(), 1U);
+}
+
 // Guards against TWICE: a session that was made anew knew nothing of the renewal.
 TEST_F(LateRenewal, KeepsTheSessionOfAnUnlistedWorkerWhileTheRenewalMayCome)
 {
