Codechange: the worker session's leases and processes stand in files of their own

Change: functions are moved as they are, into worker_session_lease_cmd.cpp and worker_session_process_cmd.cpp; the longest lease is a member of the settings it follows from.

--- a/src/batch/worker/worker_session_base.cpp
+++ b/src/batch/worker/worker_session_base.cpp
@@ -7,21 +7,8 @@
 
 namespace {
 
-// A worker's clock may be slow by this share, so its lease may last longer on the owner's clock.
-constexpr double clockDrift = 0.025;
-// Added to the latest end of a worker's lease, on top of the clock drift.
-constexpr absl::Duration leaseMargin = absl::Milliseconds(300);
 // Subtracted from the entry timeout, since workers and the platform keep their intervals only approximately.
 constexpr absl::Duration entryTimeoutMargin = absl::Milliseconds(300);
-// Replies of one process show clocks that differ from the expected one by less than this, on top of the clock drift:
-// they are delayed, and overtake each other.
-constexpr absl::Duration clockTolerance = absl::Milliseconds(500);
-
-// The longest time for which a worker's lease lasts after it was granted, on the owner's clock.
-absl::Duration longestLeaseOf(const SessionSettings& settings)
-{
-    return settings.maxLease * (1 + clockDrift) + leaseMargin;
-}
 
 } // namespace
 
@@ -30,8 +17,8 @@
     , m_epoch(epoch)
     , m_settings(settings)
     , m_grantedLease(std::min(settings.requestedLease, settings.maxLease))
-    , m_leaseBound(ownedSince + longestLeaseOf(settings))
-    , m_commands(ownedSince, longestLeaseOf(settings))
+    , m_leaseBound(ownedSince + settings.longestLease())
+    , m_commands(ownedSince, settings.longestLease())
     , m_pollWait(settings.pollWait)
 {
 }
@@ -48,12 +35,6 @@
     m_leavesAt = entry.isDraining ? std::min(m_leavesAt, now + entry.remaining) : absl::InfiniteFuture();
 }
 
-void WorkerSession::takeProcessEntry()
-{
-    if (m_entry.processStartMs == m_processStartMs)
-        m_processEntry = m_entry;
-}
-
 // An unreadable row may come from another writer, so it does not show that the worker has left.
 void WorkerSession::markUnlisted()
 {
@@ -69,68 +50,6 @@
     m_isListed = false;
 }
 
-std::int64_t WorkerSession::calledProcessStart() const
-{
-    if (m_isRestartSuspected)
-        return m_suspectedStartMs;
-    return m_processStartMs != 0 ? m_processStartMs : m_entry.processStartMs;
-}
-
-// Each process has a clock of its own, and only the reply to a poll names the process. A process that was suspended has
-// an unexpected clock as well.
-bool WorkerSession::isClockUnexpected(WorkerMillis clock, absl::Time now) const
-{
-    if (clock == 0 || m_clockReadAt == absl::InfinitePast())
-        return false;
-    const absl::Duration elapsed = now - m_clockReadAt;
-    const absl::Duration difference = absl::Milliseconds(clock - m_workerClock) - elapsed;
-    return absl::AbsDuration(difference) > clockTolerance + elapsed * clockDrift;
-}
-
-// A start that the worker has not confirmed when it was asked is not asked about again.
-void WorkerSession::suspectRestart(std::int64_t processStartMs)
-{
-    if (m_processStartMs == 0 || processStartMs <= m_processStartMs || processStartMs == m_suspectedStartMs)
-        return;
-    m_suspectedStartMs = processStartMs;
-    m_isRestartSuspected = true;
-    m_hasAnswered = false;
-    m_workerClock = 0;
-    m_clockReadAt = absl::InfinitePast();
-}
-
-void WorkerSession::resolveSuspicion(const SessionCall& context)
-{
-    if (context.processStartMs >= m_suspectedStartMs)
-        m_isRestartSuspected = false;
-}
-
-// The new process of a restarted worker has none of the runs of the old one.
-void WorkerSession::applyProcessStart(std::int64_t processStartMs, absl::Time now, std::vector<EndedRun>& ended)
-{
-    if (processStartMs == 0 || processStartMs <= m_processStartMs)
-        return;
-    if (m_processStartMs != 0) {
-        ended = endRunsOfEarlierProcess();
-        // The new process counts its ends anew. A late acknowledgement of the earlier ones would make it forget ends
-        // that nobody has heard of, so it gets no work until none can arrive any more.
-        if (m_commands.acknowledgementsMayComeUntil() > now)
-            m_startsPausedUntil = std::max(m_startsPausedUntil, m_commands.acknowledgementsMayComeUntil());
-        m_listedEnds.clear();
-        m_acknowledgedEnd = 0;
-        m_sentAcknowledgedEnd = 0;
-        m_confirmedAcknowledgement = 0;
-        m_hasAnswered = false;
-        m_workerClock = 0;
-        m_clockReadAt = absl::InfinitePast();
-    }
-    m_processStartMs = processStartMs;
-    m_processEntry.reset();
-    takeProcessEntry();
-    if (processStartMs >= m_suspectedStartMs)
-        m_isRestartSuspected = false;
-}
-
 void WorkerSession::endUnsentRuns(std::vector<EndedRun>& ended)
 {
     for (auto it = m_runs.begin(); it != m_runs.end();) {
@@ -143,34 +62,6 @@
     }
 }
 
-// Only runs that the old process has shown are known to have ended with it. Either process may have executed the start
-// of any other run, whose confirmation need not name the process; the next poll of the new process decides, unless a
-// start may still be executed. What was placed by the row of the old process and not sent yet may not fit the new one.
-std::vector<EndedRun> WorkerSession::endRunsOfEarlierProcess()
-{
-    std::vector<EndedRun> ended;
-    endUnsentRuns(ended);
-    for (auto it = m_runs.begin(); it != m_runs.end();) {
-        RunSlot& slot = it->second;
-        if (mayStillStart(it->first)) {
-            slot.restartUnknown();
-            ++it;
-        } else if (slot.stage == RunSlot::Stage::Ended) {
-            ended.push_back(slot.end);
-            ended.back().number = 0;
-            it = m_runs.erase(it);
-        } else if (slot.processStartMs != 0) {
-            ended.push_back({ it->first, RunEnd::LeaseLapsed, "", 0, EndEvidence::ProcessReplaced });
-            it = m_runs.erase(it);
-        } else {
-            slot.isStopConfirmed = false;
-            slot.likelyProcessStartMs = 0;
-            ++it;
-        }
-    }
-    return ended;
-}
-
 bool WorkerSession::acceptsWork(absl::Time now) const
 {
     const absl::Time from = std::max(m_startsPausedUntil, m_commands.unansweredAcknowledgementUntil());
@@ -233,7 +124,7 @@
     }
     m_runs[run] = slot;
     // An earlier owner may have granted the longest lease just before.
-    m_leaseBound = std::max(m_leaseBound, now + longestLeaseOf(m_settings));
+    m_leaseBound = std::max(m_leaseBound, now + m_settings.longestLease());
 }
 
 void WorkerSession::adoptDone(const RunKey& run, const Resources& demand, absl::Time now)
@@ -246,16 +137,7 @@
     m_commands.recordStartsOfEarlierOwner(run, now);
     m_runs[run] = slot;
     // An earlier owner may have granted the longest lease just before.
-    m_leaseBound = std::max(m_leaseBound, now + longestLeaseOf(m_settings));
-}
-
-// The lease may be renewed now. Its end is reckoned from the worker's clock when that was last read, and the clock may
-// have gone slower since.
-void WorkerSession::extendLeaseBound(absl::Time now)
-{
-    const absl::Duration clockAge = m_clockReadAt == absl::InfinitePast() ? absl::ZeroDuration() : now - m_clockReadAt;
-    const absl::Duration drift = (m_grantedLease + clockAge) * clockDrift;
-    m_leaseBound = std::max(m_leaseBound, now + m_grantedLease + drift + leaseMargin);
+    m_leaseBound = std::max(m_leaseBound, now + m_settings.longestLease());
 }
 
 absl::optional<EndedRun> WorkerSession::stop(const RunKey& run, absl::Time now)
@@ -311,62 +193,4 @@
     return untilThen - (now - slot.percentChangedAt);
 }
 
-// A worker that was draining, has removed its row and has no process at its address is gone, with all its runs. It
-// stops accepting connections before it replies to the pending poll, so that poll has to end first. A row that has
-// expired shows nothing: a worker that neither the store nor this node reaches runs on.
-bool WorkerSession::hasLeft() const
-{
-    return m_entry.isDraining && m_hasDeregistered && m_isUnreachable && !m_isPollPending;
-}
-
-std::int64_t WorkerSession::processOf(const RunKey& run) const
-{
-    const auto found = m_runs.find(run);
-    if (found == m_runs.end())
-        return 0;
-    const RunSlot& slot = found->second;
-    return slot.processStartMs != 0 ? slot.processStartMs : slot.likelyProcessStartMs;
-}
-
-WorkerProcess WorkerSession::describeProcess(std::int64_t processStartMs) const
-{
-    if (processStartMs == 0)
-        return {};
-    const absl::Time until = std::max(m_commands.foreignRenewalUntil(processStartMs), absl::UnixEpoch());
-    return { processStartMs, absl::ToUnixMillis(until) + 1 };
-}
-
-absl::Time WorkerSession::lapsesAt(const RunKey& run, const RunSlot& slot) const
-{
-    if (slot.stage == RunSlot::Stage::Reserved || slot.isStartPending)
-        return absl::InfiniteFuture();
-    return std::max(m_leaseBound, m_commands.foreignLeaseEnd(run, processOf(run)));
-}
-
-std::vector<EndedRun> WorkerSession::takeLapsedRuns(absl::Time now)
-{
-    std::vector<EndedRun> ended;
-    if (isReachable())
-        return ended;
-    for (auto it = m_runs.begin(); it != m_runs.end();) {
-        const RunSlot& slot = it->second;
-        const bool hasLapsed = now >= lapsesAt(it->first, slot);
-        const bool isGone = hasLeft() && !mayStillStart(it->first) && slot.stage != RunSlot::Stage::Reserved;
-        if (!hasLapsed && !isGone) {
-            ++it;
-            continue;
-        }
-        const EndEvidence evidence = hasLapsed ? EndEvidence::LeaseExpired : EndEvidence::WorkerLeft;
-        if (slot.stage == RunSlot::Stage::Ended)
-            ended.push_back(slot.end);
-        else
-            ended.push_back({ it->first, RunEnd::LeaseLapsed, "", 0, evidence });
-        if (evidence == EndEvidence::LeaseExpired)
-            ended.back().leaseAge = now - m_leaseSentAt;
-        m_commands.settleStarts(it->first);
-        it = m_runs.erase(it);
-    }
-    return ended;
-}
-
 } // namespace mangohall::batch
--- a/src/batch/worker/worker_session_base.h
+++ b/src/batch/worker/worker_session_base.h
@@ -20,6 +20,9 @@
 
 namespace mangohall::batch {
 
+// A worker's clock may be slow by less than this share, so that its lease lasts longer on the owner's clock.
+inline constexpr double maxClockDrift = 0.025;
+
 // Settings of a worker session.
 struct SessionSettings {
     // The longest lease that a worker grants.
@@ -31,6 +34,9 @@
     absl::Duration pollWait = absl::Milliseconds(700);
     // The silence after which the platform removes a worker's entry.
     absl::Duration entryTimeout = absl::Milliseconds(4500);
+
+    // The longest time for which a worker's lease lasts after it was granted, on the owner's clock.
+    absl::Duration longestLease() const;
 };
 
 // The changes that follow from one reply or from a missing reply.
--- a/src/batch/worker/worker_session_call_cmd.cpp
+++ b/src/batch/worker/worker_session_call_cmd.cpp
@@ -142,23 +142,6 @@
     return due;
 }
 
-WorkerMillis WorkerSession::leaseUntil(absl::Time now) const
-{
-    if (m_clockReadAt == absl::InfinitePast())
-        return 0;
-    return m_workerClock + absl::ToInt64Milliseconds(now - m_clockReadAt + m_grantedLease);
-}
-
-void WorkerSession::grantLease(DueCall& due, absl::Time now)
-{
-    due.call.leaseUntil = leaseUntil(now);
-    due.context.renewsLease = due.call.leaseUntil != 0;
-    if (!due.context.renewsLease)
-        return;
-    m_leaseSentAt = now;
-    extendLeaseBound(now);
-}
-
 WorkerCall WorkerSession::makeCall(absl::Duration timeout) const
 {
     WorkerCall call;
--- a/src/batch/worker/worker_session_reply_cmd.cpp
+++ b/src/batch/worker/worker_session_reply_cmd.cpp
@@ -68,15 +68,6 @@
     return update;
 }
 
-// A reply to a start does not name its process; the clock tells whether it is the one that has replied last.
-std::int64_t WorkerSession::replyingProcess(const WorkerReply& reply, absl::Time now) const
-{
-    if (reply.processStartMs != 0)
-        return reply.processStartMs;
-    const bool isClockKnown = reply.clock != 0 && m_clockReadAt != absl::InfinitePast();
-    return isClockKnown && !m_isRestartSuspected && !isClockUnexpected(reply.clock, now) ? m_processStartMs : 0;
-}
-
 void WorkerSession::handleFailure(
     const SessionCall& context, const WorkerReply& reply, absl::Time now, SessionUpdate& update)
 {
