--- a/src/batch/owner/owner_load_cmd.cpp
+++ b/src/batch/owner/owner_load_cmd.cpp
@@ -24,7 +24,7 @@
     decision.epoch = m_ownership.epoch();
     m_outbox.log(std::move(decision));
     m_jobs.clear();
-    m_workers.reset(m_ownership.epoch());
+    m_workers.reset(m_ownership.epoch(), now);
     m_writer.reset();
     m_jobFollower.stop();
     m_workerFollower.stop();
@@ -101,8 +101,9 @@
         const TaskProgress& placed = *entry.progress.find(task);
         const RunKey run { { entry.progress.job().id, task }, placed.attempt };
         WorkerSession& session = m_workers.findOrAdd(placed.worker, placed.workerProcessStartMs);
-        session.adopt(run, countedDemand(entry.progress.stepSpec(task.step)), placed.workerProcessStartMs,
-            entry.progress.isLastAttemptStarted(task), now);
+        session.adopt(run, countedDemand(entry.progress.stepSpec(task.step)),
+            { placed.workerProcessStartMs, placed.earlierCommandsUntilMs }, entry.progress.isLastAttemptStarted(task),
+            now);
     }
     for (const TaskRef& task : entry.progress.startableDoneTasks()) {
         const TaskProgress& done = *entry.progress.find(task);
--- a/src/batch/owner/owner_run_cmd.cpp
+++ b/src/batch/owner/owner_run_cmd.cpp
@@ -84,6 +84,8 @@
         return;
     }
     logStart(update);
+    if (update.session.unansweredRenewal)
+        logUnansweredRenewal(update);
     if (update.session.isLost || update.session.isFound)
         logWorker(update);
     if (update.session.isFound)
@@ -132,7 +134,7 @@
         return;
     recordHealth(ended, update.worker, now);
     logRun(DecisionEffect::Kind::RunEnded, ended.run, update.worker, runEndName(ended.end),
-        endEvidenceName(ended.evidence));
+        endEvidenceName(ended.evidence), ended.leaseAge);
     const bool wasFinal = entry != nullptr && entry->progress.isFinal();
     const bool isChanged
         = entry != nullptr && entry->progress.recordEnd(task, ended.run.attempt, ended.end, ended.checkpoint, now);
@@ -163,17 +165,20 @@
 bool OwnerPart::mayStillStart(const RunKey& run, const WorkerName& worker) const
 {
     const auto session = m_workers.sessions().find(worker);
-    if (session == m_workers.sessions().end())
-        return false;
-    const auto slot = session->second.runs().find(run);
-    return slot != session->second.runs().end() && slot->second.mayStillStart();
+    return session != m_workers.sessions().end() && session->second.mayStillStart(run);
 }
 
 // The next owner need not wait for the starts of a run that has shown, unless one may still be executed.
 void OwnerPart::recordStarted(const RunKey& run, const WorkerName& worker)
 {
     JobEntry* entry = m_jobs.find(run.task.job);
-    if (entry != nullptr && entry->progress.recordStarted(run.task.task, run.attempt, mayStillStart(run, worker)))
+    if (entry == nullptr)
+        return;
+    const auto session = m_workers.sessions().find(worker);
+    WorkerProcess shownBy;
+    if (session != m_workers.sessions().end())
+        shownBy = session->second.describeProcess(session->second.processOf(run));
+    if (entry->progress.recordStarted(run.task.task, run.attempt, mayStillStart(run, worker), shownBy))
         m_jobs.markDirtyLater(*entry);
 }
 
--- a/src/batch/worker/worker_session_base.cpp
+++ b/src/batch/worker/worker_session_base.cpp
@@ -7,22 +7,18 @@
 
 namespace {
 
-// A worker's clock may be slow by this share, so its lease may last longer on the owner's clock.
-constexpr double clockDrift = 0.025;
-// Added to the latest end of a worker's lease, on top of the clock drift.
-constexpr absl::Duration leaseMargin = absl::Milliseconds(300);
 // Subtracted from the entry timeout, since workers and the platform keep their intervals only approximately.
 constexpr absl::Duration entryTimeoutMargin = absl::Milliseconds(300);
-// Replies of one process show clocks that differ from the expected one by less than this, on top of the clock drift:
-// they are delayed, and overtake each other.
-constexpr absl::Duration clockTolerance = absl::Milliseconds(500);
 
 } // namespace
 
-WorkerSession::WorkerSession(WorkerEntry entry, Epoch epoch, SessionSettings settings)
+WorkerSession::WorkerSession(WorkerEntry entry, Epoch epoch, SessionSettings settings, absl::Time ownedSince)
     : m_entry(std::move(entry))
     , m_epoch(epoch)
     , m_settings(settings)
+    , m_grantedLease(std::min(settings.requestedLease, settings.maxLease))
+    , m_leaseBound(ownedSince + settings.longestLease())
+    , m_commands(ownedSince, settings.longestLease())
     , m_pollWait(settings.pollWait)
 {
 }
@@ -39,12 +35,6 @@
     m_leavesAt = entry.isDraining ? std::min(m_leavesAt, now + entry.remaining) : absl::InfiniteFuture();
 }
 
-void WorkerSession::takeProcessEntry()
-{
-    if (m_entry.processStartMs == m_processStartMs)
-        m_processEntry = m_entry;
-}
-
 // An unreadable row may come from another writer, so it does not show that the worker has left.
 void WorkerSession::markUnlisted()
 {
@@ -60,69 +50,6 @@
     m_isListed = false;
 }
 
-std::int64_t WorkerSession::calledProcessStart() const
-{
-    if (m_isRestartSuspected)
-        return m_suspectedStartMs;
-    return m_processStartMs != 0 ? m_processStartMs : m_entry.processStartMs;
-}
-
-// Each process has a clock of its own, and only the reply to a poll names the process. A process that was suspended has
-// an unexpected clock as well.
-bool WorkerSession::isClockUnexpected(WorkerMillis clock, absl::Time now) const
-{
-    if (clock == 0 || m_clockReadAt == absl::InfinitePast())
-        return false;
-    const absl::Duration elapsed = now - m_clockReadAt;
-    const absl::Duration difference = absl::Milliseconds(clock - m_workerClock) - elapsed;
-    return absl::AbsDuration(difference) > clockTolerance + elapsed * clockDrift;
-}
-
-// A start that the worker has not confirmed when it was asked is not asked about again.
-void WorkerSession::suspectRestart(std::int64_t processStartMs)
-{
-    if (m_processStartMs == 0 || processStartMs <= m_processStartMs || processStartMs == m_suspectedStartMs)
-        return;
-    m_suspectedStartMs = processStartMs;
-    m_isRestartSuspected = true;
-    m_hasAnswered = false;
-    m_workerClock = 0;
-    m_clockReadAt = absl::InfinitePast();
-}
-
-void WorkerSession::resolveSuspicion(const SessionCall& context)
-{
-    if (context.processStartMs >= m_suspectedStartMs)
-        m_isRestartSuspected = false;
-}
-
-// The new process of a restarted worker has none of the runs of the old one.
-void WorkerSession::applyProcessStart(std::int64_t processStartMs, absl::Time now, std::vector<EndedRun>& ended)
-{
-    if (processStartMs == 0 || processStartMs <= m_processStartMs)
-        return;
-    if (m_processStartMs != 0) {
-        ended = endRunsOfEarlierProcess();
-        // The new process counts its ends anew. A late acknowledgement of the earlier ones would make it forget ends
-        // that nobody has heard of, so it gets no work until none can arrive any more.
-        if (lateAcknowledgementEnd() > now)
-            m_startsPausedUntil = std::max(m_startsPausedUntil, lateAcknowledgementEnd());
-        m_listedEnds.clear();
-        m_acknowledgedEnd = 0;
-        m_sentAcknowledgedEnd = 0;
-        m_confirmedAcknowledgement = 0;
-        m_lateAcknowledgement = 0;
-        m_hasAnswered = false;
-        m_workerClock = 0;
-        m_clockReadAt = absl::InfinitePast();
-    }
-    m_processStartMs = processStartMs;
-    m_processEntry.reset();
-    takeProcessEntry();
-    if (processStartMs >= m_suspectedStartMs)
-        m_isRestartSuspected = false;
-}
-
 void WorkerSession::endUnsentRuns(std::vector<EndedRun>& ended)
 {
     for (auto it = m_runs.begin(); it != m_runs.end();) {
@@ -135,36 +62,9 @@
     }
 }
 
-// Only runs that the old process has shown are known to have ended with it. Either process may have executed the start
-// of any other run, whose confirmation need not name the process; the next poll of the new process decides, unless a
-// start may still be executed. What was placed by the row of the old process and not sent yet may not fit the new one.
-std::vector<EndedRun> WorkerSession::endRunsOfEarlierProcess()
-{
-    std::vector<EndedRun> ended;
-    endUnsentRuns(ended);
-    for (auto it = m_runs.begin(); it != m_runs.end();) {
-        RunSlot& slot = it->second;
-        if (slot.mayStillStart()) {
-            slot.restartUnknown();
-            ++it;
-        } else if (slot.stage == RunSlot::Stage::Ended) {
-            ended.push_back(slot.end);
-            ended.back().number = 0;
-            it = m_runs.erase(it);
-        } else if (slot.processStartMs != 0) {
-            ended.push_back({ it->first, RunEnd::LeaseLapsed, "", 0, EndEvidence::ProcessReplaced });
-            it = m_runs.erase(it);
-        } else {
-            slot.isStopConfirmed = false;
-            ++it;
-        }
-    }
-    return ended;
-}
-
 bool WorkerSession::acceptsWork(absl::Time now) const
 {
-    const absl::Time from = std::max(m_startsPausedUntil, m_lateAcknowledgementUntil);
+    const absl::Time from = std::max(m_startsPausedUntil, m_commands.unansweredAcknowledgementUntil());
     return m_isListed && isProcessCertain() && m_processEntry && !m_entry.isDraining && now >= from;
 }
 
@@ -180,7 +80,7 @@
 {
     Resources capacity = entry().capacity;
     for (const auto& [run, slot] : m_runs) {
-        if (!slot.isStopWanted || slot.mayStillStart())
+        if (!slot.isStopWanted || mayStillStart(run))
             capacity -= slot.demand;
     }
     return capacity;
@@ -206,20 +106,25 @@
 }
 
 void WorkerSession::adopt(
-    const RunKey& run, const Resources& demand, std::int64_t placedProcessStartMs, bool isStarted, absl::Time now)
+    const RunKey& run, const Resources& demand, const WorkerProcess& placedOn, bool isStarted, absl::Time now)
 {
     RunSlot slot;
     slot.stage = RunSlot::Stage::Adopted;
     slot.demand = demand;
     slot.since = now;
     slot.startSentAt = now;
-    slot.placedProcessStartMs = placedProcessStartMs;
-    if (isStarted)
+    slot.placedProcessStartMs = placedOn.startMs;
+    if (placedOn.earlierCommandsUntilMs != 0)
+        m_commands.recordEarlierCommandsUntil(placedOn.startMs, absl::FromUnixMillis(placedOn.earlierCommandsUntilMs));
+    if (isStarted) {
         slot.confirmedAt = absl::InfinitePast();
-    else
-        slot.recordUnansweredOfEarlierOwner(now + maxCommandDelay);
+        slot.likelyProcessStartMs = placedOn.startMs;
+    } else {
+        m_commands.recordStartsOfEarlierOwner(run, now);
+    }
     m_runs[run] = slot;
-    extendLeaseBound(now);
+    // An earlier owner may have granted the longest lease just before.
+    m_leaseBound = std::max(m_leaseBound, now + m_settings.longestLease());
 }
 
 void WorkerSession::adoptDone(const RunKey& run, const Resources& demand, absl::Time now)
@@ -229,18 +134,10 @@
     slot.demand = demand;
     slot.since = now;
     slot.end = { run, RunEnd::Done, "", 0, EndEvidence::Listed };
-    slot.recordUnansweredOfEarlierOwner(now + maxCommandDelay);
+    m_commands.recordStartsOfEarlierOwner(run, now);
     m_runs[run] = slot;
-    extendLeaseBound(now);
-}
-
-// The lease may be renewed now, or may have been renewed by an earlier owner just before. Its end is reckoned from the
-// worker's clock when that was last read, and the clock may have gone slower since.
-void WorkerSession::extendLeaseBound(absl::Time now)
-{
-    const absl::Duration clockAge = m_clockReadAt == absl::InfinitePast() ? absl::ZeroDuration() : now - m_clockReadAt;
-    const absl::Duration drift = (m_settings.maxLease + clockAge) * clockDrift;
-    m_leaseBound = std::max(m_leaseBound, now + m_settings.maxLease + drift + leaseMargin);
+    // An earlier owner may have granted the longest lease just before.
+    m_leaseBound = std::max(m_leaseBound, now + m_settings.longestLease());
 }
 
 absl::optional<EndedRun> WorkerSession::stop(const RunKey& run, absl::Time now)
@@ -296,45 +193,4 @@
     return untilThen - (now - slot.percentChangedAt);
 }
 
-// A worker that was draining, has removed its row and has no process at its address is gone, with all its runs. It
-// stops accepting connections before it replies to the pending poll, so that poll has to end first. A row that has
-// expired shows nothing: a worker that neither the store nor this node reaches runs on.
-bool WorkerSession::hasLeft() const
-{
-    return m_entry.isDraining && m_hasDeregistered && m_isUnreachable && !m_isPollPending;
-}
-
-// A late start is executed with a lease of its own, which late polls may have renewed.
-absl::Time WorkerSession::lapsesAt(const RunSlot& slot) const
-{
-    if (slot.stage == RunSlot::Stage::Reserved || slot.isStartPending)
-        return absl::InfiniteFuture();
-    if (!slot.mayStillStart())
-        return m_leaseBound;
-    const absl::Duration longestLease = m_settings.maxLease * (1 + clockDrift) + leaseMargin;
-    return std::max(slot.mayStartUntil + longestLease, m_leaseBound + maxCommandDelay);
-}
-
-std::vector<EndedRun> WorkerSession::takeLapsedRuns(absl::Time now)
-{
-    std::vector<EndedRun> ended;
-    if (isReachable())
-        return ended;
-    for (auto it = m_runs.begin(); it != m_runs.end();) {
-        const RunSlot& slot = it->second;
-        const bool isGone = hasLeft() && !slot.mayStillStart() && slot.stage != RunSlot::Stage::Reserved;
-        if (now < lapsesAt(slot) && !isGone) {
-            ++it;
-            continue;
-        }
-        const EndEvidence evidence = now < lapsesAt(slot) ? EndEvidence::WorkerLeft : EndEvidence::LeaseExpired;
-        if (slot.stage == RunSlot::Stage::Ended)
-            ended.push_back(slot.end);
-        else
-            ended.push_back({ it->first, RunEnd::LeaseLapsed, "", 0, evidence });
-        it = m_runs.erase(it);
-    }
-    return ended;
-}
-
 } // namespace mangohall::batch
--- a/src/batch/worker/worker_session_base.h
+++ b/src/batch/worker/worker_session_base.h
@@ -11,20 +11,32 @@
 #include "absl/strings/string_view.h"
 #include "absl/time/time.h"
 #include "absl/types/optional.h"
+#include "batch/job/progress_record_type.h"
+#include "batch/worker/outstanding_commands_base.h"
 #include "batch/worker/run_slot_type.h"
+#include "batch/worker/session_call_type.h"
 #include "batch/worker/worker_health_base.h"
 #include "batch/worker/worker_type.h"
 
 namespace mangohall::batch {
 
+// A worker's clock may be slow by less than this share, so that its lease lasts longer on the owner's clock.
+inline constexpr double maxClockDrift = 0.025;
+
 // Settings of a worker session.
 struct SessionSettings {
     // The longest lease that a worker grants.
     absl::Duration maxLease = absl::Seconds(10);
+    // The lease that the owner asks for, if it is shorter. It outlasts a silence of 5 s and the longest pause between
+    // polls.
+    absl::Duration requestedLease = absl::Seconds(7);
     // The shortest time for which the worker may hold a poll open until a run ends.
     absl::Duration pollWait = absl::Milliseconds(700);
     // The silence after which the platform removes a worker's entry.
     absl::Duration entryTimeout = absl::Milliseconds(4500);
+
+    // The longest time for which a worker's lease lasts after it was granted, on the owner's clock.
+    absl::Duration longestLease() const;
 };
 
 // The changes that follow from one reply or from a missing reply.
@@ -38,6 +50,8 @@
     absl::optional<RunKey> confirmedStart;
     // A run whose start got no reply, so that it may still be executed.
     absl::optional<RunKey> unansweredStart;
+    // The start, in Unix milliseconds, of the process that a poll without a reply was sent to, if it renews the lease.
+    absl::optional<std::int64_t> unansweredRenewal;
     // A run that the worker has barred by a stop before its start was confirmed.
     absl::optional<RunKey> barredStart;
     // The worker has seen a larger epoch, so another node is the owner.
@@ -48,28 +62,6 @@
     bool isLost = false;
 };
 
-// What a call was for; needed to interpret its reply.
-struct SessionCall {
-    enum class Kind {
-        Start,
-        Stop,
-        Poll,
-    };
-    Kind kind = Kind::Poll;
-    RunKey run;
-    absl::Time sentAt;
-    // When the called process started, in Unix milliseconds, as far as its row or its replies had shown then.
-    std::int64_t processStartMs = 0;
-    // The same start was sent before.
-    bool isRepeated = false;
-};
-
-// A call that is due. The caller of `takeDueCalls` fills in the payload and checkpoint of a start.
-struct DueCall {
-    SessionCall context;
-    WorkerCall call;
-};
-
 // One worker: the runs that use its capacity, the latest time at which its lease can end, and the calls that are due. A
 // run is dropped only after the worker has shown that the run is over and cannot start any more, or after its lease
 // must have expired. A start without a reply may be executed by a later process of the worker, which knows neither a
@@ -77,7 +69,9 @@
 // call from several threads.
 class WorkerSession {
 public:
-    WorkerSession(WorkerEntry entry, Epoch epoch, SessionSettings settings);
+    // `ownedSince` is when this node became the owner; earlier owners may have sent commands to the worker until then.
+    WorkerSession(
+        WorkerEntry entry, Epoch epoch, SessionSettings settings, absl::Time ownedSince = absl::InfinitePast());
 
     // The last row of the worker's present process; before there is one, the last row of any process.
     const WorkerEntry& entry() const { return m_processEntry ? *m_processEntry : m_entry; }
@@ -86,6 +80,13 @@
     WorkerHealth& health() { return m_health; }
     const WorkerHealth& health() const { return m_health; }
     const absl::btree_map<RunKey, RunSlot>& runs() const { return m_runs; }
+    // Whether a start of the run may still be executed, now or by a later process. Until none may, the run keeps its
+    // capacity, and its task may run nowhere else.
+    bool mayStillStart(const RunKey& run) const { return m_commands.mayStart(run); }
+    // When the process started that has the run, in Unix milliseconds; 0 if that is unknown.
+    std::int64_t processOf(const RunKey& run) const;
+    // What the record of a task says of a process of this worker, given by its start.
+    WorkerProcess describeProcess(std::int64_t processStartMs) const;
 
     // Applies a new row of the worker list. The worker has reported the row after `reportedAfter`, which is the
     // infinite past if that is unknown. A row may come from another writer, so a later start of the process that it
@@ -99,7 +100,8 @@
     // The earliest time at which a draining worker may be gone; the infinite future for a worker that stays.
     absl::Time leavesAt() const { return m_leavesAt; }
     // Whether the session may be deleted: the worker is not listed, has no run, no poll is pending whose reply may
-    // still list ends, and no acknowledgement may still be executed by a later process.
+    // still list ends, and no command may still be executed by a later process that renews its lease or acknowledges
+    // ends.
     bool isRemovable(absl::Time now) const;
 
     // Whether the worker has replied to a poll with this owner's epoch.
@@ -121,7 +123,7 @@
     // known to have been executed, a reply to a poll with this owner's epoch decides whether it still runs; otherwise
     // one may still be executed for a while.
     void adopt(
-        const RunKey& run, const Resources& demand, std::int64_t placedProcessStartMs, bool isStarted, absl::Time now);
+        const RunKey& run, const Resources& demand, const WorkerProcess& placedOn, bool isStarted, absl::Time now);
     // The same for a run that was done while one of its starts might still be executed.
     void adoptDone(const RunKey& run, const Resources& demand, absl::Time now);
     // Requests the stop of a run. A run whose start was never sent is dropped at once and returned.
@@ -157,17 +159,18 @@
     std::vector<EndedRun> takeLapsedRuns(absl::Time now);
 
 private:
-    // A command without a reply is executed within this time after its call has failed, or never.
-    static constexpr absl::Duration maxCommandDelay = absl::Seconds(14);
-
     void handleStartReply(const SessionCall& context, const WorkerReply& reply, absl::Time now, SessionUpdate& update);
     // Handles a start that may have been executed, or did not reach the worker.
-    void handleFailedStart(const SessionCall& context, const WorkerReply& reply, absl::Time now, SessionUpdate& update);
+    // Handles a call that got no reply, or whose reply shows that it was not executed.
+    void handleFailure(const SessionCall& context, const WorkerReply& reply, absl::Time now, SessionUpdate& update);
+    void handleFailedStart(const SessionCall& context, const WorkerReply& reply, SessionUpdate& update);
     void dropUnstartedRun(
         absl::btree_map<RunKey, RunSlot>::iterator found, EndEvidence evidence, SessionUpdate& update);
-    static bool recordListedEnd(RunSlot& slot, const EndedRun& ended);
-    // Records that no start of the run may be executed any more.
-    static void settleStarts(RunSlot& slot);
+    bool recordListedEnd(RunSlot& slot, const EndedRun& ended, absl::Time now);
+    // Records that the worker lists the run, as running or as ended.
+    void recordListed(const RunKey& run, RunSlot& slot, absl::Time now);
+    // Ends the wait for starts of the run that could not be executed any more when the poll was sent.
+    void settleStarts(const RunKey& run, RunSlot& slot, absl::Time polledAt);
     // The end of a run that the worker does not list as running.
     static EndedRun describeEnd(const RunKey& run, const RunSlot& slot);
     void handleStopReply(const SessionCall& context, const WorkerReply& reply, absl::Time now, SessionUpdate& update);
@@ -200,7 +203,9 @@
     // Drops the runs whose start was not sent.
     void endUnsentRuns(std::vector<EndedRun>& ended);
     // When the run must be over if the worker does not reply.
-    absl::Time lapsesAt(const RunSlot& slot) const;
+    absl::Time lapsesAt(const RunKey& run, const RunSlot& slot) const;
+    // The process that has sent the reply, given by its start; 0 if that is unknown.
+    std::int64_t replyingProcess(const WorkerReply& reply, absl::Time now) const;
     void barStartsWhileDraining(absl::Time now);
     // When the first of the starts was sent that have no reply yet; the infinite future if there is none.
     absl::Time firstPendingStartSentAt() const;
@@ -209,16 +214,12 @@
     bool isAcknowledgementHeldBack() const;
     // Whether the pending poll acknowledges ends. No start is sent beside it.
     bool isAcknowledgementPending() const { return m_isPollPending && m_sentAcknowledgedEnd != 0; }
-    // Records that an acknowledgement got no reply.
-    void recordLateAcknowledgement(absl::Time now);
     // Ends the wait for a late acknowledgement if the worker lists none of the ends any more that it acknowledges.
     void reviewLateAcknowledgement(const WorkerReply& reply);
     // The end that the next poll acknowledges; 0 if none is to be acknowledged, or not yet.
     std::int64_t nextAcknowledgement() const;
-    // Until when the pending poll, or one that got no reply, may still acknowledge ends; the infinite past if none may.
-    absl::Time lateAcknowledgementEnd() const;
     void handleRunningRow(const RunningRow& row, absl::Time now);
-    void handleEndedRow(const EndedRow& row, SessionUpdate& update);
+    void handleEndedRow(const EndedRow& row, absl::Time now, SessionUpdate& update);
     void dropUnlistedRuns(const SessionCall& context, const WorkerReply& reply, SessionUpdate& update);
     bool isPollDue(absl::Time now) const;
     absl::Time nextPollAt() const;
@@ -229,9 +230,11 @@
     DueCall makePoll(absl::Time now);
     DueCall makeRunCall(SessionCall::Kind kind, const RunKey& run, absl::Time now);
     WorkerCall makeCall(absl::Duration timeout) const;
-    // The longest lease, on the worker's clock; 0 if that clock is unknown.
+    // The end of a lease that is granted now, on the worker's clock; 0 if that clock is unknown.
     WorkerMillis leaseUntil(absl::Time now) const;
     void extendLeaseBound(absl::Time now);
+    // Makes the call renew the lease if the worker's clock is known.
+    void grantLease(DueCall& due, absl::Time now);
     // When the next start or stop command of the run is due.
     absl::Time commandDueAt(const RunSlot& slot) const;
 
@@ -249,6 +252,8 @@
     absl::Time m_leavesAt = absl::InfiniteFuture();
     const Epoch m_epoch;
     const SessionSettings m_settings;
+    // How long a lease lasts that the owner grants.
+    const absl::Duration m_grantedLease;
     bool m_isListed = true;
     // The worker's last known report was made after this time.
     absl::Time m_reportedAfter = absl::InfinitePast();
@@ -260,17 +265,12 @@
     // The worker's clock in its last reply, and when that reply was received.
     WorkerMillis m_workerClock = 0;
     absl::Time m_clockReadAt = absl::InfinitePast();
+    // When the last command that renews the lease was sent.
+    absl::Time m_leaseSentAt = absl::InfinitePast();
     // Until when, on the owner's clock, the leases granted so far may keep a run going.
     absl::Time m_leaseBound = absl::InfinitePast();
 
-    // Until when a command that got no reply may still be executed; the infinite past if there is none. More may get no
-    // reply, so ends are not acknowledged meanwhile: an acknowledgement without a reply keeps the worker from new work.
-    absl::Time m_lateCommandUntil = absl::InfinitePast();
-    // Until when an acknowledgement that got no reply may still be executed, by any process that the worker has by
-    // then; the infinite past if there is none.
-    absl::Time m_lateAcknowledgementUntil = absl::InfinitePast();
-    // The last end that it acknowledges; 0 if it was sent to an earlier process.
-    std::int64_t m_lateAcknowledgement = 0;
+    OutstandingCommands m_commands;
 
     absl::Duration m_pollWait;
     bool m_mayStart = true;
--- a/src/batch/worker/worker_session_call_cmd.cpp
+++ b/src/batch/worker/worker_session_call_cmd.cpp
@@ -110,10 +110,7 @@
 std::vector<DueCall> WorkerSession::takeDueCalls(absl::Time now)
 {
     barStartsWhileDraining(now);
-    if (m_lateCommandUntil <= now)
-        m_lateCommandUntil = absl::InfinitePast();
-    if (m_lateAcknowledgementUntil <= now)
-        m_lateAcknowledgementUntil = absl::InfinitePast();
+    m_commands.expire(now);
     std::vector<DueCall> calls;
     for (auto& [run, slot] : m_runs) {
         if (commandDueAt(slot) > now)
@@ -137,21 +134,14 @@
         due = std::min(due, commandDueAt(slot));
     for (const auto& [run, slot] : m_runs) {
         if (!isReachable())
-            due = std::min(due, lapsesAt(slot));
+            due = std::min(due, lapsesAt(run, slot));
     }
     // An unlisted worker is removed then.
-    if (!m_isListed && m_runs.empty() && !m_isPollPending && lateAcknowledgementEnd() != absl::InfinitePast())
-        due = std::min(due, lateAcknowledgementEnd());
+    if (!m_isListed && m_runs.empty() && !m_isPollPending && m_commands.settledAt() != absl::InfinitePast())
+        due = std::min(due, m_commands.settledAt());
     return due;
 }
 
-WorkerMillis WorkerSession::leaseUntil(absl::Time now) const
-{
-    if (m_clockReadAt == absl::InfinitePast())
-        return 0;
-    return m_workerClock + absl::ToInt64Milliseconds(now - m_clockReadAt + m_settings.maxLease);
-}
-
 WorkerCall WorkerSession::makeCall(absl::Duration timeout) const
 {
     WorkerCall call;
@@ -167,11 +157,12 @@
     DueCall due { { kind, run, now, calledProcessStart() }, makeCall(callTimeout) };
     if (kind == SessionCall::Kind::Stop) {
         due.call.command = StopRun { run };
+        m_commands.recordSent(due.context);
         return due;
     }
     due.call.command = StartRun { run, "", "" };
-    due.call.leaseUntil = leaseUntil(now);
-    extendLeaseBound(now);
+    grantLease(due, now);
+    m_commands.recordSent(due.context);
     return due;
 }
 
@@ -187,9 +178,7 @@
 
 bool WorkerSession::isAcknowledgementHeldBack() const
 {
-    const bool isStartUnknown
-        = std::any_of(m_runs.begin(), m_runs.end(), [](const auto& entry) { return entry.second.mayStillStart(); });
-    const bool isHeldBack = isStartUnknown || m_lateCommandUntil != absl::InfinitePast();
+    const bool isHeldBack = m_commands.mayStartAny() || m_commands.mayAnyBeExecuted();
     return isHeldBack && m_acknowledgedEnd > m_confirmedAcknowledgement;
 }
 
@@ -211,9 +200,9 @@
     // The lease of a worker that does not reply is not renewed, so that it expires: the renewal might arrive even
     // though the reply does not.
     if (m_failedCalls == 0)
-        due.call.leaseUntil = leaseUntil(now);
-    if (hasLiveRuns() && due.call.leaseUntil != 0)
-        extendLeaseBound(now);
+        grantLease(due, now);
+    due.context.acknowledgedEnd = m_sentAcknowledgedEnd;
+    m_commands.recordSent(due.context);
     m_isPollPending = true;
     m_polledAt = now;
     return due;
--- a/tests/batch/worker_session_lease_test.cpp
+++ b/tests/batch/worker_session_lease_test.cpp
@@ -12,8 +12,8 @@
     unlisted.address.clear();
     WorkerSession session(unlisted, 1, SessionSettings());
     session.markUnlisted();
-    session.adopt(runOf(0), { 100, 100, 4 }, processStartMs, true, m_now);
-    session.adopt(runOf(1), { 100, 100, 4 }, processStartMs, true, m_now);
+    session.adopt(runOf(0), { 100, 100, 4 }, { processStartMs, 0 }, true, m_now);
+    session.adopt(runOf(1), { 100, 100, 4 }, { processStartMs, 0 }, true, m_now);
     session.stop(runOf(1), m_now);
     EXPECT_TRUE(session.takeDueCalls(m_now).empty());
     const absl::Time lapse = session.nextDue();
@@ -29,7 +29,7 @@
     unlisted.address.clear();
     WorkerSession session(unlisted, 1, SessionSettings());
     session.markUnlisted();
-    session.adopt(runOf(0), { 100, 100, 4 }, processStartMs, true, m_now);
+    session.adopt(runOf(0), { 100, 100, 4 }, { processStartMs, 0 }, true, m_now);
     session.update(makeWorkerEntry("w"), m_now, m_now);
     const std::vector<DueCall> calls = session.takeDueCalls(m_now);
     ASSERT_EQ(calls.size(), 1U);
@@ -57,6 +57,39 @@
     EXPECT_EQ(lapsed.front().evidence, EndEvidence::LeaseExpired);
 }
 
+// Guards against LOST: jobs waited for the end of the longest lease after their workers had crashed behind a cut.
+TEST(WorkerSessionLease, LastsLittleLongerThanAShortSilence)
+{
+    constexpr absl::Duration shortSilence = absl::Seconds(5);
+    constexpr absl::Duration longestPause = absl::Seconds(2);
+    constexpr absl::Duration margin = absl::Milliseconds(500);
+    absl::Time now = start;
+    WorkerSession session(makeWorkerEntry("w"), 1, SessionSettings());
+    session.handleReply(session.takeDueCalls(now).front().context, answerOf(5000), now);
+    session.reserve(runOf(0), { 100, 100, 4 }, now);
+    session.release(runOf(0), now);
+    const std::vector<DueCall> calls = session.takeDueCalls(now);
+    ASSERT_EQ(calls.size(), 2U);
+    for (const DueCall& call : calls)
+        EXPECT_EQ(call.call.leaseUntil, 5000 + absl::ToInt64Milliseconds(shortSilence + longestPause));
+    session.handleReply(calls[0].context, answerOf(5000), now);
+    session.handleReply(calls[1].context, noAnswer(), now);
+    EXPECT_TRUE(session.takeLapsedRuns(now + shortSilence + longestPause).empty());
+    EXPECT_EQ(session.takeLapsedRuns(now + shortSilence + longestPause + margin).size(), 1U);
+}
+
+// A worker may grant less than the owner would ask for.
+TEST(WorkerSessionLease, IsNoLongerThanTheWorkerGrants)
+{
+    SessionSettings settings;
+    settings.maxLease = absl::Seconds(6);
+    WorkerSession session(makeWorkerEntry("w"), 1, settings);
+    session.handleReply(session.takeDueCalls(start).front().context, answerOf(5000), start);
+    session.reserve(runOf(0), { 100, 100, 4 }, start);
+    session.release(runOf(0), start);
+    EXPECT_EQ(session.takeDueCalls(start).front().call.leaseUntil, 11000);
+}
+
 TEST_F(WorkerSessionTest, LosesRunsOfADrainedWorkerThatIsGoneAtOnce)
 {
     drainWithARun();
@@ -133,7 +166,10 @@
     m_session.markUnlisted();
     EXPECT_FALSE(m_session.isRemovable(m_now));
     m_session.handleReply(poll.context, noAnswer(ErrorKind::PeerGone), m_now);
-    EXPECT_TRUE(m_session.isRemovable(m_now));
+    // The poll renews the lease, and the next process under the worker's name may still execute it.
+    constexpr absl::Duration longestDelay = absl::Seconds(14);
+    EXPECT_FALSE(m_session.isRemovable(m_now + longestDelay - absl::Milliseconds(1)));
+    EXPECT_TRUE(m_session.isRemovable(m_now + longestDelay));
 }
 
 // Guards against a second run of a task: the lease end was reckoned from an old time of a clock that has gone slower
@@ -172,5 +208,138 @@
     EXPECT_TRUE(isDue(SessionCall::Kind::Poll));
 }
 
+// A run of the worker's next process, while a renewal to the one before got no reply.
+class LateRenewal : public WorkerSessionTest {
+protected:
+    static constexpr std::int64_t nextProcessStartMs = processStartMs + 1;
+
+    // Returns until when the renewal may be executed.
+    absl::Time startAtTheNextProcess()
+    {
+        settle();
+        m_session.handleReply(startRun(runOf(0)), answerOf(5100), m_now);
+        m_session.handleReply(due(SessionCall::Kind::Poll).context, noAnswer(), m_now);
+        const absl::Time until = m_now + absl::Seconds(14);
+        m_now += absl::Milliseconds(500);
+        answerPoll(listOfNextProcess(50));
+        nameLaterStart();
+        WorkerReply confirmed;
+        confirmed.clock = 51;
+        m_session.handleReply(startRun(runOf(1)), confirmed, m_now);
+        return until;
+    }
+
+    static WorkerReply listOfNextProcess(WorkerMillis clock)
+    {
+        WorkerReply reply = answerOf(clock);
+        reply.processStartMs = nextProcessStartMs;
+        return reply;
+    }
+
+    // The worker is silent from now on; returns when its runs count as lapsed.
+    absl::Time lapseOfASilentWorker()
+    {
+        m_session.handleReply(due(SessionCall::Kind::Poll).context, noAnswer(), m_now);
+        while (m_session.takeLapsedRuns(m_now).empty()) {
+            takeCalls();
+            for (const DueCall& call : std::exchange(m_pending, {}))
+                m_session.handleReply(call.context, noAnswer(), m_now);
+            m_now = std::max(m_now + absl::Milliseconds(1), m_session.nextDue());
+        }
+        return m_now;
+    }
+};
+
+// Guards against TWICE: the next process takes the deadline of the late renewal for the longest lease, and its run goes
+// on while the task is started elsewhere.
+TEST_F(LateRenewal, KeepsTheRunOfTheNextProcessUntilTheLeaseItMayGrantIsOver)
+{
+    const absl::Time until = startAtTheNextProcess();
+    EXPECT_GT(lapseOfASilentWorker(), until + SessionSettings().maxLease);
+}
+
+// Guards against TWICE: the next process has executed a start that was sent to the one before, with the longest lease
+// from then on. Its reply names no process, and comes after the process is known.
+TEST_F(LateRenewal, CountsTheLeaseOfAStartThatTheNextProcessHasReplied)
+{
+    WorkerSession session(makeWorkerEntry("w"), 1, SessionSettings());
+    session.handleReply(session.takeDueCalls(m_now).front().context, answerOf(5000), m_now);
+    session.reserve(runOf(0), { 100, 100, 4 }, m_now);
+    session.release(runOf(0), m_now);
+    const std::vector<DueCall> calls = session.takeDueCalls(m_now);
+    ASSERT_EQ(calls.size(), 2U);
+    m_now += absl::Milliseconds(700);
+    session.handleReply(calls[1].context, listOfNextProcess(50), m_now);
+    m_now += absl::Milliseconds(700);
+    WorkerReply confirmed;
+    confirmed.clock = 750;
+    session.handleReply(calls[0].context, confirmed, m_now);
+    session.handleReply(session.takeDueCalls(m_now).back().context, noAnswer(), m_now);
+    EXPECT_TRUE(session.takeLapsedRuns(m_now + SessionSettings().maxLease).empty());
+    EXPECT_EQ(session.takeLapsedRuns(m_now + SessionSettings().maxLease + absl::Seconds(1)).size(), 1U);
+}
+
+// Guards against TWICE: a session that was made anew knew nothing of the renewal.
+TEST_F(LateRenewal, KeepsTheSessionOfAnUnlistedWorkerWhileTheRenewalMayCome)
+{
+    settle();
+    m_session.handleReply(startRun(runOf(0)), answerOf(5100), m_now);
+    m_session.handleReply(due(SessionCall::Kind::Poll).context, noAnswer(), m_now);
+    const absl::Time until = m_now + absl::Seconds(14);
+    m_now += absl::Seconds(1);
+    m_session.markUnlisted();
+    ASSERT_EQ(answerPoll(listOfNextProcess(50)).ended.size(), 1U);
+    ASSERT_TRUE(m_session.runs().empty());
+    EXPECT_FALSE(m_session.isRemovable(until - absl::Milliseconds(1)));
+    EXPECT_LE(m_session.nextDue(), until);
+    EXPECT_TRUE(m_session.isRemovable(until));
+}
+
+// Usual work does not wait: a renewal that got no reply keeps its deadline at the process that it was meant for.
+TEST_F(LateRenewal, EndsTheRunsOfTheCalledProcessWithTheLastLease)
+{
+    settle();
+    m_session.handleReply(startRun(runOf(0)), answerOf(5100), m_now);
+    const absl::Time renewedAt = m_now;
+    EXPECT_LT(lapseOfASilentWorker(), renewedAt + SessionSettings().maxLease + absl::Seconds(1));
+}
+
+// Guards against TWICE after a change of owner: the worker's process has just started, and the former owner may have
+// sent a renewal to the one before.
+TEST_F(LateRenewal, KeepsAnAdoptedRunOfAYoungProcessUntilTheLeaseItMayGrantIsOver)
+{
+    const std::int64_t young = absl::ToUnixMillis(m_now - absl::Seconds(2));
+    WorkerSession session(makeWorkerEntry("w"), 1, SessionSettings(), m_now);
+    session.adopt(runOf(0), { 100, 100, 4 }, { young, 0 }, true, m_now);
+    session.handleReply(session.takeDueCalls(m_now).front().context, noAnswer(), m_now);
+    const absl::Time longestEnd = m_now + absl::Seconds(14) + SessionSettings().maxLease;
+    EXPECT_TRUE(session.takeLapsedRuns(longestEnd).empty());
+    EXPECT_EQ(session.takeLapsedRuns(longestEnd + absl::Seconds(1)).size(), 1U);
+}
+
+// Usual work does not wait: the former owner has written that it had sent nothing to an earlier process, nor had one
+// before it.
+TEST_F(LateRenewal, EndsAnAdoptedRunOfAYoungProcessWithTheLastLeaseIfNothingElseCanCome)
+{
+    const std::int64_t young = absl::ToUnixMillis(m_now - absl::Seconds(2));
+    const std::int64_t longPast = absl::ToUnixMillis(m_now - absl::Seconds(20));
+    WorkerSession session(makeWorkerEntry("w"), 1, SessionSettings(), m_now);
+    session.adopt(runOf(0), { 100, 100, 4 }, { young, longPast }, true, m_now);
+    session.handleReply(session.takeDueCalls(m_now).front().context, noAnswer(), m_now);
+    EXPECT_TRUE(session.takeLapsedRuns(m_now + SessionSettings().maxLease).empty());
+    EXPECT_EQ(session.takeLapsedRuns(m_now + SessionSettings().maxLease + absl::Seconds(1)).size(), 1U);
+}
+
+// The record of a task tells the next owner until when a command to an earlier process may come to this one.
+TEST_F(LateRenewal, DescribesUntilWhenCommandsToAnEarlierProcessMayCome)
+{
+    // Nothing was sent to a process before the first one.
+    EXPECT_EQ(m_session.describeProcess(processStartMs).earlierCommandsUntilMs, 1);
+    const absl::Time until = startAtTheNextProcess();
+    const WorkerProcess process = m_session.describeProcess(nextProcessStartMs);
+    EXPECT_EQ(process.startMs, nextProcessStartMs);
+    EXPECT_GE(absl::FromUnixMillis(process.earlierCommandsUntilMs), until);
+}
+
 } // namespace
 } // namespace mangohall::batch
--- a/tests/batch/worker_session_start_test.cpp
+++ b/tests/batch/worker_session_start_test.cpp
@@ -51,7 +51,7 @@
     EXPECT_EQ(std::get<StartRun>(repeated.call.command).run, runOf(0));
     m_session.handleReply(repeated.context, answerOf(5400), m_now);
     EXPECT_EQ(m_session.runs().at(runOf(0)).stage, RunSlot::Stage::Running);
-    EXPECT_TRUE(m_session.runs().at(runOf(0)).mayStillStart());
+    EXPECT_TRUE(m_session.mayStillStart(runOf(0)));
 }
 
 // Guards against a start on a process that may have other room and labels.
@@ -161,7 +161,7 @@
     m_now += absl::Milliseconds(250);
     EXPECT_TRUE(answerPoll(list).ended.empty());
     EXPECT_EQ(m_session.runs().at(runOf(0)).stage, RunSlot::Stage::Running);
-    EXPECT_FALSE(m_session.runs().at(runOf(0)).mayStillStart());
+    EXPECT_FALSE(m_session.mayStillStart(runOf(0)));
 }
 
 // What was done is barred at the next process.
@@ -184,7 +184,7 @@
     list.running = { { runOf(0), "", 10 } };
     EXPECT_TRUE(answerPoll(list).ended.empty());
     EXPECT_EQ(m_session.runs().at(runOf(0)).stage, RunSlot::Stage::Running);
-    EXPECT_FALSE(m_session.runs().at(runOf(0)).mayStillStart());
+    EXPECT_FALSE(m_session.mayStillStart(runOf(0)));
     m_now += absl::Seconds(1);
     EXPECT_FALSE(isDue(SessionCall::Kind::Stop));
     EXPECT_FALSE(isDue(SessionCall::Kind::Start));
@@ -231,7 +231,7 @@
 // the worker's next process has seen no epoch.
 TEST_F(WorkerSessionTest, KeepsAnAdoptedRunUntilNoProcessCanExecuteItsStart)
 {
-    m_session.adopt(runOf(0), { 100, 100, 4 }, processStartMs - 1, false, m_now);
+    m_session.adopt(runOf(0), { 100, 100, 4 }, { processStartMs - 1, 0 }, false, m_now);
     const absl::Time until = m_now + absl::Seconds(14);
     EXPECT_TRUE(answerPoll(answerOf(5000)).ended.empty());
     m_now = until - absl::Milliseconds(1);
@@ -242,24 +242,24 @@
 // Usual work does not wait: a start that the earlier owner may not have sent is repeated on its worker.
 TEST_F(WorkerSessionTest, RepeatsTheStartOfAnAdoptedRunThatNoListShows)
 {
-    m_session.adopt(runOf(0), { 100, 100, 4 }, processStartMs, false, m_now);
+    m_session.adopt(runOf(0), { 100, 100, 4 }, { processStartMs, 0 }, false, m_now);
     answerPoll(answerOf(5000));
     m_now += absl::Milliseconds(250);
     m_session.handleReply(due(SessionCall::Kind::Start).context, answerOf(5250), m_now);
     EXPECT_EQ(m_session.runs().at(runOf(0)).stage, RunSlot::Stage::Running);
-    EXPECT_TRUE(m_session.runs().at(runOf(0)).mayStillStart());
+    EXPECT_TRUE(m_session.mayStillStart(runOf(0)));
 }
 
 // Guards against a second run of a task: the earlier owner may have repeated the start, so a list that shows the run
 // does not show that no other start is on its way.
 TEST_F(WorkerSessionTest, AcknowledgesNoEndOfAnAdoptedRunWhileItsStartsAreUnknown)
 {
-    m_session.adopt(runOf(0), { 100, 100, 4 }, processStartMs, false, m_now);
+    m_session.adopt(runOf(0), { 100, 100, 4 }, { processStartMs, 0 }, false, m_now);
     const absl::Time until = m_now + absl::Seconds(14);
     WorkerReply list = answerOf(5000);
     list.running = { { runOf(0), "", 50 } };
     answerPoll(list);
-    EXPECT_TRUE(m_session.runs().at(runOf(0)).mayStillStart());
+    EXPECT_TRUE(m_session.mayStillStart(runOf(0)));
     m_now += absl::Seconds(1);
     list = answerOf(6000);
     list.ended = { { 1, runOf(0), RunEnd::Done, "" } };
@@ -293,7 +293,7 @@
 // Usual work does not wait: the earlier owner has recorded that the run had started.
 TEST_F(WorkerSessionTest, EndsAnAdoptedRunThatHadStartedWithTheFirstListWithoutIt)
 {
-    m_session.adopt(runOf(0), { 100, 100, 4 }, processStartMs, true, m_now);
+    m_session.adopt(runOf(0), { 100, 100, 4 }, { processStartMs, 0 }, true, m_now);
     const SessionUpdate update = answerPoll(answerOf(5000));
     ASSERT_EQ(update.ended.size(), 1U);
     EXPECT_EQ(update.ended.front().end, RunEnd::LeaseLapsed);
@@ -302,7 +302,7 @@
 TEST_F(WorkerSessionTest, EndsAnAdoptedRunThatHadStartedWithTheLeaseOfASilentWorker)
 {
     constexpr absl::Duration longestLease = absl::Seconds(10);
-    m_session.adopt(runOf(0), { 100, 100, 4 }, processStartMs, true, m_now);
+    m_session.adopt(runOf(0), { 100, 100, 4 }, { processStartMs, 0 }, true, m_now);
     m_session.handleReply(due(SessionCall::Kind::Poll).context, noAnswer(), m_now);
     EXPECT_TRUE(m_session.takeLapsedRuns(m_now + longestLease).empty());
     EXPECT_EQ(m_session.takeLapsedRuns(m_now + longestLease + absl::Seconds(1)).size(), 1U);
@@ -372,7 +372,7 @@
 TEST_F(WorkerSessionTest, KeepsARunThatMayStillStartWhenADrainedWorkerIsGone)
 {
     drainWithARun();
-    m_session.adopt(runOf(1), { 100, 100, 4 }, processStartMs, false, m_now);
+    m_session.adopt(runOf(1), { 100, 100, 4 }, { processStartMs, 0 }, false, m_now);
     m_session.handleReply(due(SessionCall::Kind::Poll).context, noAnswer(ErrorKind::OwnerUnreachable), m_now);
     const std::vector<EndedRun> ended = m_session.takeLapsedRuns(m_now);
     ASSERT_EQ(ended.size(), 1U);
