--- a/src/batch/owner/owner_part_base.h
+++ b/src/batch/owner/owner_part_base.h
@@ -95,7 +95,8 @@
     absl::Time nextDue(absl::Time now) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void logJobEnd(const JobEntry& entry, absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void logRun(DecisionEffect::Kind kind, const RunKey& run, const WorkerName& worker, absl::string_view outcome = "",
-        absl::string_view reason = "", absl::Duration age = absl::InfiniteDuration()) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+        absl::string_view reason = "", absl::Duration age = absl::InfiniteDuration())
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void logAllocation(const Allocation& allocation, const AllocationInput& input, absl::Duration took, absl::Time now)
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void logGuarantees(const AllocationInput& input, absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
