Fix: the process that has a run, and what may come to it, are told by the same rule

A start that was confirmed in a late reply counted as one of the present process although its clock did not say so; now one rule tells which process has replied, for the lease and for the run. An owner that has not noticed a restart sends to the earlier process for up to one call, so that the bound by the process' start has that time in it, too. Names: the flags of a recorded command are set by name.

--- a/src/batch/worker/outstanding_commands_base.cpp
+++ b/src/batch/worker/outstanding_commands_base.cpp
@@ -37,7 +37,7 @@
     call.number = ++m_lastNumber;
     const bool isStart = call.kind == SessionCall::Kind::Start;
     if (isStart || call.renewsLease || call.acknowledgedEnd != 0)
-        m_commands.push_back({ call, call.sentAt + maxDelay, true, isStart, false });
+        m_commands.push_back({ .call = call, .until = call.sentAt + maxDelay, .mayStart = isStart });
 }
 
 void OutstandingCommands::markExecuted(Command& command, absl::Time now)
@@ -88,7 +88,8 @@
     call.kind = SessionCall::Kind::Start;
     call.run = run;
     call.sentAt = now;
-    m_commands.push_back({ call, now + maxDelay, false, true, true });
+    m_commands.push_back(
+        { .call = call, .until = now + maxDelay, .isPending = false, .mayStart = true, .isOfEarlierOwner = true });
 }
 
 // Which start was executed is unknown if one is pending beside others, and its reply won't tell: a worker confirms a
@@ -156,13 +157,13 @@
     return std::any_of(m_commands.begin(), m_commands.end(), [](const Command& command) { return command.mayStart; });
 }
 
-// A command can only come to a later process than it was sent to if that process started within the longest delay
-// after.
+// A command can only come to a later process than it was sent to if it was sent before an owner knew of that process,
+// which takes no longer than a call, and is not over since.
 absl::Time OutstandingCommands::earlierOwnersUntil(std::int64_t processStartMs) const
 {
     if (processStartMs == 0)
         return m_earlierOwnersUntil;
-    const absl::Time byStart = absl::FromUnixMillis(processStartMs) + maxTimeOfDayError + maxDelay;
+    const absl::Time byStart = absl::FromUnixMillis(processStartMs) + maxTimeOfDayError + longestCall + maxDelay;
     const auto written = m_earlierCommandsUntil.find(processStartMs);
     const absl::Time byRecord
         = written == m_earlierCommandsUntil.end() ? absl::InfiniteFuture() : written->second + maxTimeOfDayError;
--- a/src/batch/worker/worker_session_base.h
+++ b/src/batch/worker/worker_session_base.h
@@ -159,7 +159,9 @@
     std::vector<EndedRun> takeLapsedRuns(absl::Time now);
 
 private:
-    void handleStartReply(const SessionCall& context, const WorkerReply& reply, absl::Time now, SessionUpdate& update);
+    // Handles the reply of this process, given by its start, to a start; 0 if it is unknown which has replied.
+    void handleStartReply(const SessionCall& context, const WorkerReply& reply, std::int64_t repliedBy, absl::Time now,
+        SessionUpdate& update);
     // Handles a call that got no reply, or whose reply shows that it was not executed.
     void handleFailure(const SessionCall& context, const WorkerReply& reply, absl::Time now, SessionUpdate& update);
     // Handles a start that may have been executed, or did not reach the worker.
--- a/src/batch/worker/worker_session_reply_cmd.cpp
+++ b/src/batch/worker/worker_session_reply_cmd.cpp
@@ -43,20 +43,21 @@
         handleFailure(context, reply, now, update);
         return update;
     }
-    m_commands.recordReply(context, replyingProcess(reply, now), now);
+    const std::int64_t repliedBy = replyingProcess(reply, now);
+    m_commands.recordReply(context, repliedBy, now);
     // The reply comes from an earlier process of the worker. One that does not name its process is taken for a reply of
     // the called one.
-    const std::int64_t repliedBy = reply.processStartMs != 0 ? reply.processStartMs : context.processStartMs;
-    if (repliedBy != 0 && repliedBy < m_processStartMs) {
+    const std::int64_t namedProcess = reply.processStartMs != 0 ? reply.processStartMs : context.processStartMs;
+    if (namedProcess != 0 && namedProcess < m_processStartMs) {
         // What became of a start holds all the same.
         if (context.kind == SessionCall::Kind::Start)
-            handleStartReply(context, reply, now, update);
+            handleStartReply(context, reply, repliedBy, now, update);
         return update;
     }
     recordAnswer(context, reply, now, update);
     switch (context.kind) {
     case SessionCall::Kind::Start:
-        handleStartReply(context, reply, now, update);
+        handleStartReply(context, reply, repliedBy, now, update);
         break;
     case SessionCall::Kind::Stop:
         handleStopReply(context, reply, now, update);
@@ -161,7 +162,7 @@
 }
 
 void WorkerSession::handleStartReply(
-    const SessionCall& context, const WorkerReply& reply, absl::Time now, SessionUpdate& update)
+    const SessionCall& context, const WorkerReply& reply, std::int64_t repliedBy, absl::Time now, SessionUpdate& update)
 {
     const auto found = m_runs.find(context.run);
     if (found == m_runs.end())
@@ -178,7 +179,7 @@
         slot.stage = RunSlot::Stage::Running;
     if (reply.processStartMs != 0)
         slot.processStartMs = reply.processStartMs;
-    slot.likelyProcessStartMs = m_isRestartSuspected ? 0 : m_processStartMs;
+    slot.likelyProcessStartMs = repliedBy;
     if (!slot.isStopConfirmed)
         slot.confirmedAt = now;
     update.confirmedStart = context.run;
