Test: random histories with replies that are lost or overtaken, refusals, absences, and entries that come and go

Commands were either executed at once and answered in 2 ms or seconds later; a new process was there at once; a worker that had left never came back, and its entry went although it was cut off; rows never came and went; late commands ended with the restart that they were to meet. Change: each of these is a fault of the histories now.

--- a/tests/batch/batch_fuzz_base.cpp
+++ b/tests/batch/batch_fuzz_base.cpp
@@ -16,6 +16,9 @@
 constexpr absl::Duration settleTime = absl::Seconds(120);
 // Longer than a worker's lease, so that a run outlasts an owner's wait for its end.
 constexpr absl::Duration longestRunTime = absl::Seconds(25);
+// How long a worker without a process may be away, and a command or a reply under way, in milliseconds.
+constexpr int longestAbsence = 7000;
+constexpr int longestTransit = 500;
 // How long the faults may last after the last random action, so that leases of workers behind a cut expire.
 constexpr int longestFaultTail = 16000;
 
@@ -206,7 +209,7 @@
 {
     // Half of the faults meet one worker, so that several act there together.
     const int worker = randomBelow(2) == 0 ? m_weakWorker : randomBelow(workerCount);
-    switch (randomBelow(6)) {
+    switch (randomBelow(11)) {
     case 0:
         m_isCutOff[worker] = !m_isCutOff[worker];
         m_cluster.workers().setCutOff(workerName(worker), m_isCutOff[worker]);
@@ -217,6 +220,22 @@
     case 5:
         restartAndPartition(worker);
         break;
+    case 6:
+        m_cluster.workers().crash(workerName(worker), absl::Milliseconds(randomBelow(longestAbsence)));
+        break;
+    case 7:
+        m_cluster.workers().setLostReplies(randomBelow(2) == 0 ? 0.2 : 0);
+        m_cluster.workers().setRefusals(randomBelow(2) == 0 ? 0.3 : 0);
+        break;
+    case 8:
+        m_cluster.workers().setLongestTransit(absl::Milliseconds(randomBelow(longestTransit)));
+        break;
+    case 9:
+        leaveAndReturn(worker);
+        break;
+    case 10:
+        m_cluster.workers().loseEntry(workerName(worker), absl::Milliseconds(100 + randomBelow(2000)));
+        break;
     case 1:
         m_cluster.workers().restart(workerName(worker), absl::Milliseconds(randomBelow(2000)));
         break;
@@ -237,6 +256,14 @@
     m_cluster.workers().setPartitioned(workerName(worker), isPartitioned);
 }
 
+void BatchFuzz::leaveAndReturn(int worker)
+{
+    const absl::Duration untilLeft = absl::Milliseconds(500 + randomBelow(longestAbsence));
+    m_cluster.workers().drain(workerName(worker), untilLeft);
+    m_cluster.timeline().after(untilLeft + absl::Milliseconds(1 + randomBelow(longestAbsence)),
+        [this, worker] { m_cluster.workers().restart(workerName(worker)); });
+}
+
 void BatchFuzz::restartAndPartition(int worker)
 {
     SimulatedWorkers& workers = m_cluster.workers();
@@ -244,7 +271,7 @@
     workers.setLateCommands(0.7);
     const absl::Duration untilRestart = absl::Milliseconds(300 + randomBelow(1500));
     timeline.after(untilRestart, [this, &workers, worker] {
-        workers.setLateCommands(0);
+        workers.setLateCommands(randomBelow(2) == 0 ? 0 : 0.3);
         workers.losePower(workerName(worker), absl::Milliseconds(randomBelow(400)));
     });
     const absl::Duration untilCut = untilRestart + absl::Milliseconds(500 + randomBelow(3000));
@@ -264,6 +291,9 @@
     store.setLateCommits(0);
     store.setDelay(absl::Milliseconds(4));
     m_cluster.workers().setLateCommands(0);
+    m_cluster.workers().setLostReplies(0);
+    m_cluster.workers().setRefusals(0);
+    m_cluster.workers().setLongestTransit(absl::ZeroDuration());
     for (int worker = 0; worker < workerCount; ++worker) {
         m_cluster.workers().setCutOff(workerName(worker), false);
         setPartitioned(worker, false);
--- a/tests/batch/batch_fuzz_base.h
+++ b/tests/batch/batch_fuzz_base.h
@@ -59,6 +59,8 @@
     void injectStoreFault();
     void injectWorkerFault();
     void setPartitioned(int worker, bool isPartitioned);
+    // Drains the worker, which leaves and comes back under its name.
+    void leaveAndReturn(int worker);
     // Restarts the worker among late commands and cuts it off soon after, so that commands to its earlier process meet
     // a process that nobody reaches.
     void restartAndPartition(int worker);
--- a/tests/batch/simulated_workers_base.cpp
+++ b/tests/batch/simulated_workers_base.cpp
@@ -56,7 +56,7 @@
 
 void SimulatedWorkers::writeEntry(const Worker& worker)
 {
-    if (worker.isPartitioned)
+    if (worker.isPartitioned || worker.isDown || worker.isGone)
         return;
     m_store.put({ Collection::Workers, worker.entry.name.str() }, worker.entry);
 }
@@ -100,31 +100,54 @@
         delay(call);
         return;
     }
+    if (happens(m_refusals) && std::holds_alternative<StartRun>(call.command)) {
+        WorkerReply unhealthy;
+        unhealthy.refusal = WorkerRefusal::Unhealthy;
+        m_timeline.after(transit(), [unhealthy, once] { once(unhealthy); });
+        return;
+    }
     if (m_repeatsStarts && std::holds_alternative<StartRun>(call.command))
         delay(call);
     if (tryOutlive(call) || tryKeepRenewal(call))
         return;
-    m_timeline.after(callDelay, [this, call, once] {
-        Worker& worker = m_workers.at(call.worker.str());
-        if (worker.isCutOff || worker.isPartitioned)
-            return;
-        if (worker.isGone || worker.isIsolated) {
-            WorkerReply refused;
-            refused.status = makeError(ErrorKind::OwnerUnreachable, "nobody listens");
-            once(refused);
-            return;
-        }
-        if (const auto* pollCall = std::get_if<PollRuns>(&call.command)) {
-            const WorkerReply fenced = carryOut(worker, call);
-            if (fenced.refusal == WorkerRefusal::None)
-                poll(worker, *pollCall, once);
-            else
-                once(fenced);
-            return;
-        }
-        const WorkerReply answer = carryOut(worker, call);
-        m_timeline.after(callDelay, [answer, once] { once(answer); });
-    });
+    const bool isReplyLost = happens(m_lostReplies);
+    m_timeline.after(transit(),
+        [this, call, once, isReplyLost] { receive(call, isReplyLost ? Reply([](const WorkerReply&) {}) : once); });
+}
+
+absl::Duration SimulatedWorkers::transit()
+{
+    if (m_longestTransit == absl::ZeroDuration())
+        return callDelay;
+    return std::max(callDelay, m_longestTransit * m_random.uniform());
+}
+
+bool SimulatedWorkers::happens(double share)
+{
+    return share > 0 && m_random.uniform() < share;
+}
+
+void SimulatedWorkers::receive(const WorkerCall& call, const Reply& reply)
+{
+    Worker& worker = m_workers.at(call.worker.str());
+    if (worker.isCutOff || worker.isPartitioned)
+        return;
+    if (worker.isGone || worker.isDown || worker.isIsolated) {
+        WorkerReply refused;
+        refused.status = makeError(ErrorKind::OwnerUnreachable, "nobody listens");
+        reply(refused);
+        return;
+    }
+    if (const auto* pollCall = std::get_if<PollRuns>(&call.command)) {
+        const WorkerReply fenced = carryOut(worker, call);
+        if (fenced.refusal == WorkerRefusal::None)
+            poll(worker, *pollCall, reply);
+        else
+            reply(fenced);
+        return;
+    }
+    const WorkerReply answer = carryOut(worker, call);
+    m_timeline.after(transit(), [answer, reply] { reply(answer); });
 }
 
 void SimulatedWorkers::delay(const WorkerCall& call)
@@ -132,7 +155,7 @@
     const absl::Duration lateness = minLateness + (m_longestDelay - minLateness) * m_random.uniform();
     m_timeline.after(lateness, [this, call] {
         Worker& worker = m_workers.at(call.worker.str());
-        if (!worker.isGone)
+        if (!worker.isGone && !worker.isDown)
             executeLate(worker, call);
     });
 }
@@ -284,7 +307,7 @@
     ++m_pollCount;
     acknowledge(worker, poll);
     if (poll.wait == absl::ZeroDuration() || !worker.ends.empty()) {
-        m_timeline.after(callDelay, [answer = report(worker), reply] { reply(answer); });
+        m_timeline.after(transit(), [answer = report(worker), reply] { reply(answer); });
         return;
     }
     const std::uint64_t id = ++m_lastPollId;
@@ -354,7 +377,7 @@
     if (worker.isCutOff || worker.isPartitioned || worker.isIsolated)
         return;
     for (const PendingPoll& held : std::exchange(worker.polls, {}))
-        m_timeline.after(callDelay, [answer = report(worker), reply = held.reply] { reply(answer); });
+        m_timeline.after(transit(), [answer = report(worker), reply = held.reply] { reply(answer); });
 }
 
 std::int32_t SimulatedWorkers::percentOf(const Running& running) const
@@ -418,6 +441,8 @@
     endAllRuns(worker, RunEnd::LeaseLapsed);
     Worker fresh;
     fresh.entry = worker.entry;
+    fresh.entry.isDraining = false;
+    fresh.entry.remaining = absl::InfiniteDuration();
     fresh.isCutOff = worker.isCutOff;
     fresh.isPartitioned = worker.isPartitioned;
     fresh.partitionedAt = worker.partitionedAt;
@@ -446,18 +471,50 @@
     restart(name, untilReport);
 }
 
+void SimulatedWorkers::loseEntry(const std::string& name, absl::Duration untilWritten)
+{
+    m_store.remove({ Collection::Workers, name });
+    m_timeline.after(untilWritten, [this, name] { writeEntry(m_workers.at(name)); });
+}
+
+void SimulatedWorkers::expireEntry(const std::string& name, std::int64_t processStartMs)
+{
+    m_timeline.after(entryTimeout, [this, name, processStartMs] {
+        if (m_workers.at(name).entry.processStartMs == processStartMs)
+            m_store.remove({ Collection::Workers, name });
+    });
+}
+
+void SimulatedWorkers::crash(const std::string& name, absl::Duration untilStart)
+{
+    Worker& worker = m_workers.at(name);
+    endAllRuns(worker, RunEnd::LeaseLapsed);
+    worker.polls.clear();
+    worker.isDown = true;
+    const std::int64_t crashed = worker.entry.processStartMs;
+    expireEntry(name, crashed);
+    m_timeline.after(untilStart, [this, name, crashed] {
+        if (m_workers.at(name).entry.processStartMs == crashed)
+            restart(name);
+    });
+}
+
 void SimulatedWorkers::drain(const std::string& name, absl::Duration after)
 {
     Worker& worker = m_workers.at(name);
     worker.entry.isDraining = true;
     worker.entry.remaining = after;
     writeEntry(worker);
-    m_timeline.after(after, [this, name] {
+    m_timeline.after(after, [this, name, drained = worker.entry.processStartMs] {
         Worker& later = m_workers.at(name);
+        if (later.entry.processStartMs != drained)
+            return;
         endAllRuns(later, RunEnd::LeaseLapsed);
         later.isGone = true;
         later.polls.clear();
-        if (!later.isIsolated)
+        if (later.isPartitioned)
+            expireEntry(name, drained);
+        else if (!later.isIsolated)
             m_store.remove({ Collection::Workers, name });
     });
 }
--- a/tests/batch/simulated_workers_base.h
+++ b/tests/batch/simulated_workers_base.h
@@ -63,11 +63,22 @@
     // As `losePower`, but the new process has this capacity and, instead of the label "a", this one.
     void restartAs(const std::string& name, const Resources& capacity, const std::string& label,
         absl::Duration untilReport = absl::ZeroDuration());
+    // Removes the worker's entry, as an outage of the store may, and writes it again after the time.
+    void loseEntry(const std::string& name, absl::Duration untilWritten);
+    // Ends the worker's process without a word. Calls are refused until another one starts under the same name after
+    // the time, and what arrives meanwhile is lost.
+    void crash(const std::string& name, absl::Duration untilStart);
     // Marks the worker as draining; it is gone after the time.
     void drain(const std::string& name, absl::Duration after);
     // Sets the share of commands that get no reply and are executed seconds later, by whichever process the worker has
     // then, also if the worker is cut off: such a command has reached its machine already.
     void setLateCommands(double share) { m_lateCommands = share; }
+    // Sets the share of commands that are executed at once and get no reply.
+    void setLostReplies(double share) { m_lostReplies = share; }
+    // Sets the share of starts that are refused by a worker that is unhealthy just then.
+    void setRefusals(double share) { m_refusals = share; }
+    // Sets the longest time that a command, and its reply, is under way, so that they overtake each other.
+    void setLongestTransit(absl::Duration transit) { m_longestTransit = transit; }
     // The next start gets no reply. Its worker refuses all further starts, and is unhealthy, until it is restarted; its
     // next process executes the start first of all.
     void outliveNextStart() { m_isNextStartOutlived = true; }
@@ -126,6 +137,8 @@
         bool isPartitioned = false;
         absl::Time partitionedAt = absl::InfinitePast();
         bool isGone = false;
+        // No process has the worker's name just now.
+        bool isDown = false;
         // Calls to the address are refused, although the worker runs on.
         bool isIsolated = false;
         Epoch epoch = 0;
@@ -144,6 +157,12 @@
         std::vector<PendingPoll> polls;
     };
 
+    // Delivers a call that has reached the worker's machine.
+    void receive(const WorkerCall& call, const Reply& reply);
+    // How long a command or a reply is under way.
+    absl::Duration transit();
+    // Whether a fault with this share happens now.
+    bool happens(double share);
     WorkerReply carryOut(Worker& worker, const WorkerCall& call);
     // Keeps the call for the worker's next process if it is the start that is to outlive the present one.
     bool tryOutlive(const WorkerCall& call);
@@ -168,6 +187,8 @@
     void expireLease(Worker& worker);
     void endAllRuns(Worker& worker, RunEnd endKind);
     void writeEntry(const Worker& worker);
+    // Removes the entry of a process that reports no more, unless another one has started by then.
+    void expireEntry(const std::string& name, std::int64_t processStartMs);
     void checkStartRules(const Worker& worker, const StartRun& start, const Resources& demand);
     // The job of the task, by the store; null if the store has none.
     const Job* jobOf(const TaskKey& task) const;
@@ -188,6 +209,9 @@
     std::map<std::string, absl::Duration> m_runTimes;
     std::set<std::string> m_failing;
     double m_lateCommands = 0;
+    double m_lostReplies = 0;
+    double m_refusals = 0;
+    absl::Duration m_longestTransit = absl::ZeroDuration();
     bool m_isNextStartOutlived = false;
     absl::optional<WorkerCall> m_outlivedStart;
     std::string m_renewalKeptOf;
