--- a/src/batch/worker/worker_session_base.h
+++ b/src/batch/worker/worker_session_base.h
@@ -20,6 +20,9 @@
 
 namespace mangohall::batch {
 
+// A worker's clock may be slow by less than this share, so that its lease lasts longer on the owner's clock.
+inline constexpr double maxClockDrift = 0.025;
+
 // Settings of a worker session.
 struct SessionSettings {
     // The longest lease that a worker grants.
@@ -31,6 +34,9 @@
     absl::Duration pollWait = absl::Milliseconds(700);
     // The silence after which the platform removes a worker's entry.
     absl::Duration entryTimeout = absl::Milliseconds(4500);
+
+    // The longest time for which a worker's lease lasts after it was granted, on the owner's clock.
+    absl::Duration longestLease() const;
 };
 
 // The changes that follow from one reply or from a missing reply.
@@ -94,8 +100,8 @@
     // The earliest time at which a draining worker may be gone; the infinite future for a worker that stays.
     absl::Time leavesAt() const { return m_leavesAt; }
     // Whether the session may be deleted: the worker is not listed, has no run, no poll is pending whose reply may
-    // still list ends, and no command may still be executed by a later process that renews its lease or acknowledges
-    // ends.
+    // still list ends, and no command that renews a lease or acknowledges ends may still have an effect at a later
+    // process.
     bool isRemovable(absl::Time now) const;
 
     // Whether the worker has replied to a poll with this owner's epoch.
@@ -153,10 +159,12 @@
     std::vector<EndedRun> takeLapsedRuns(absl::Time now);
 
 private:
-    void handleStartReply(const SessionCall& context, const WorkerReply& reply, absl::Time now, SessionUpdate& update);
-    // Handles a start that may have been executed, or did not reach the worker.
+    // Handles the reply of this process, given by its start, to a start; 0 if it is unknown which has replied.
+    void handleStartReply(const SessionCall& context, const WorkerReply& reply, std::int64_t repliedBy, absl::Time now,
+        SessionUpdate& update);
     // Handles a call that got no reply, or whose reply shows that it was not executed.
     void handleFailure(const SessionCall& context, const WorkerReply& reply, absl::Time now, SessionUpdate& update);
+    // Handles a start that may have been executed, or did not reach the worker.
     void handleFailedStart(const SessionCall& context, const WorkerReply& reply, SessionUpdate& update);
     void dropUnstartedRun(
         absl::btree_map<RunKey, RunSlot>::iterator found, EndEvidence evidence, SessionUpdate& update);
