--- a/review/standin_2.py
+++ b/review/standin_2.py
@@ -12,6 +12,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import threading
 import time
@@ -376,10 +377,14 @@
                        "heartbeatMs": int(HEARTBEAT_S * 1000), "guaranteeBoundMs": 3400, "keyRevocationMs": 5000,
                        "processorShare": 0.25, "openFiles": 4100, "stopGraceMs": 6000}, file)
         self.process = None
+        self.lock = threading.Lock()
+        self.is_ended = False
         self.start()
 
     def start(self):
-        with open(self.log, "ab") as log:
+        with self.lock, open(self.log, "ab") as log:
+            if self.is_ended:
+                return
             self.process = subprocess.Popen(
                 [os.path.join(ROOT, "target/platform/mangohall-node"), "--settings", self.settings],
                 cwd=ROOT, stdin=subprocess.DEVNULL, stdout=log, stderr=log)
@@ -396,6 +401,8 @@
         return request(self.readiness, "GET", "/v1/readyz")[0] == 200
 
     def end(self):
+        with self.lock:
+            self.is_ended = True
         if self.process.poll() is None:
             self.process.send_signal(signal.SIGCONT)
             self.process.terminate()
@@ -425,6 +432,8 @@
     """A store, workers and nodes, with a manifest of three queues and one tenant."""
 
     def __init__(self, folder, node_count=2):
+        # A script that is stopped ends its nodes all the same.
+        signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
         self.record = Record(os.path.join(folder, "record.txt"))
         self.folder = tempfile.TemporaryDirectory(prefix="mangohall-review-")
         self.store = Store(self.record)
