Fix: a worker whose address another one has taken over is not waited for

Change: AddressClaim tells from two observations that agree, a refused call and a reply of another worker from the same address, both newer than the last sign of the worker, that the worker has ended. Its runs end, its room is given back, it is called no more. Why it works: a call names the worker, so nothing that is under way to it is executed by its successor.

Evidence: BatchWorkerFault.RestartsATaskOnceAnotherWorkerHasTakenOverAnAddress and .RestartsATaskOfAnEarlierOwner* failed on the code before. The planted fault, a worker that runs on after a takeover, is seen. The fakes' faults stand in a file of their own.

--- a/src/batch/owner/run_name_func.cpp
+++ b/src/batch/owner/run_name_func.cpp
@@ -44,6 +44,8 @@
         return "neverSent";
     case EndEvidence::ProcessReplaced:
         return "processReplaced";
+    case EndEvidence::AddressTakenOver:
+        return "addressTakenOver";
     case EndEvidence::WorkerLeft:
         return "workerLeft";
     case EndEvidence::LeaseExpired:
--- a/src/batch/owner/worker_registry_base.cpp
+++ b/src/batch/owner/worker_registry_base.cpp
@@ -20,6 +20,7 @@
     m_epoch = epoch;
     m_ownedSince = ownedSince;
     m_sessions.clear();
+    m_addresses.clear();
     m_calls.clear();
     m_pendingPolls = 0;
     m_mayStart = true;
@@ -55,7 +56,13 @@
 void WorkerRegistry::applyEntry(const WorkerEntry& entry, absl::Time reportedAfter, absl::Time now)
 {
     markChanged(entry.name);
-    WorkerSession& session = m_sessions.try_emplace(entry.name, entry, m_epoch, m_settings, m_ownedSince).first->second;
+    const auto [found, isNew] = m_sessions.try_emplace(entry.name, entry, m_epoch, m_settings, m_ownedSince);
+    WorkerSession& session = found->second;
+    if (isNew || session.address() != entry.address) {
+        if (!isNew)
+            m_addresses.remove(session.address(), entry.name);
+        m_addresses.add(entry.address, entry.name);
+    }
     session.update(entry, reportedAfter, now);
 }
 
@@ -104,7 +111,10 @@
             makeCalls(worker, found->second, source, outbox, now);
             continue;
         }
-        m_sessions.erase(worker);
+        if (found != m_sessions.end()) {
+            m_addresses.remove(found->second.address(), worker);
+            m_sessions.erase(found);
+        }
         m_unanswered.erase(worker);
         m_initialPolls.remove(worker);
         m_due.set(worker, absl::InfiniteFuture());
@@ -155,8 +165,9 @@
         if (due.context.kind == SessionCall::Kind::Poll && isInitial)
             m_initialPolls.recordPoll(worker);
         due.call.sendUntil = m_ownedUntil;
+        std::string address = due.call.address;
         const CallId call = outbox.toWorker(std::move(due.call));
-        m_calls.emplace(call, PendingCall { worker, due.context });
+        m_calls.emplace(call, PendingCall { worker, std::move(address), due.context });
     }
     m_due.set(worker, session.nextDue());
 }
@@ -189,10 +200,24 @@
     if (session == nullptr)
         return update;
     update.session = session->handleReply(pending.context, reply, now);
+    const bool isListOfRuns = pending.context.kind == SessionCall::Kind::Poll && reply.status.ok();
+    if (isListOfRuns && reply.refusal == WorkerRefusal::None)
+        recordReplyAt(pending);
     update.processStartMs = session->processStartMs();
     return update;
 }
 
+void WorkerRegistry::recordReplyAt(const PendingCall& pending)
+{
+    for (const WorkerName& worker : m_addresses.workersAt(pending.address)) {
+        const auto found = m_sessions.find(worker);
+        if (worker == pending.worker || found == m_sessions.end())
+            continue;
+        found->second.recordOtherWorker(pending.address, pending.context.sentAt);
+        markChanged(worker);
+    }
+}
+
 std::vector<WorkerUpdate> WorkerRegistry::takeLapsedRuns(absl::Time now)
 {
     markDueChanged(now);
--- a/src/batch/owner/worker_registry_base.h
+++ b/src/batch/owner/worker_registry_base.h
@@ -6,6 +6,7 @@
 #include "absl/container/btree_set.h"
 #include "absl/container/flat_hash_map.h"
 #include "batch/node/outbox_base.h"
+#include "batch/owner/address_index_base.h"
 #include "batch/owner/due_index_base.h"
 #include "batch/owner/initial_poll_queue_base.h"
 #include "batch/store/collection_follower_base.h"
@@ -79,10 +80,13 @@
     // A call that was sent and has not ended.
     struct PendingCall {
         WorkerName worker;
+        std::string address;
         SessionCall context;
     };
 
     void applyEntry(const WorkerEntry& entry, absl::Time reportedAfter, absl::Time now);
+    // Tells the other workers at the address of the call that this worker has replied from there.
+    void recordReplyAt(const PendingCall& pending);
     // Records that no row of the list names the worker.
     void applyMissingEntry(const Record& record, absl::Time now);
     void markChanged(const WorkerName& worker) { m_changed.insert(worker); }
@@ -98,6 +102,7 @@
     absl::Time m_ownedSince = absl::InfinitePast();
     absl::Time m_ownedUntil = absl::InfinitePast();
     absl::btree_map<WorkerName, WorkerSession> m_sessions;
+    AddressIndex m_addresses;
     absl::flat_hash_map<CallId, PendingCall> m_calls;
     // The number of polls among the pending calls.
     int m_pendingPolls = 0;
--- a/src/batch/worker/run_slot_type.h
+++ b/src/batch/worker/run_slot_type.h
@@ -21,6 +21,8 @@
     NeverSent,
     // Another process of the worker has replaced the one that had confirmed the run.
     ProcessReplaced,
+    // Another worker has taken over the address of the worker.
+    AddressTakenOver,
     // The worker has left after it had drained.
     WorkerLeft,
     // All leases that were granted to the worker must have expired.
--- a/src/batch/worker/worker_session_base.cpp
+++ b/src/batch/worker/worker_session_base.cpp
@@ -26,6 +26,7 @@
 void WorkerSession::update(const WorkerEntry& entry, absl::Time reportedAfter, absl::Time now)
 {
     m_entry = entry;
+    m_claim.recordRow(entry.address, entry.processStartMs, now);
     takeProcessEntry();
     suspectRestart(entry.processStartMs);
     m_isListed = true;
@@ -65,7 +66,7 @@
 bool WorkerSession::acceptsWork(absl::Time now) const
 {
     const absl::Time from = std::max(m_startsPausedUntil, m_commands.unansweredAcknowledgementUntil());
-    return m_isListed && isProcessCertain() && m_processEntry && !m_entry.isDraining && now >= from;
+    return isListed() && isProcessCertain() && m_processEntry && !m_entry.isDraining && now >= from;
 }
 
 Resources WorkerSession::freeCapacity() const
--- a/src/batch/worker/worker_session_base.h
+++ b/src/batch/worker/worker_session_base.h
@@ -12,6 +12,7 @@
 #include "absl/time/time.h"
 #include "absl/types/optional.h"
 #include "batch/job/progress_record_type.h"
+#include "batch/worker/address_claim_base.h"
 #include "batch/worker/outstanding_commands_base.h"
 #include "batch/worker/run_slot_type.h"
 #include "batch/worker/session_call_type.h"
@@ -75,6 +76,8 @@
 
     // The last row of the worker's present process; before there is one, the last row of any process.
     const WorkerEntry& entry() const { return m_processEntry ? *m_processEntry : m_entry; }
+    // The address in the last row; empty if none was read.
+    absl::string_view address() const { return m_entry.address; }
     // When the worker's process started, in Unix milliseconds, by its own replies; 0 if none has named it.
     std::int64_t processStartMs() const { return m_processStartMs; }
     WorkerHealth& health() { return m_health; }
@@ -96,7 +99,10 @@
     void markUnlisted();
     // Records that the worker's row was removed, by the worker itself or since it had expired.
     void markRemoved(absl::Time now);
-    bool isListed() const { return m_isListed; }
+    // Records that another worker has replied to a call that was sent to this address then.
+    void recordOtherWorker(absl::string_view address, absl::Time sentAt) { m_claim.recordOtherWorker(address, sentAt); }
+    // Whether the list has a usable row of the worker. The row of a worker whose address was taken over is not.
+    bool isListed() const { return m_isListed && !m_claim.isTakenOver(); }
     // The earliest time at which a draining worker may be gone; the infinite future for a worker that stays.
     absl::Time leavesAt() const { return m_leavesAt; }
     // Whether the session may be deleted: the worker is not listed, has no run, no poll is pending whose reply may
@@ -155,7 +161,7 @@
     static absl::Duration remainingTime(const RunSlot& slot, absl::Time now);
 
     // Drops and returns the runs that can no longer be running on a worker that does not reply: their lease must have
-    // expired, or the drained worker is gone.
+    // expired, the drained worker is gone, or another worker has taken over its address.
     std::vector<EndedRun> takeLapsedRuns(absl::Time now);
 
 private:
@@ -204,6 +210,8 @@
     std::vector<EndedRun> endRunsOfEarlierProcess();
     // Drops the runs whose start was not sent.
     void endUnsentRuns(std::vector<EndedRun>& ended);
+    // Drops all runs of a worker that has ended; none of their starts may be executed any more.
+    std::vector<EndedRun> endAllRuns(EndEvidence evidence);
     // When the run must be over if the worker does not reply.
     absl::Time lapsesAt(const RunKey& run, const RunSlot& slot) const;
     // The process that has sent the reply, given by its start; 0 if that is unknown.
@@ -250,6 +258,8 @@
     std::int64_t m_suspectedStartMs = 0;
     // The worker has not replied yet since a row has named a later start.
     bool m_isRestartSuspected = false;
+    // Whether the worker is still at its address.
+    AddressClaim m_claim;
     WorkerHealth m_health;
     absl::Time m_leavesAt = absl::InfiniteFuture();
     const Epoch m_epoch;
--- a/src/batch/worker/worker_session_call_cmd.cpp
+++ b/src/batch/worker/worker_session_call_cmd.cpp
@@ -34,7 +34,7 @@
 
 absl::Time WorkerSession::nextPollAt() const
 {
-    if (m_isPollPending || !hasAddress())
+    if (m_isPollPending || !hasAddress() || m_claim.isTakenOver())
         return absl::InfiniteFuture();
     if (m_failedCalls > 0) {
         // A worker that does not reply, is no longer listed and runs nothing is not polled any more.
@@ -76,7 +76,7 @@
 
 absl::Time WorkerSession::commandDueAt(const RunSlot& slot) const
 {
-    if (!hasAddress())
+    if (!hasAddress() || m_claim.isTakenOver())
         return absl::InfiniteFuture();
     // A stop does not wait for the reply to the start: it bars a start that has not arrived.
     if (slot.isStopWanted) {
@@ -137,7 +137,7 @@
             due = std::min(due, lapsesAt(run, slot));
     }
     // An unlisted worker is removed then.
-    if (!m_isListed && m_runs.empty() && !m_isPollPending && m_commands.lastEffectAt() != absl::InfinitePast())
+    if (!isListed() && m_runs.empty() && !m_isPollPending && m_commands.lastEffectAt() != absl::InfinitePast())
         due = std::min(due, m_commands.lastEffectAt());
     return due;
 }
--- a/src/batch/worker/worker_session_lease_cmd.cpp
+++ b/src/batch/worker/worker_session_lease_cmd.cpp
@@ -51,6 +51,19 @@
     return m_entry.isDraining && m_hasDeregistered && m_isUnreachable && !m_isPollPending;
 }
 
+std::vector<EndedRun> WorkerSession::endAllRuns(EndEvidence evidence)
+{
+    std::vector<EndedRun> ended;
+    endUnsentRuns(ended);
+    for (const auto& [run, slot] : m_runs) {
+        const bool isEndKnown = slot.stage == RunSlot::Stage::Ended;
+        ended.push_back(isEndKnown ? describeEnd(run, slot) : EndedRun { run, RunEnd::LeaseLapsed, "", 0, evidence });
+        m_commands.settleStarts(run);
+    }
+    m_runs.clear();
+    return ended;
+}
+
 absl::Time WorkerSession::lapsesAt(const RunKey& run, const RunSlot& slot) const
 {
     if (slot.stage == RunSlot::Stage::Reserved || slot.isStartPending)
@@ -60,6 +73,8 @@
 
 std::vector<EndedRun> WorkerSession::takeLapsedRuns(absl::Time now)
 {
+    if (m_claim.isTakenOver())
+        return endAllRuns(EndEvidence::AddressTakenOver);
     std::vector<EndedRun> ended;
     if (isReachable())
         return ended;
--- a/src/batch/worker/worker_session_reply_cmd.cpp
+++ b/src/batch/worker/worker_session_reply_cmd.cpp
@@ -72,6 +72,8 @@
 void WorkerSession::handleFailure(
     const SessionCall& context, const WorkerReply& reply, absl::Time now, SessionUpdate& update)
 {
+    if (reply.refusal == WorkerRefusal::OtherProcess)
+        m_claim.recordRefusal(context.sentAt);
     const bool mayBeExecuted = !reply.status.ok() && !isUndelivered(reply);
     const bool wasUnknown
         = mayBeExecuted ? m_commands.recordNoReply(context, now) : m_commands.recordNotExecuted(context);
@@ -120,7 +122,7 @@
 
 bool WorkerSession::isRemovable(absl::Time now) const
 {
-    return !m_isListed && m_runs.empty() && !m_isPollPending && m_commands.lastEffectAt() <= now;
+    return !isListed() && m_runs.empty() && !m_isPollPending && m_commands.lastEffectAt() <= now;
 }
 
 void WorkerSession::recordFailedCall(const absl::Status& status, SessionUpdate& update)
@@ -136,6 +138,7 @@
 void WorkerSession::recordAnswer(
     const SessionCall& context, const WorkerReply& reply, absl::Time now, SessionUpdate& update)
 {
+    m_claim.recordReply(context.sentAt);
     applyProcessStart(reply.processStartMs, now, update.ended);
     // The row may have named a later process before the worker's first reply.
     suspectRestart(m_entry.processStartMs);
--- a/tests/batch/batch_fuzz_base.cpp
+++ b/tests/batch/batch_fuzz_base.cpp
@@ -22,10 +22,10 @@
 // How long the faults may last after the last random action, so that leases of workers behind a cut expire.
 constexpr int longestFaultTail = 16000;
 
-std::string workerName(int worker)
-{
-    return absl::StrCat("w", worker / 4, worker % 4);
-}
+// How long a successor of a worker may take to start, in milliseconds, and the shortest time until a replaced worker
+// returns: commands that were sent to it have met its successor by then.
+constexpr int longestTakeover = 3000;
+constexpr absl::Duration shortestReplacement = absl::Seconds(15);
 
 } // namespace
 
@@ -34,6 +34,8 @@
     , m_random(options.seed)
     , m_cluster(options.nodes, options.seed)
 {
+    for (int worker = 0; worker < workerCount; ++worker)
+        m_workerNames.push_back(absl::StrCat("w", worker / 4, worker % 4));
     m_weakWorker = randomBelow(workerCount);
     m_cluster.setTraced(options.isTraced);
     m_cluster.workers().setFailing("failing");
@@ -209,10 +211,14 @@
 {
     // Half of the faults meet one worker, so that several act there together.
     const int worker = randomBelow(2) == 0 ? m_weakWorker : randomBelow(workerCount);
+    if (m_options.hasTakeovers && randomBelow(4) == 0) {
+        takeOverAddress(worker);
+        return;
+    }
     switch (randomBelow(11)) {
     case 0:
         m_isCutOff[worker] = !m_isCutOff[worker];
-        m_cluster.workers().setCutOff(workerName(worker), m_isCutOff[worker]);
+        m_cluster.workers().setCutOff(m_workerNames[static_cast<std::size_t>(worker)], m_isCutOff[worker]);
         break;
     case 4:
         setPartitioned(worker, !m_isPartitioned[worker]);
@@ -221,7 +227,8 @@
         restartAndPartition(worker);
         break;
     case 6:
-        m_cluster.workers().crash(workerName(worker), absl::Milliseconds(randomBelow(longestAbsence)));
+        m_cluster.workers().crash(
+            m_workerNames[static_cast<std::size_t>(worker)], absl::Milliseconds(randomBelow(longestAbsence)));
         break;
     case 7:
         m_cluster.workers().setLostReplies(randomBelow(2) == 0 ? 0.2 : 0);
@@ -234,10 +241,12 @@
         leaveAndReturn(worker);
         break;
     case 10:
-        m_cluster.workers().loseEntry(workerName(worker), absl::Milliseconds(100 + randomBelow(2000)));
+        m_cluster.workers().loseEntry(
+            m_workerNames[static_cast<std::size_t>(worker)], absl::Milliseconds(100 + randomBelow(2000)));
         break;
     case 1:
-        m_cluster.workers().restart(workerName(worker), absl::Milliseconds(randomBelow(2000)));
+        m_cluster.workers().restart(
+            m_workerNames[static_cast<std::size_t>(worker)], absl::Milliseconds(randomBelow(2000)));
         break;
     case 2:
         m_cluster.workers().setLateCommands(randomBelow(2) == 0 ? 0.3 : 0.7);
@@ -253,15 +262,43 @@
     if (m_isPartitioned[worker] == isPartitioned)
         return;
     m_isPartitioned[worker] = isPartitioned;
-    m_cluster.workers().setPartitioned(workerName(worker), isPartitioned);
+    m_cluster.workers().setPartitioned(m_workerNames[static_cast<std::size_t>(worker)], isPartitioned);
+}
+
+void BatchFuzz::takeOverAddress(int worker)
+{
+    std::string& name = m_workerNames[static_cast<std::size_t>(worker)];
+    const std::string successor = absl::StrCat(name, "-", ++m_replacements);
+    const absl::Duration untilStart = absl::Milliseconds(randomBelow(longestTakeover));
+    m_cluster.workers().replace(name, successor, untilStart);
+    const bool returns = randomBelow(3) == 0;
+    const absl::Duration untilReturn = shortestReplacement + absl::Milliseconds(randomBelow(longestAbsence));
+    m_cluster.timeline().after(untilStart, [this, worker, replaced = name, successor, returns, untilReturn] {
+        // The worker may have been started again meanwhile.
+        if (!m_cluster.workers().has(successor))
+            return;
+        m_workerNames[static_cast<std::size_t>(worker)] = successor;
+        m_isPartitioned[worker] = false;
+        if (returns)
+            m_cluster.timeline().after(untilReturn, [this, worker, replaced] { returnReplaced(worker, replaced); });
+    });
+}
+
+void BatchFuzz::returnReplaced(int worker, const std::string& name)
+{
+    if (!m_cluster.workers().returnReplaced(name))
+        return;
+    m_workerNames[static_cast<std::size_t>(worker)] = name;
+    m_isPartitioned[worker] = false;
 }
 
 void BatchFuzz::leaveAndReturn(int worker)
 {
     const absl::Duration untilLeft = absl::Milliseconds(500 + randomBelow(longestAbsence));
-    m_cluster.workers().drain(workerName(worker), untilLeft);
+    m_cluster.workers().drain(m_workerNames[static_cast<std::size_t>(worker)], untilLeft);
+    const std::string name = m_workerNames[static_cast<std::size_t>(worker)];
     m_cluster.timeline().after(untilLeft + absl::Milliseconds(1 + randomBelow(longestAbsence)),
-        [this, worker] { m_cluster.workers().restart(workerName(worker)); });
+        [this, name] { m_cluster.workers().restart(name); });
 }
 
 void BatchFuzz::restartAndPartition(int worker)
@@ -271,8 +308,10 @@
     workers.setLateCommands(0.7);
     const absl::Duration untilRestart = absl::Milliseconds(300 + randomBelow(1500));
     timeline.after(untilRestart, [this, &workers, worker] {
-        workers.setLateCommands(randomBelow(2) == 0 ? 0 : 0.3);
-        workers.losePower(workerName(worker), absl::Milliseconds(randomBelow(400)));
+        const double lateCommands = randomBelow(2) == 0 ? 0 : 0.3;
+        if (!m_areFaultsCleared)
+            workers.setLateCommands(lateCommands);
+        workers.losePower(m_workerNames[static_cast<std::size_t>(worker)], absl::Milliseconds(randomBelow(400)));
     });
     const absl::Duration untilCut = untilRestart + absl::Milliseconds(500 + randomBelow(3000));
     timeline.after(untilCut, [this, worker] {
@@ -295,9 +334,11 @@
     m_cluster.workers().setRefusals(0);
     m_cluster.workers().setLongestTransit(absl::ZeroDuration());
     for (int worker = 0; worker < workerCount; ++worker) {
-        m_cluster.workers().setCutOff(workerName(worker), false);
+        m_cluster.workers().setCutOff(m_workerNames[static_cast<std::size_t>(worker)], false);
         setPartitioned(worker, false);
     }
+    if (m_options.hasTakeovers)
+        m_cluster.workers().reconnectAll();
     for (int node = 0; node < m_options.nodes; ++node) {
         store.refuseNode(absl::StrCat("node-", node), false);
         if (m_isSuspended[node])
--- a/tests/batch/batch_fuzz_base.h
+++ b/tests/batch/batch_fuzz_base.h
@@ -17,6 +17,8 @@
     int steps = 40;
     // The number of nodes in the cluster.
     int nodes = 3;
+    // Workers are replaced by others at their addresses, and some return under their names later.
+    bool hasTakeovers = false;
     // Writes every decision and every step to standard error.
     bool isTraced = false;
 };
@@ -59,6 +61,9 @@
     void injectStoreFault();
     void injectWorkerFault();
     void setPartitioned(int worker, bool isPartitioned);
+    // Replaces the worker by another one at its address, which may return later.
+    void takeOverAddress(int worker);
+    void returnReplaced(int worker, const std::string& name);
     // Drains the worker, which leaves and comes back under its name.
     void leaveAndReturn(int worker);
     // Restarts the worker among late commands and cuts it off soon after, so that commands to its earlier process meet
@@ -82,6 +87,9 @@
     std::vector<FuzzJob> m_jobs;
     // The worker that half of the faults of workers meet.
     int m_weakWorker = 0;
+    // The name of the worker at each address.
+    std::vector<std::string> m_workerNames;
+    int m_replacements = 0;
     bool m_areFaultsCleared = false;
     // The faults that are present, by node or by worker.
     std::map<int, bool> m_isKilled;
--- a/tests/batch/batch_fuzz_test.cpp
+++ b/tests/batch/batch_fuzz_test.cpp
@@ -19,12 +19,14 @@
     return text != nullptr && absl::SimpleAtoi(text, &number) ? number : fallback;
 }
 
-TEST(BatchFuzz, KeepsEveryPromiseThroughRandomHistories)
+// Runs the histories of the seeds, and fails the test for each violation.
+void runHistories(bool hasTakeovers)
 {
     const int first = environmentNumber("MANGOHALL_FUZZ_SEED", 1);
     const int runs = environmentNumber("MANGOHALL_FUZZ_RUNS", defaultRuns);
     for (int seed = first; seed < first + runs; ++seed) {
         FuzzOptions options;
+        options.hasTakeovers = hasTakeovers;
         options.isTraced = std::getenv("MANGOHALL_FUZZ_TRACE") != nullptr;
         options.seed = static_cast<std::uint64_t>(seed);
         const std::vector<std::string> violations = BatchFuzz(options).run();
@@ -32,11 +34,22 @@
     }
 }
 
+TEST(BatchFuzz, KeepsEveryPromiseThroughRandomHistories)
+{
+    runHistories(false);
+}
+
+TEST(BatchFuzz, KeepsEveryPromiseWhileAddressesAreTakenOver)
+{
+    runHistories(true);
+}
+
 // Whether one of the random histories reports a violation after a fault has been planted in the cluster.
-template <typename PlantFault> bool findsViolation(PlantFault plantFault, int maxRuns = 300)
+template <typename PlantFault> bool findsViolation(PlantFault plantFault, int maxRuns = 300, bool hasTakeovers = false)
 {
     for (int seed = 1; seed <= maxRuns; ++seed) {
         FuzzOptions options;
+        options.hasTakeovers = hasTakeovers;
         options.seed = static_cast<std::uint64_t>(seed);
         BatchFuzz fuzz(options);
         plantFault(fuzz.cluster());
@@ -63,6 +76,13 @@
     EXPECT_TRUE(findsViolation([](BatchCluster& cluster) { cluster.workers().setRepeatsStarts(true); }));
 }
 
+// A call that is refused at an address which another worker has taken over says that the worker has ended.
+TEST(BatchFuzzPlantedFault, DetectsWorkersThatRunOnAfterTheirAddressIsTakenOver)
+{
+    const auto plantFault = [](BatchCluster& cluster) { cluster.workers().setOutlivesTakeover(true); };
+    EXPECT_TRUE(findsViolation(plantFault, 300, true));
+}
+
 TEST(BatchFuzzPlantedFault, DetectsWorkersThatForgetStops)
 {
     EXPECT_TRUE(findsViolation([](BatchCluster& cluster) { cluster.workers().setForgetsStops(true); }));
--- a/tests/batch/batch_worker_fault_test.cpp
+++ b/tests/batch/batch_worker_fault_test.cpp
@@ -37,6 +37,71 @@
     EXPECT_EQ(cluster.workers().startCount(id), 2);
 }
 
+// Guards against a task that waits for a worker that has ended: a start got no reply behind a cut, and another worker
+// has taken over the address since.
+TEST(BatchWorkerFault, RestartsATaskOnceAnotherWorkerHasTakenOverAnAddress)
+{
+    BatchCluster cluster;
+    cluster.workers().setRunTime("long", absl::Seconds(3));
+    cluster.workers().setCutOff("w00", true);
+    cluster.submit(0, path, tasksOf("long", 8, 8));
+    cluster.runFor(absl::Seconds(1));
+    cluster.workers().replace("w00", "w00-next", absl::Seconds(1));
+    cluster.runFor(absl::Seconds(2));
+    cluster.workers().setCutOff("w00-next", false);
+    cluster.runFor(absl::Seconds(6));
+    EXPECT_EQ(cluster.phaseOf(path), JobPhase::Completed);
+    EXPECT_TRUE(cluster.workers().violations().empty()) << cluster.workers().violations().front();
+}
+
+// As above, and a new owner finds the run in the progress of the earlier one, and the row of the replaced worker.
+TEST(BatchWorkerFault, RestartsATaskOfAnEarlierOwnerOnceAnAddressIsTakenOver)
+{
+    BatchCluster cluster;
+    cluster.workers().setRunTime("long", absl::Seconds(3));
+    cluster.workers().setCutOff("w00", true);
+    cluster.submit(0, path, tasksOf("long", 8, 8));
+    cluster.runFor(absl::Seconds(1));
+    cluster.workers().replace("w00", "w00-next", absl::Seconds(1));
+    cluster.kill(cluster.owner());
+    cluster.runFor(absl::Seconds(2));
+    cluster.workers().setCutOff("w00-next", false);
+    cluster.runFor(absl::Seconds(8));
+    EXPECT_EQ(cluster.phaseOf(path), JobPhase::Completed);
+    EXPECT_TRUE(cluster.workers().violations().empty()) << cluster.workers().violations().front();
+}
+
+// Guards against a second run of a task: an address is refused by an intermediary, and the worker runs on.
+TEST(BatchWorkerFault, RunsNothingTwiceWhenCallsAreRefusedAtAnAddressThatNobodyHasTakenOver)
+{
+    BatchCluster cluster;
+    cluster.workers().setRunTime("long", absl::Seconds(9));
+    cluster.submit(0, path, tasksOf("long", 8, 8));
+    cluster.runFor(absl::Seconds(1));
+    cluster.workers().setMisdirected("w00", true);
+    cluster.runFor(absl::Seconds(40));
+    EXPECT_EQ(cluster.phaseOf(path), JobPhase::Completed);
+    EXPECT_TRUE(cluster.workers().violations().empty()) << cluster.workers().violations().front();
+}
+
+// Guards against a second run of a task: a worker that was replaced returns under its name once what was on its way to
+// it has met its successor.
+TEST(BatchWorkerFault, RunsNothingTwiceWhenAReplacedWorkerReturns)
+{
+    BatchCluster cluster;
+    cluster.workers().setRunTime("long", absl::Seconds(20));
+    cluster.workers().setLateCommands(0.5);
+    cluster.submit(0, path, tasksOf("long", 6, 8));
+    cluster.runFor(absl::Seconds(1));
+    cluster.workers().setLateCommands(0);
+    cluster.workers().replace("w00", "w00-next", absl::Milliseconds(500));
+    cluster.runFor(absl::Seconds(15));
+    cluster.workers().returnReplaced("w00");
+    cluster.runFor(absl::Seconds(80));
+    EXPECT_EQ(cluster.phaseOf(path), JobPhase::Completed);
+    EXPECT_TRUE(cluster.workers().violations().empty()) << cluster.workers().violations().front();
+}
+
 // Guards against a second run of a task: an idle worker is restarted under its name, takes a start before the list of
 // workers shows the restart, and the run was then taken for one that had ended with the earlier process.
 TEST(BatchWorkerFault, RunsNothingTwiceWhenAStartReachesANewProcessBeforeItsReport)
--- a/tests/batch/simulated_workers_base.cpp
+++ b/tests/batch/simulated_workers_base.cpp
@@ -13,15 +13,12 @@
 namespace {
 
 constexpr absl::Duration callDelay = absl::Milliseconds(1);
-constexpr absl::Duration minLateness = absl::Seconds(2);
 constexpr absl::Duration maxLease = absl::Seconds(10);
 // A process' clock starts anew, anywhere up to this, and may be slow.
 constexpr double longestClockOrigin = 500000;
 constexpr double slowestClockRate = 0.98;
 constexpr absl::Duration stopTime = absl::Milliseconds(300);
 constexpr absl::Duration defaultRunTime = absl::Seconds(1);
-// How long a worker is silent until the store removes its entry.
-constexpr absl::Duration entryTimeout = absl::Milliseconds(4500);
 
 std::string nameOf(const RunKey& run)
 {
@@ -44,7 +41,7 @@
     Worker worker;
     worker.entry.name = WorkerName(name);
     worker.entry.service = ServiceName("desk");
-    worker.entry.address = address;
+    worker.entry.address = address.empty() ? name : address;
     worker.entry.dataCentre = DataCentreName("here");
     worker.entry.rack = RackName(rack);
     worker.entry.labels = { WorkerLabel("a"), WorkerLabel(rack) };
@@ -96,7 +93,9 @@
         ++m_unaddressedCalls;
         return;
     }
-    if (m_random.uniform() < m_lateCommands) {
+    // The successor of a replaced worker replies at once.
+    const bool isReplaced = !m_workers.at(call.worker.str()).successor.empty();
+    if (m_random.uniform() < m_lateCommands && !isReplaced) {
         delay(call);
         return;
     }
@@ -130,6 +129,16 @@
 void SimulatedWorkers::receive(const WorkerCall& call, const Reply& reply)
 {
     Worker& worker = m_workers.at(call.worker.str());
+    if (!worker.successor.empty()) {
+        refuseAtSuccessor(worker, reply);
+        return;
+    }
+    if (worker.isMisdirected) {
+        WorkerReply refused;
+        refused.refusal = WorkerRefusal::OtherProcess;
+        m_timeline.after(transit(), [refused, reply] { reply(refused); });
+        return;
+    }
     if (worker.isCutOff || worker.isPartitioned)
         return;
     if (worker.isGone || worker.isDown || worker.isIsolated) {
@@ -150,16 +159,6 @@
     m_timeline.after(transit(), [answer, reply] { reply(answer); });
 }
 
-void SimulatedWorkers::delay(const WorkerCall& call)
-{
-    const absl::Duration lateness = minLateness + (m_longestDelay - minLateness) * m_random.uniform();
-    m_timeline.after(lateness, [this, call] {
-        Worker& worker = m_workers.at(call.worker.str());
-        if (!worker.isGone && !worker.isDown)
-            executeLate(worker, call);
-    });
-}
-
 void SimulatedWorkers::executeLate(Worker& worker, const WorkerCall& call)
 {
     const WorkerReply reply = carryOut(worker, call);
@@ -168,36 +167,6 @@
         acknowledge(worker, *pollCall);
 }
 
-bool SimulatedWorkers::tryOutlive(const WorkerCall& call)
-{
-    if (!std::holds_alternative<StartRun>(call.command) || !std::exchange(m_isNextStartOutlived, false))
-        return false;
-    m_outlivedStart = call;
-    return true;
-}
-
-bool SimulatedWorkers::tryKeepRenewal(const WorkerCall& call)
-{
-    const bool isRenewal = std::holds_alternative<PollRuns>(call.command) && call.leaseUntil != 0;
-    if (!isRenewal || call.worker.str() != m_renewalKeptOf)
-        return false;
-    m_renewalKeptOf.clear();
-    m_keptRenewal = call;
-    return true;
-}
-
-void SimulatedWorkers::executeKeptRenewal()
-{
-    const WorkerCall call = *m_keptRenewal;
-    m_keptRenewal.reset();
-    executeLate(m_workers.at(call.worker.str()), call);
-}
-
-std::string SimulatedWorkers::workerOfOutlivedStart() const
-{
-    return m_outlivedStart ? m_outlivedStart->worker.str() : "";
-}
-
 WorkerReply SimulatedWorkers::carryOut(Worker& worker, const WorkerCall& call)
 {
     expireLease(worker);
@@ -435,122 +404,6 @@
         end(worker, RunKey(worker.running.begin()->first), endKind);
 }
 
-void SimulatedWorkers::restart(const std::string& name, absl::Duration untilReport)
-{
-    Worker& worker = m_workers.at(name);
-    endAllRuns(worker, RunEnd::LeaseLapsed);
-    Worker fresh;
-    fresh.entry = worker.entry;
-    fresh.entry.isDraining = false;
-    fresh.entry.remaining = absl::InfiniteDuration();
-    fresh.isCutOff = worker.isCutOff;
-    fresh.isPartitioned = worker.isPartitioned;
-    fresh.partitionedAt = worker.partitionedAt;
-    startClock(fresh);
-    worker = std::move(fresh);
-    m_timeline.after(untilReport, [this, name] { writeEntry(m_workers.at(name)); });
-    if (workerOfOutlivedStart() == name) {
-        const WorkerCall call = *m_outlivedStart;
-        m_outlivedStart.reset();
-        executeLate(worker, call);
-    }
-}
-
-void SimulatedWorkers::restartAs(
-    const std::string& name, const Resources& capacity, const std::string& label, absl::Duration untilReport)
-{
-    Worker& worker = m_workers.at(name);
-    worker.entry.capacity = capacity;
-    worker.entry.labels.front() = WorkerLabel(label);
-    losePower(name, untilReport);
-}
-
-void SimulatedWorkers::losePower(const std::string& name, absl::Duration untilReport)
-{
-    m_workers.at(name).polls.clear();
-    restart(name, untilReport);
-}
-
-void SimulatedWorkers::loseEntry(const std::string& name, absl::Duration untilWritten)
-{
-    m_store.remove({ Collection::Workers, name });
-    m_timeline.after(untilWritten, [this, name] { writeEntry(m_workers.at(name)); });
-}
-
-void SimulatedWorkers::expireEntry(const std::string& name, std::int64_t processStartMs)
-{
-    m_timeline.after(entryTimeout, [this, name, processStartMs] {
-        if (m_workers.at(name).entry.processStartMs == processStartMs)
-            m_store.remove({ Collection::Workers, name });
-    });
-}
-
-void SimulatedWorkers::crash(const std::string& name, absl::Duration untilStart)
-{
-    Worker& worker = m_workers.at(name);
-    endAllRuns(worker, RunEnd::LeaseLapsed);
-    worker.polls.clear();
-    worker.isDown = true;
-    const std::int64_t crashed = worker.entry.processStartMs;
-    expireEntry(name, crashed);
-    m_timeline.after(untilStart, [this, name, crashed] {
-        if (m_workers.at(name).entry.processStartMs == crashed)
-            restart(name);
-    });
-}
-
-void SimulatedWorkers::drain(const std::string& name, absl::Duration after)
-{
-    Worker& worker = m_workers.at(name);
-    worker.entry.isDraining = true;
-    worker.entry.remaining = after;
-    writeEntry(worker);
-    m_timeline.after(after, [this, name, drained = worker.entry.processStartMs] {
-        Worker& later = m_workers.at(name);
-        if (later.entry.processStartMs != drained)
-            return;
-        endAllRuns(later, RunEnd::LeaseLapsed);
-        later.isGone = true;
-        later.polls.clear();
-        if (later.isPartitioned)
-            expireEntry(name, drained);
-        else if (!later.isIsolated)
-            m_store.remove({ Collection::Workers, name });
-    });
-}
-
-void SimulatedWorkers::setPartitioned(const std::string& name, bool isPartitioned)
-{
-    Worker& worker = m_workers.at(name);
-    worker.isPartitioned = isPartitioned;
-    if (!isPartitioned) {
-        writeEntry(worker);
-        return;
-    }
-    worker.partitionedAt = m_timeline.now();
-    m_timeline.after(entryTimeout, [this, name, since = worker.partitionedAt] {
-        const Worker& later = m_workers.at(name);
-        if (later.isPartitioned && later.partitionedAt == since)
-            m_store.remove({ Collection::Workers, name });
-    });
-}
-
-void SimulatedWorkers::isolate(const std::string& name)
-{
-    Worker& worker = m_workers.at(name);
-    worker.isIsolated = true;
-    breakPolls(worker);
-    m_timeline.after(entryTimeout, [this, name] { m_store.remove({ Collection::Workers, name }); });
-}
-
-void SimulatedWorkers::breakPolls(Worker& worker)
-{
-    WorkerReply broken;
-    broken.status = makeError(ErrorKind::PeerGone, "the connection was closed");
-    for (const PendingPoll& held : std::exchange(worker.polls, {}))
-        m_timeline.after(callDelay, [broken, reply = held.reply] { reply(broken); });
-}
-
 int SimulatedWorkers::doneCount(const TaskKey& task) const
 {
     return static_cast<int>(
--- a/tests/batch/simulated_workers_base.h
+++ b/tests/batch/simulated_workers_base.h
@@ -38,15 +38,15 @@
     // The seed decides on the clocks of the workers' processes.
     SimulatedWorkers(Timeline& timeline, RandomSource& random, BatchStore& store, std::uint64_t clockSeed = 1);
 
-    // Adds a worker that writes its entry to the store.
-    void add(const std::string& name, const std::string& rack, const Resources& capacity,
-        const std::string& address = "nowhere");
+    // Adds a worker that writes its entry to the store. Its address is its name if none is given.
+    void add(
+        const std::string& name, const std::string& rack, const Resources& capacity, const std::string& address = "");
     // Delivers a call; replies once, at the latest with a failure after the timeout.
     void call(const WorkerCall& call, Reply reply);
 
-    // Set how long tasks with the payload run, and that their runs fail.
+    // Set how long tasks with the payload run, and whether the runs that start from now on fail.
     void setRunTime(const std::string& payload, absl::Duration time) { m_runTimes[payload] = time; }
-    void setFailing(const std::string& payload) { m_failing.insert(payload); }
+    void setFailing(const std::string& payload, bool isFailing = true);
 
     // While it is cut off, no call reaches the worker and no reply is returned; its runs go on.
     void setCutOff(const std::string& name, bool isCutOff) { m_workers.at(name).isCutOff = isCutOff; }
@@ -68,6 +68,18 @@
     // Ends the worker's process without a word. Calls are refused until another one starts under the same name after
     // the time, and what arrives meanwhile is lost.
     void crash(const std::string& name, absl::Duration untilStart);
+    // Ends the worker's process without a word. After the time another worker starts at its address, cut off like it.
+    // From then on calls for the replaced worker are refused there, and what is still on its way to it is lost.
+    void replace(const std::string& name, const std::string& successor, absl::Duration untilStart);
+    // Whether there is, or was, a worker of this name.
+    bool has(const std::string& name) const { return m_workers.contains(name); }
+    // Ends the worker that has replaced this one without a word, and starts this one again under its name.
+    // Returns false and does nothing if that worker was replaced itself, or there is none.
+    bool returnReplaced(const std::string& name);
+    // While it is misdirected, calls for the worker are refused as by another process at its address; its runs go on.
+    void setMisdirected(const std::string& name, bool isMisdirected);
+    // Ends every cut and partition of a worker.
+    void reconnectAll();
     // Marks the worker as draining; it is gone after the time.
     void drain(const std::string& name, absl::Duration after);
     // Sets the share of commands that get no reply and are executed seconds later, by whichever process the worker has
@@ -97,6 +109,8 @@
     // that they have replied to once more, seconds later.
     void setLongestDelay(absl::Duration delay) { m_longestDelay = delay; }
     void setRepeatsStarts(bool repeatsStarts) { m_repeatsStarts = repeatsStarts; }
+    // Lets workers go on with what they run once another one has taken over their address, which no worker can.
+    void setOutlivesTakeover(bool outlivesTakeover) { m_outlivesTakeover = outlivesTakeover; }
 
     // All runs so far, in order of their starts.
     const std::vector<RecordedRun>& recordedRuns() const { return m_recordedRuns; }
@@ -139,6 +153,9 @@
         bool isGone = false;
         // No process has the worker's name just now.
         bool isDown = false;
+        bool isMisdirected = false;
+        // The worker that has taken over the address; empty if there is none.
+        std::string successor;
         // Calls to the address are refused, although the worker runs on.
         bool isIsolated = false;
         Epoch epoch = 0;
@@ -164,6 +181,8 @@
     // Whether a fault with this share happens now.
     bool happens(double share);
     WorkerReply carryOut(Worker& worker, const WorkerCall& call);
+    // Refuses a call that meets the successor of its worker, if that one can be reached.
+    void refuseAtSuccessor(const Worker& worker, const Reply& reply);
     // Keeps the call for the worker's next process if it is the start that is to outlive the present one.
     bool tryOutlive(const WorkerCall& call);
     // Keeps the call if it is the renewal that is to be executed later.
@@ -220,6 +239,7 @@
     bool m_forgetsStops = false;
     absl::Duration m_longestDelay = absl::Seconds(12);
     bool m_repeatsStarts = false;
+    bool m_outlivesTakeover = false;
     std::vector<RecordedRun> m_recordedRuns;
     std::vector<std::string> m_violations;
     int m_pollCount = 0;
