Fix: a job of many tasks keeps below the store's largest value and holds up no other

Cause: the progress of a job outgrew the store's largest value, and a commit that is refused for its content was repeated with the progress of others without end.

Change: RecordLimits bounds how many tasks of a job are open at a time, its checkpoints and its closed tasks, which are encoded in four bytes; what can never run within that is refused at submission. A commit that is refused as invalid is divided until the job at fault is alone.

Evidence: BatchStoreFault.RunsAJobWhoseProgressWouldOutgrowARecordBesideOthers failed on the code before.

--- a/src/adapters/json/batch_record_json_func.cpp
+++ b/src/adapters/json/batch_record_json_func.cpp
@@ -146,13 +146,15 @@
     return RecordValue(std::move(job));
 }
 
-// A task that was never placed, which is the most frequent case, is encoded as the number 0, the shortest text. Any
-// other task is encoded as a list of its fields. The last ones are left out if they are 0, as they are in records of
-// earlier versions.
+// A task that was never placed is encoded as the number 0, and one that is done as a list of its phase: the most frequent
+// cases, so that a record keeps the sizes of `RecordLimits`. Any other task is encoded as a list of its fields. The last
+// ones are left out if they are 0, as they are in records of earlier versions.
 json toJson(const TaskProgress& task)
 {
     if (task == TaskProgress())
         return 0;
+    if (!isOpen(task) && task.phase == TaskProgress::Phase::Done)
+        return json::array({ static_cast<int>(task.phase) });
     json fields = json::array({ static_cast<int>(task.phase), task.attempt, task.failures, task.checkpoint,
         task.worker.str(), task.workerProcessStartMs });
     const std::int64_t lastFields[]
@@ -175,6 +177,10 @@
 {
     if (source.is_number())
         return absl::OkStatus();
+    if (source.is_array() && source.size() == 1 && source[0] == static_cast<int>(TaskProgress::Phase::Done)) {
+        task.phase = TaskProgress::Phase::Done;
+        return absl::OkStatus();
+    }
     constexpr std::size_t minFieldCount = 6;
     constexpr std::size_t maxFieldCount = 10;
     constexpr std::size_t failedPosition = 6;
--- a/src/adapters/observe/decision_log_base.cpp
+++ b/src/adapters/observe/decision_log_base.cpp
@@ -27,7 +27,8 @@
 constexpr absl::string_view kindNames[] = { "submitted", "queried", "cancelled", "refused", "jobLearned", "jobEnded",
     "jobGuaranteed", "reclaimDue", "choiceMade", "runPlaced", "runEnded", "runEvicted", "runStopped", "workerFound",
     "workerLost", "ownershipTaken", "ownershipLost", "manifestTaken", "storeLost", "storeRegained", "recordUnreadable",
-    "startSent", "startUnanswered", "startBarred", "workerListOld", "workerListCurrent", "renewalUnanswered" };
+    "startSent", "startUnanswered", "startBarred", "workerListOld", "workerListCurrent", "renewalUnanswered",
+    "recordRefused" };
 
 void setUnlessEmpty(nlohmann::json& line, const char* field, const std::string& text)
 {
--- a/src/batch/caller/caller_part_cmd.cpp
+++ b/src/batch/caller/caller_part_cmd.cpp
@@ -5,6 +5,7 @@
 
 #include "absl/strings/ascii.h"
 #include "absl/strings/str_cat.h"
+#include "batch/job/job_check_func.h"
 #include "batch/job/phase_name_func.h"
 #include "core/error_func.h"
 
@@ -165,6 +166,10 @@
         refuse(call, request.spec.status(), now);
         return;
     }
+    if (const absl::Status status = checkRecordSizes(*request.spec, m_settings.recordLimits); !status.ok()) {
+        refuse(call, status, now);
+        return;
+    }
     Job job;
     job.id = call.job;
     job.queue = queue.name;
--- a/src/batch/caller/record_writer_base.cpp
+++ b/src/batch/caller/record_writer_base.cpp
@@ -64,9 +64,11 @@
     std::vector<PendingRecord> batch;
     std::vector<PendingRecord> kept;
     for (PendingRecord& pending : m_pending) {
-        const bool isDuplicate = std::any_of(batch.begin(), batch.end(),
-            [&pending](const PendingRecord& other) { return other.record.key == pending.record.key; });
-        if (batch.size() < maxRecordsPerCommit && pending.retryAt <= now && !isDuplicate)
+        // A commit has one record for a key, and a record that is written alone shares none.
+        const bool isSeparate = std::any_of(batch.begin(), batch.end(), [&pending](const PendingRecord& other) {
+            return other.record.key == pending.record.key || other.isWrittenAlone || pending.isWrittenAlone;
+        });
+        if (batch.size() < maxRecordsPerCommit && pending.retryAt <= now && !isSeparate)
             batch.push_back(std::move(pending));
         else
             kept.push_back(std::move(pending));
@@ -109,6 +111,11 @@
         return handleConflict(std::move(batch), reply);
     case ErrorKind::StoreRefused:
         return handleRefusal(std::move(batch), now);
+    case ErrorKind::InvalidValue:
+        // One of the records is at fault; the others are written without it.
+        for (PendingRecord& pending : batch)
+            pending.isWrittenAlone = true;
+        return handleRefusal(std::move(batch), now);
     default:
         handleLostReply(std::move(batch), now);
         return {};
--- a/src/batch/caller/record_writer_base.h
+++ b/src/batch/caller/record_writer_base.h
@@ -60,6 +60,8 @@
         bool isUncertain = false;
         // The number of commits that the store has refused.
         int refusals = 0;
+        // The store has refused a commit with the record as invalid.
+        bool isWrittenAlone = false;
         absl::Time retryAt = absl::InfinitePast();
     };
 
--- a/src/batch/job/job_progress_base.cpp
+++ b/src/batch/job/job_progress_base.cpp
@@ -25,18 +25,23 @@
         [](const TaskProgress& task) { return task.phase == TaskProgress::Phase::Placed; });
 }
 
+// Of a done task the record may keep nothing else.
+bool hasStarted(const TaskProgress& task)
+{
+    return task.lastStartedAttempt != 0 || task.phase == TaskProgress::Phase::Done;
+}
+
 bool hasStartedTask(const OccurrenceProgress& occurrence)
 {
-    return std::any_of(occurrence.steps.begin(), occurrence.steps.end(), [](const StepProgress& step) {
-        return std::any_of(step.tasks.begin(), step.tasks.end(),
-            [](const TaskProgress& task) { return task.lastStartedAttempt != 0; });
-    });
+    return std::any_of(occurrence.steps.begin(), occurrence.steps.end(),
+        [](const StepProgress& step) { return std::any_of(step.tasks.begin(), step.tasks.end(), hasStarted); });
 }
 
 } // namespace
 
-JobProgress::JobProgress(Job job)
+JobProgress::JobProgress(Job job, const RecordLimits& limits)
     : m_job(std::move(job))
+    , m_limits(limits)
 {
 }
 
@@ -46,6 +51,9 @@
         return false;
     m_record = std::move(record);
     m_hasBegun = std::any_of(m_record.occurrences.begin(), m_record.occurrences.end(), hasStartedTask);
+    m_checkpointBytes = 0;
+    for (const TaskRef& task : tasksWith([](const TaskProgress& found) { return !found.checkpoint.empty(); }))
+        m_checkpointBytes += static_cast<std::int64_t>(find(task)->checkpoint.size());
     return true;
 }
 
@@ -101,11 +109,12 @@
     std::vector<ReadyStep> ready;
     if (isFinal())
         return ready;
+    std::int64_t roomForTasks = std::max<std::int64_t>(0, m_limits.maxOpenTasks() - countOpenTasks());
     for (const OccurrenceProgress& occurrence : m_record.occurrences) {
         for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
             if (!mayStart(occurrence, step))
                 continue;
-            std::vector<std::int32_t> indices = waitingTasks(occurrence, step);
+            std::vector<std::int32_t> indices = waitingTasks(occurrence, step, roomForTasks);
             if (!indices.empty())
                 ready.push_back({ occurrence.number, static_cast<std::int32_t>(step), std::move(indices) });
         }
@@ -124,17 +133,45 @@
     });
 }
 
-std::vector<std::int32_t> JobProgress::waitingTasks(const OccurrenceProgress& occurrence, std::size_t step) const
+std::vector<std::int32_t> JobProgress::waitingTasks(
+    const OccurrenceProgress& occurrence, std::size_t step, std::int64_t& roomForTasks) const
 {
     std::vector<std::int32_t> indices;
     const std::vector<TaskProgress>& tasks = occurrence.steps[step].tasks;
+    std::int64_t room = roomForTasks;
     for (std::size_t index = 0; index < tasks.size(); ++index) {
-        if (tasks[index].phase == TaskProgress::Phase::Waiting)
-            indices.push_back(static_cast<std::int32_t>(index));
+        if (tasks[index].phase != TaskProgress::Phase::Waiting)
+            continue;
+        const bool isNew = !isOpen(tasks[index]);
+        if (isNew && room == 0 && m_job.spec.steps[step].isGang) {
+            roomForTasks = 0;
+            return {};
+        }
+        if (isNew && room == 0)
+            continue;
+        room -= isNew ? 1 : 0;
+        indices.push_back(static_cast<std::int32_t>(index));
     }
+    roomForTasks = room;
     return indices;
 }
 
+std::int64_t JobProgress::countOpenTasks() const
+{
+    std::int64_t count = 0;
+    for (const OccurrenceProgress& occurrence : m_record.occurrences) {
+        for (const StepProgress& step : occurrence.steps)
+            count += std::count_if(step.tasks.begin(), step.tasks.end(), isOpen);
+    }
+    return count;
+}
+
+void JobProgress::replaceCheckpoint(TaskProgress& task, absl::string_view checkpoint)
+{
+    m_checkpointBytes += static_cast<std::int64_t>(checkpoint.size()) - static_cast<std::int64_t>(task.checkpoint.size());
+    task.checkpoint = std::string(checkpoint);
+}
+
 const OccurrenceProgress* JobProgress::findOccurrence(std::int32_t number) const
 {
     // Occurrences are opened in order, so the number is the position.
@@ -278,14 +315,17 @@
 
 void JobProgress::finishTask(const TaskRef& task)
 {
-    const bool isGang = stepSpec(task.step).isGang;
-    if (!isGang) {
-        findTask(task)->phase = TaskProgress::Phase::Done;
+    const auto finish = [this](TaskProgress& finished) {
+        finished.phase = TaskProgress::Phase::Done;
+        replaceCheckpoint(finished, "");
+    };
+    if (!stepSpec(task.step).isGang) {
+        finish(*findTask(task));
         return;
     }
     // If one member is done, the whole gang is done.
     for (TaskProgress& member : findStep(task)->tasks)
-        member.phase = TaskProgress::Phase::Done;
+        finish(member);
 }
 
 void JobProgress::releaseTask(const TaskRef& task, RunEnd end, absl::string_view checkpoint, absl::Time now)
@@ -304,12 +344,18 @@
 // All members of a gang resume from the same checkpoint, so a checkpoint of one member is stored for all.
 void JobProgress::setCheckpoint(const TaskRef& task, absl::string_view checkpoint)
 {
-    if (!stepSpec(task.step).isGang) {
-        findTask(task)->checkpoint = std::string(checkpoint);
+    const bool isGang = stepSpec(task.step).isGang;
+    const std::size_t copies = isGang ? findStep(task)->tasks.size() : 1;
+    const auto replaced = static_cast<std::int64_t>(findTask(task)->checkpoint.size() * copies);
+    const auto added = static_cast<std::int64_t>(checkpoint.size() * copies);
+    if (added > replaced && m_checkpointBytes - replaced + added > m_limits.maxCheckpointBytes())
+        return;
+    if (!isGang) {
+        replaceCheckpoint(*findTask(task), checkpoint);
         return;
     }
     for (TaskProgress& member : findStep(task)->tasks)
-        member.checkpoint = std::string(checkpoint);
+        replaceCheckpoint(member, checkpoint);
 }
 
 std::int32_t JobProgress::countGangFailure(const TaskRef& member)
--- a/src/batch/job/job_progress_base.h
+++ b/src/batch/job/job_progress_base.h
@@ -10,6 +10,7 @@
 #include "absl/types/optional.h"
 #include "batch/job/job_type.h"
 #include "batch/job/progress_record_type.h"
+#include "batch/job/record_limits_type.h"
 
 namespace mangohall::batch {
 
@@ -26,7 +27,7 @@
 // acted on. Not thread-safe.
 class JobProgress {
 public:
-    explicit JobProgress(Job job);
+    explicit JobProgress(Job job, const RecordLimits& limits = {});
 
     // Replaces the progress by a record that an earlier owner wrote. Returns false and changes nothing if the record
     // does not match the job's specification.
@@ -45,7 +46,8 @@
     // The time at which the next occurrence is due; the infinite future if none is left or the job is final.
     absl::Time nextDue() const;
 
-    // The steps that have tasks which may start; none once the job is final.
+    // The steps that have tasks which may start; none once the job is final. Of tasks that were never placed there are
+    // only as many as may be open at a time, so that the record of a job with many tasks keeps its limits.
     std::vector<ReadyStep> readySteps() const;
 
     // The specification of the step, which has to exist.
@@ -107,8 +109,10 @@
     absl::Time dueTimeOf(std::int32_t occurrence) const;
     // The number of occurrences that the specification asks for; at least 1.
     std::int32_t occurrenceCount() const;
-    // The indices of the waiting tasks of the step.
-    std::vector<std::int32_t> waitingTasks(const OccurrenceProgress& occurrence, std::size_t step) const;
+    // The indices of the waiting tasks of the step that may be open: all that were placed before, and others as long as
+    // there is room, which is updated. A gang is open as a whole, so there is none left for others if it has no room.
+    std::vector<std::int32_t> waitingTasks(
+        const OccurrenceProgress& occurrence, std::size_t step, std::int64_t& roomForTasks) const;
     // Whether waiting tasks of the step may start: the steps that it depends on are done, and no member of a gang is
     // still placed.
     bool mayStart(const OccurrenceProgress& occurrence, std::size_t step) const;
@@ -116,7 +120,8 @@
     void finishTask(const TaskRef& task);
     // Returns a placed task to the waiting tasks.
     void releaseTask(const TaskRef& task, RunEnd end, absl::string_view checkpoint, absl::Time now);
-    // Stores the checkpoint that the task resumes from; for a gang, that of all members.
+    // Stores the checkpoint that the task resumes from; for a gang, that of all members. One for which the record has
+    // no room is dropped, so that the task resumes from an earlier one.
     void setCheckpoint(const TaskRef& task, absl::string_view checkpoint);
     // Counts the failed attempt of the task, or of its gang unless another member has failed in it before. The job
     // fails when the task or gang has used up its attempts.
@@ -127,10 +132,17 @@
     void completeIfDone(absl::Time now);
     void makeFinal(JobPhase phase, absl::Time now);
 
+    // How many tasks are open: whose entry in the record says more than that it is done, or was never placed.
+    std::int64_t countOpenTasks() const;
+    // Replaces the checkpoint of one task, and counts its size.
+    void replaceCheckpoint(TaskProgress& task, absl::string_view checkpoint);
+
     const Job m_job;
+    const RecordLimits m_limits;
     ProgressRecord m_record;
-    // Follows from the record.
+    // Follow from the record: whether a task has started, and the size of all checkpoints in bytes.
     bool m_hasBegun = false;
+    std::int64_t m_checkpointBytes = 0;
 };
 
 } // namespace mangohall::batch
--- a/src/batch/job/progress_record_type.h
+++ b/src/batch/job/progress_record_type.h
@@ -50,6 +50,12 @@
     friend bool operator==(const TaskProgress&, const TaskProgress&) = default;
 };
 
+// Whether the record of the task has to say more than that it is done, or was never placed.
+inline bool isOpen(const TaskProgress& task)
+{
+    return task.phase == TaskProgress::Phase::Done ? task.mayStartAgain : task.attempt != 0;
+}
+
 // The progress of one step.
 struct StepProgress {
     // One entry for each task, in the order of their indices.
--- a/src/batch/node/event_type.h
+++ b/src/batch/node/event_type.h
@@ -196,6 +196,8 @@
         WorkerListCurrent,
         // A poll that renews the lease of a worker got no reply, so that it may still be executed.
         RenewalUnanswered,
+        // The store refuses the progress of a job as invalid, as it does with one that is too large.
+        RecordRefused,
     };
     Kind kind = Kind::Submitted;
     std::string job;
--- a/src/batch/node/node_base.h
+++ b/src/batch/node/node_base.h
@@ -8,6 +8,7 @@
 
 #include "absl/strings/string_view.h"
 #include "absl/time/time.h"
+#include "batch/job/record_limits_type.h"
 #include "batch/node/node_part_base.h"
 #include "batch/policy/allocation_policy_base.h"
 #include "batch/worker/worker_session_base.h"
@@ -25,6 +26,7 @@
     // have been revoked since.
     absl::Duration maxManifestAge = absl::Seconds(4);
     SessionSettings session;
+    RecordLimits recordLimits;
     // The longest time from the acceptance of an urgent job that a guarantee covers to its start.
     absl::Duration guaranteeBound = absl::Milliseconds(3400);
     // The share of a processor that the node may use; 1 is a whole processor. Nodes with a larger share acquire the
--- a/src/batch/owner/allocation_input_func.cpp
+++ b/src/batch/owner/allocation_input_func.cpp
@@ -183,6 +183,9 @@
 {
     std::vector<PendingStep> steps;
     for (JobEntry* entry : entries) {
+        // A placement would not become durable.
+        if (entry->isWrittenAlone)
+            continue;
         for (ReadyStep& ready : entry->progress.readySteps()) {
             steps.push_back(describeStep(*entry, std::move(ready), now));
             PendingStep& pending = steps.back();
--- a/src/batch/owner/job_registry_base.cpp
+++ b/src/batch/owner/job_registry_base.cpp
@@ -13,11 +13,12 @@
     m_dirty.clear();
     m_dirtyLater.clear();
     m_due.clear();
+    m_postponed.clear();
 }
 
 bool JobRegistry::add(const Job& job)
 {
-    const auto [found, isNew] = m_entries.try_emplace(job.id, job);
+    const auto [found, isNew] = m_entries.try_emplace(job.id, job, m_limits);
     if (!isNew)
         return false;
     const auto earlier = m_unmatchedProgress.find(job.id.text());
@@ -75,14 +76,44 @@
     m_dirtyLater.push_back(entry.progress.job().id);
 }
 
+// The job stays marked as dirty, so that changes do not queue it sooner.
+void JobRegistry::postpone(JobEntry& entry, absl::Time until)
+{
+    const JobId& job = entry.progress.job().id;
+    m_dirty.erase(std::remove(m_dirty.begin(), m_dirty.end(), job), m_dirty.end());
+    entry.isDirty = true;
+    entry.isWrittenAlone = true;
+    m_postponed.set(job, until);
+}
+
+void JobRegistry::queuePostponed(absl::Time now)
+{
+    for (const JobId& job : m_postponed.dueBy(now)) {
+        m_postponed.set(job, absl::InfiniteFuture());
+        if (find(job) != nullptr)
+            m_dirty.push_back(job);
+    }
+}
+
+std::size_t JobRegistry::writtenTogether(std::size_t count) const
+{
+    const std::size_t most = std::min(count, m_dirty.size());
+    for (std::size_t position = 0; position < most; ++position) {
+        if (find(m_dirty[position])->isWrittenAlone)
+            return std::max<std::size_t>(1, position);
+    }
+    return most;
+}
+
 std::vector<JobId> JobRegistry::takeDirty(std::size_t count, bool takesLater)
 {
-    const std::size_t taken = std::min(count, m_dirty.size());
+    const std::size_t taken = writtenTogether(count);
+    const bool isAlone = taken == 1 && find(m_dirty.front())->isWrittenAlone;
     std::vector<JobId> jobs(m_dirty.begin(), m_dirty.begin() + static_cast<std::ptrdiff_t>(taken));
     m_dirty.erase(m_dirty.begin(), m_dirty.begin() + static_cast<std::ptrdiff_t>(taken));
     for (const JobId& job : jobs)
         markWriting(*find(job));
-    while (takesLater && jobs.size() < count && !m_dirtyLater.empty()) {
+    while (takesLater && !isAlone && jobs.size() < count && !m_dirtyLater.empty()) {
         const JobId job = m_dirtyLater.front();
         m_dirtyLater.pop_front();
         JobEntry* entry = find(job);
@@ -146,6 +177,7 @@
 {
     m_entries.erase(job);
     m_due.set(job, absl::InfiniteFuture());
+    m_postponed.set(job, absl::InfiniteFuture());
     m_cancelled.erase(job.text());
 }
 
--- a/src/batch/owner/job_registry_base.h
+++ b/src/batch/owner/job_registry_base.h
@@ -40,8 +40,8 @@
 
 // One job of the registry, with the state of its writes.
 struct JobEntry {
-    explicit JobEntry(Job job)
-        : progress(std::move(job))
+    JobEntry(Job job, const RecordLimits& limits)
+        : progress(std::move(job), limits)
     {
     }
 
@@ -54,6 +54,8 @@
     bool isDirtyLater = false;
     // A write of the progress is pending.
     bool isWriting = false;
+    // The store has refused the progress as invalid, so it is written without that of other jobs.
+    bool isWrittenAlone = false;
     PendingWork pending;
     // Whether it has been logged that a guarantee covers the job, and that the guarantee is enforced by eviction.
     bool isGuaranteeLogged = false;
@@ -65,6 +67,11 @@
 // The registry of all jobs that the owner holds. Not safe to call from several threads.
 class JobRegistry {
 public:
+    explicit JobRegistry(const RecordLimits& limits = {})
+        : m_limits(limits)
+    {
+    }
+
     void clear();
 
     // Adds an accepted job. Returns false and changes nothing if the registry has it already.
@@ -85,10 +92,18 @@
     void markDirty(JobEntry& entry);
     // Queues the job's progress for a write that other writes go before.
     void markDirtyLater(JobEntry& entry);
+    // Queues the progress of a job that the store has refused for a write of its own at this time.
+    void postpone(JobEntry& entry, absl::Time until);
+    // Queues the jobs that were postponed until this time.
+    void queuePostponed(absl::Time now);
+    // When the next postponed job is queued; the infinite future if there is none.
+    absl::Time nextPostponed() const { return m_postponed.next(); }
     // Returns up to `count` jobs whose progress has to be written, longest waiting first, and marks them as being
-    // written. With `takesLater`, those whose progress need not be written soon come last.
+    // written; one that is written alone comes without others. With `takesLater`, those whose progress need not be
+    // written soon come last.
     std::vector<JobId> takeDirty(std::size_t count, bool takesLater);
     bool hasDirty() const { return !m_dirty.empty(); }
+    bool hasDirtyLater() const { return !m_dirtyLater.empty(); }
 
     // The number of unfinished jobs without scheduled times of which no task has started, by queue.
     QueueCounts countWaiting() const;
@@ -106,10 +121,15 @@
         Revision revision = 0;
     };
 
+    // How many jobs at the front of the queue are written together, at most `count`.
+    std::size_t writtenTogether(std::size_t count) const;
     static void markWriting(JobEntry& entry);
     void updateDueTime(const JobEntry& entry);
 
+    const RecordLimits m_limits;
     absl::btree_map<JobId, JobEntry> m_entries;
+    // When each refused job is queued again.
+    DueIndex<JobId> m_postponed;
     // When the next occurrence of each job is due.
     DueIndex<JobId> m_due;
     // Progress records whose job has not been read yet.
--- a/src/batch/owner/owner_part_base.h
+++ b/src/batch/owner/owner_part_base.h
@@ -78,6 +78,7 @@
     // Records stalled runs against the worker, and stops the runs that are better started elsewhere.
     void reviewWorker(const WorkerName& worker, absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void applyWriteUpdate(const WriteUpdate& update, absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    void handleRefusedRecord(const JobId& job, absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void releaseRun(const PlacedRun& placed, absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     // Whether the list of workers is known to be new enough to start runs on it.
     bool isWorkerListCurrent(absl::Time now) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
--- a/src/batch/owner/owner_part_cmd.cpp
+++ b/src/batch/owner/owner_part_cmd.cpp
@@ -45,6 +45,7 @@
     , m_ownership(settings.self, claimDelayOf(settings.processorShare), m_random)
     , m_jobFollower(Collection::Jobs, jobWatchWait)
     , m_workerFollower(Collection::Workers, workerWatchWait, workerWatchPause)
+    , m_jobs(settings.recordLimits)
     , m_workers(settings.session)
     , m_writer(m_jobs)
     , m_allocationPacer(shortestAllocationPause)
--- a/src/batch/owner/owner_run_cmd.cpp
+++ b/src/batch/owner/owner_run_cmd.cpp
@@ -205,6 +205,8 @@
         applyOwnershipUpdate(m_ownership.lose("another node has raised the epoch", now), now);
         return;
     }
+    if (update.refusedJob)
+        handleRefusedRecord(*update.refusedJob, now);
     for (const ListedEnd& end : update.ends) {
         WorkerSession* session = m_workers.find(end.worker);
         if (session != nullptr && session->processStartMs() == end.workerProcessStartMs)
@@ -214,6 +216,21 @@
         releaseRun(placed, now);
 }
 
+// Gives back the capacity of placements that cannot become durable.
+void OwnerPart::handleRefusedRecord(const JobId& job, absl::Time now)
+{
+    DecisionEffect decision;
+    decision.kind = DecisionEffect::Kind::RecordRefused;
+    decision.job = job.str();
+    decision.epoch = m_ownership.epoch();
+    m_outbox.log(std::move(decision));
+    JobEntry* entry = m_jobs.find(job);
+    if (entry == nullptr)
+        return;
+    for (const PlacedRun& placed : std::exchange(entry->pending.placed, {}))
+        stopRun(placed.run, placed.worker, StopReason::WorkerUnavailable, now);
+}
+
 // Sends the start of a run whose placement is durable, or drops the run if its job no longer wants it or its worker no
 // longer accepts work.
 void OwnerPart::releaseRun(const PlacedRun& placed, absl::Time now)
--- a/src/batch/owner/progress_writer_base.cpp
+++ b/src/batch/owner/progress_writer_base.cpp
@@ -1,5 +1,6 @@
 #include "batch/owner/progress_writer_base.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "core/error_func.h"
@@ -8,12 +9,12 @@
 
 namespace {
 
-// Each job takes two entries, an expectation and a write; the epoch takes one and the queue counts take two.
-constexpr std::size_t jobsPerCommit = (maxCommitEntries - 3) / 2;
 // A removed job takes three entries.
 constexpr std::size_t removalsPerCommit = 4;
 constexpr absl::Duration commitTimeout = absl::Milliseconds(900);
 constexpr absl::Duration retryPeriod = absl::Milliseconds(80);
+// How long the progress of a job that the store has refused waits before it is written again.
+constexpr absl::Duration refusedJobPeriod = absl::Seconds(5);
 constexpr absl::Duration countsPeriod = absl::Milliseconds(500);
 constexpr absl::Duration removalPeriod = absl::Seconds(5);
 // The state of an ended job can be queried for at least this long.
@@ -27,6 +28,7 @@
     m_inFlight.clear();
     m_removals.clear();
     m_isWritingCounts = false;
+    m_jobsPerCommit = maxJobsPerCommit;
     m_countsRevision = 0;
     m_writtenCounts = QueueCounts();
     m_retryAt = absl::InfinitePast();
@@ -43,6 +45,7 @@
     if (m_call != 0 || now < m_retryAt)
         return;
     m_ownership = ownership;
+    m_jobs.queuePostponed(now);
     CommitRecords commit;
     commit.expected.push_back(ownership);
     addJobs(commit, now);
@@ -58,7 +61,7 @@
 {
     // What need not be written soon waits for a commit that is made anyway, or for the next check of the counts.
     const bool takesLater = m_jobs.hasDirty() || now >= m_countsCheckedAt + countsPeriod;
-    for (const JobId& job : m_jobs.takeDirty(jobsPerCommit, takesLater)) {
+    for (const JobId& job : m_jobs.takeDirty(m_jobsPerCommit, takesLater)) {
         JobEntry& entry = *m_jobs.find(job);
         const RecordKey key { Collection::Progress, job.str() };
         commit.expected.push_back({ key, entry.revision });
@@ -100,7 +103,8 @@
         return absl::InfiniteFuture();
     if (m_jobs.hasDirty())
         return m_retryAt;
-    return std::max(m_retryAt, std::min(m_countsCheckedAt + countsPeriod, m_removalCheckedAt + removalPeriod));
+    const absl::Time periodic = std::min(m_countsCheckedAt + countsPeriod, m_removalCheckedAt + removalPeriod);
+    return std::max(m_retryAt, std::min(periodic, m_jobs.nextPostponed()));
 }
 
 WriteUpdate ProgressWriter::handleReply(const StoreReply& reply, absl::Time now)
@@ -112,6 +116,8 @@
     m_retryAt = now + retryPeriod;
     if (kind == ErrorKind::RevisionConflict)
         return handleConflict(reply, now);
+    if (kind == ErrorKind::InvalidValue)
+        return handleInvalid(now);
     requeue();
     WriteUpdate update;
     update.isFailed = true;
@@ -125,10 +131,12 @@
         if (JobEntry* entry = m_jobs.find(written.job)) {
             entry->revision = revision;
             entry->isWriting = false;
+            entry->isWrittenAlone = false;
         }
         update.placed.insert(update.placed.end(), written.work.placed.begin(), written.work.placed.end());
         update.ends.insert(update.ends.end(), written.work.ends.begin(), written.work.ends.end());
     }
+    m_jobsPerCommit = std::min(maxJobsPerCommit, m_jobsPerCommit + std::max<std::size_t>(1, m_inFlight.size()));
     m_inFlight.clear();
     for (const JobId& job : std::exchange(m_removals, {}))
         m_jobs.remove(job);
@@ -157,6 +165,20 @@
     return update;
 }
 
+WriteUpdate ProgressWriter::handleInvalid(absl::Time now)
+{
+    WriteUpdate update;
+    update.isFailed = true;
+    const bool isSingle = m_inFlight.size() == 1;
+    if (isSingle)
+        update.refusedJob = m_inFlight.front().job;
+    m_jobsPerCommit = std::max<std::size_t>(1, m_inFlight.size() / 2);
+    requeue();
+    if (JobEntry* refused = update.refusedJob ? m_jobs.find(*update.refusedJob) : nullptr)
+        m_jobs.postpone(*refused, now + refusedJobPeriod);
+    return update;
+}
+
 void ProgressWriter::requeue()
 {
     for (InFlight& unwritten : std::exchange(m_inFlight, {})) {
--- a/src/batch/owner/progress_writer_base.h
+++ b/src/batch/owner/progress_writer_base.h
@@ -4,6 +4,7 @@
 
 #include "absl/container/btree_map.h"
 #include "absl/time/time.h"
+#include "absl/types/optional.h"
 #include "batch/node/outbox_base.h"
 #include "batch/owner/job_registry_base.h"
 #include "batch/store/record_type.h"
@@ -18,6 +19,8 @@
     bool isSuperseded = false;
     // The store gave no reply, or refused the commit. The work is queued again.
     bool isFailed = false;
+    // The job whose progress the store refuses, as it is too large or malformed; written again only later.
+    absl::optional<JobId> refusedJob;
 };
 
 // Writes the progress of jobs, many in one commit and one commit at a time. Each commit expects the owner's epoch and
@@ -47,6 +50,9 @@
     WriteUpdate handleReply(const StoreReply& reply, absl::Time now);
 
 private:
+    // Each job takes two entries, an expectation and a write; the epoch takes one and the queue counts take two.
+    static constexpr std::size_t maxJobsPerCommit = (maxCommitEntries - 3) / 2;
+
     // A job whose progress is in the pending commit, and the actions that wait for it.
     struct InFlight {
         JobId job;
@@ -58,10 +64,15 @@
     void addRemovals(CommitRecords& commit, absl::Time now);
     WriteUpdate handleSuccess(Revision revision);
     WriteUpdate handleConflict(const StoreReply& reply, absl::Time now);
+    // Handles a commit that is refused for one of its records: finds the job by smaller commits, so that it does not
+    // hold up others.
+    WriteUpdate handleInvalid(absl::Time now);
     // Queues the work of the failed commit again.
     void requeue();
 
     JobRegistry& m_jobs;
+    // How many jobs the next commit takes.
+    std::size_t m_jobsPerCommit = maxJobsPerCommit;
     CallId m_call = 0;
     ExpectedRevision m_ownership;
     absl::Time m_retryAt = absl::InfinitePast();
--- a/tests/batch/batch_store_base.cpp
+++ b/tests/batch/batch_store_base.cpp
@@ -1,7 +1,9 @@
 #include "batch/batch_store_base.h"
 
+#include <algorithm>
 #include <utility>
 
+#include "adapters/json/batch_record_json_func.h"
 #include "core/error_func.h"
 
 namespace mangohall::batch {
@@ -94,9 +96,21 @@
     return reply;
 }
 
+bool BatchStore::hasOversizedValue(const CommitRecords& request) const
+{
+    if (m_maxValueBytes == std::numeric_limits<std::size_t>::max())
+        return false;
+    return std::any_of(request.writes.begin(), request.writes.end(),
+        [this](const RecordWrite& write) { return encodeRecord(write.value).size() > m_maxValueBytes; });
+}
+
 StoreReply BatchStore::commit(const CommitRecords& request)
 {
     StoreReply reply;
+    if (hasOversizedValue(request)) {
+        ++m_oversizedCommits;
+        return failure(ErrorKind::InvalidValue);
+    }
     bool holds = true;
     for (const ExpectedRevision& expected : request.expected) {
         const Record* current = find(expected.key);
--- a/tests/batch/batch_store_base.h
+++ b/tests/batch/batch_store_base.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <set>
@@ -42,6 +43,10 @@
     // Sets the share of commits that get no reply and are executed seconds later if their expectations still hold.
     void setLateCommits(double share) { m_lateCommits = share; }
     void setDelay(absl::Duration delay) { m_delay = delay; }
+    // Refuses commits with a value of more bytes, in the encoding of the platform's records.
+    void setMaxValueBytes(std::size_t bytes) { m_maxValueBytes = bytes; }
+    // The number of commits that were refused for a value that is too large.
+    int oversizedCommitCount() const { return m_oversizedCommits; }
     // Delays the replies to watches of one collection, as for a node that is behind with its connections.
     void setWatchDelay(Collection collection, absl::Duration delay) { m_watchDelays[collection] = delay; }
     // Accepts every commit, whatever it expects, which no real store may do.
@@ -71,6 +76,7 @@
 
     StoreReply serve(const StoreRequest& request);
     StoreReply commit(const CommitRecords& request);
+    bool hasOversizedValue(const CommitRecords& request) const;
     void startWatch(const WatchCollection& request, const Reply& reply);
     void notifyWatches();
     std::vector<Record> changesAfter(Collection collection, Revision after) const;
@@ -89,6 +95,8 @@
     double m_lostAnswers = 0;
     double m_lateCommits = 0;
     bool m_acceptsStale = false;
+    std::size_t m_maxValueBytes = std::numeric_limits<std::size_t>::max();
+    int m_oversizedCommits = 0;
     Revision m_revision = 1;
     Revision m_compactedAt = 0;
     int m_commits = 0;
--- a/tests/batch/batch_store_fault_test.cpp
+++ b/tests/batch/batch_store_fault_test.cpp
@@ -1,4 +1,5 @@
 // A store that is out, refuses one node, loses its history or sends no replies.
+#include "absl/strings/str_cat.h"
 #include "batch/batch_cluster_base.h"
 #include "gtest/gtest.h"
 
@@ -23,6 +24,26 @@
     }
 }
 
+// Guards against a job of many tasks that stops all work: its progress outgrew the store's largest value, and the
+// refused commit was repeated without end together with the progress of other jobs.
+TEST(BatchStoreFault, RunsAJobWhoseProgressWouldOutgrowARecordBesideOthers)
+{
+    BatchCluster cluster;
+    cluster.store().setMaxValueBytes(std::size_t { 1 } << 19U);
+    JobSpec large = tasksOf("p", 12000, 0);
+    large.steps.front().demand = { 10, 1 << 10, 0 };
+    cluster.submit(0, path, large);
+    cluster.runFor(absl::Seconds(2));
+    for (int number = 1; number <= 6; ++number)
+        cluster.submit(0, absl::StrCat("/batch/00000000000000b", number), tasksOf("p", 2, 1));
+    cluster.runFor(absl::Seconds(5));
+    for (int number = 1; number <= 6; ++number)
+        EXPECT_EQ(cluster.phaseOf(absl::StrCat("/batch/00000000000000b", number)), JobPhase::Completed);
+    cluster.runFor(absl::Seconds(40));
+    EXPECT_EQ(cluster.phaseOf(path), JobPhase::Completed);
+    EXPECT_EQ(cluster.store().oversizedCommitCount(), 0);
+}
+
 TEST(BatchStoreFault, RunsEveryTaskOnceThroughCommitsThatAreCarriedOutLate)
 {
     for (std::uint64_t seed = 1; seed <= 6; ++seed) {
