Fix: a worker gets at most 32 starts at the same time

A start without a reply holds up acknowledgements for 14 s, and a worker lists only its first 500 ends until they are acknowledged, so that nothing was heard of later ends from 5.5 to 18.5 s.

Change: starts beyond 32 wait for the reply to one of them.

--- a/src/batch/worker/worker_session_base.h
+++ b/src/batch/worker/worker_session_base.h
@@ -287,6 +287,8 @@
     absl::Duration m_pollWait;
     bool m_mayStart = true;
     bool m_isPollPending = false;
+    // The number of starts whose calls have not ended.
+    int m_pendingStarts = 0;
     // When the last poll was sent.
     absl::Time m_polledAt = absl::InfinitePast();
     // Failed calls since the last reply to a poll.
--- a/src/batch/worker/worker_session_call_cmd.cpp
+++ b/src/batch/worker/worker_session_call_cmd.cpp
@@ -10,6 +10,8 @@
 constexpr absl::Duration callTimeout = absl::Milliseconds(800);
 // Delay before a command that got no reply is sent again.
 constexpr absl::Duration commandRetryPeriod = absl::Milliseconds(250);
+// A worker that gets more starts at the same time may not reply to all of them in time.
+constexpr int maxPendingStarts = 32;
 // Interval between polls of a worker that does not reply.
 constexpr absl::Duration unreachablePollPeriod = absl::Milliseconds(500);
 // How long the next poll waits for listed ends to become durable, so that it can acknowledge them.
@@ -84,7 +86,8 @@
         return isDone ? absl::InfiniteFuture() : slot.stopSentAt + commandRetryPeriod;
     }
     // A start renews the lease, so none is sent to a worker that does not reply: its lease has to expire.
-    const bool mayStart = m_mayStart && isProcessCertain() && m_processEntry && !isAcknowledgementPending();
+    const bool mayStart = m_mayStart && isProcessCertain() && m_processEntry && !isAcknowledgementPending()
+        && m_pendingStarts < maxPendingStarts;
     if (slot.stage != RunSlot::Stage::Starting || slot.isStartPending || !mayStart)
         return absl::InfiniteFuture();
     if (slot.isUnsent())
@@ -119,6 +122,8 @@
         const bool isRepeated = !slot.isStopWanted && !slot.isUnsent();
         (slot.isStopWanted ? slot.stopSentAt : slot.startSentAt) = now;
         (slot.isStopWanted ? slot.isStopPending : slot.isStartPending) = true;
+        if (kind == SessionCall::Kind::Start)
+            ++m_pendingStarts;
         calls.push_back(makeRunCall(kind, run, now));
         calls.back().context.isRepeated = isRepeated;
     }
--- a/src/batch/worker/worker_session_reply_cmd.cpp
+++ b/src/batch/worker/worker_session_reply_cmd.cpp
@@ -30,6 +30,8 @@
     if (context.kind == SessionCall::Kind::Poll)
         m_isPollPending = false;
     const auto slot = m_runs.find(context.run);
+    if (context.kind == SessionCall::Kind::Start)
+        --m_pendingStarts;
     if (context.kind == SessionCall::Kind::Start && slot != m_runs.end())
         slot->second.isStartPending = false;
     if (context.kind == SessionCall::Kind::Stop && slot != m_runs.end())
