Fix: workers are reserved only for urgent work that can use them, and for a bounded time

Cause: the reserve took the emptiest workers whatever service and label urgent work needs, and had no bound in time.

Evidence: BatchPath.ReservesNoWorkersThatUrgentWorkCannotUse and .UsesReservedWorkersForAJobThatHasWaitedLong failed on the code before.

--- a/src/batch/owner/allocation_input_func.cpp
+++ b/src/batch/owner/allocation_input_func.cpp
@@ -46,6 +46,7 @@
     if (entry == nullptr || entry->progress.find(run.task.task) == nullptr)
         return allocatedRun;
     const StepSpec& spec = entry->progress.stepSpec(run.task.task.step);
+    allocatedRun.requiredLabel = spec.requiredLabel;
     allocatedRun.priority = entry->progress.job().terms.priority;
     allocatedRun.isEvictable = !spec.isLongRunning && !mayStillStart;
     allocatedRun.isGang = spec.isGang;
--- a/src/batch/policy/allocation_type.h
+++ b/src/batch/policy/allocation_type.h
@@ -15,6 +15,8 @@
     RunKey run;
     // The resources that the run occupies.
     Resources demand;
+    // The label that the run's step requires of its worker; empty if it requires none.
+    WorkerLabel requiredLabel;
     // The priority of the job's queue; 0 is the most urgent.
     std::int32_t priority = 0;
     // A stop of the run has been requested. Its resources become free when it ends.
@@ -42,8 +44,9 @@
     Resources freeAfterStops;
     // The runs that occupy resources of the worker.
     std::vector<AllocatedRun> runs;
-    // The worker accepts only tasks of priority 0 in this round. The policy sets this itself.
-    bool isReserved = false;
+    // The worker accepts only tasks of priority 0 in this round, and those of steps that were ready by this time; the
+    // infinite future for a worker that is not reserved. The policy sets this itself.
+    absl::Time openToStepsReadyBy = absl::InfiniteFuture();
     // The likelihood that the worker is failing, from 0 for a healthy worker to 1. Workers with a lower value are
     // preferred.
     double failureSuspicion = 0;
--- a/src/batch/policy/capacity_index_base.cpp
+++ b/src/batch/policy/capacity_index_base.cpp
@@ -18,6 +18,13 @@
     return available < requested ? 0 : available / requested;
 }
 
+bool isOfKind(const WorkerCapacity& capacity, const ServiceName& service, const WorkerLabel& label)
+{
+    if (capacity.service != service)
+        return false;
+    return label.empty() || std::find(capacity.labels.begin(), capacity.labels.end(), label) != capacity.labels.end();
+}
+
 bool belongsToStep(const AllocatedRun& run, const PendingStep& pending)
 {
     const TaskKey& task = run.run.task;
@@ -91,12 +98,9 @@
 
 bool CapacityIndex::isEligible(const WorkerCapacity& capacity, const PendingStep& pending)
 {
-    if (capacity.isReserved && pending.priority != 0)
-        return false;
-    if (capacity.service != pending.service)
+    if (pending.readySince > capacity.openToStepsReadyBy && pending.priority != 0)
         return false;
-    const WorkerLabel& label = pending.spec->requiredLabel;
-    return label.empty() || std::find(capacity.labels.begin(), capacity.labels.end(), label) != capacity.labels.end();
+    return isOfKind(capacity, pending.service, pending.spec->requiredLabel);
 }
 
 std::size_t CapacityIndex::stepAllowance(const WorkerCapacity& capacity, const PendingStep& pending)
@@ -145,17 +149,21 @@
     capacity.freeAfterStops -= capacity.runs[run].demand;
 }
 
-void CapacityIndex::reserveEmptiest(double accelerators, std::int32_t minFreeAccelerators)
+void CapacityIndex::reserveEmptiest(const WorkerReserve& reserve, absl::Time openToStepsReadyBy)
 {
+    double missing = reserve.accelerators;
     const std::vector<const Rack*> racks = sortFullestFirst();
     for (auto rack = racks.rbegin(); rack != racks.rend(); ++rack) {
         for (const std::size_t worker : (*rack)->workers) {
-            if (accelerators <= 0)
+            if (missing <= 0)
                 return;
-            if (m_workers[worker].free.accelerators < minFreeAccelerators)
+            WorkerCapacity& capacity = m_workers[worker];
+            const bool isReserved = capacity.openToStepsReadyBy != absl::InfiniteFuture();
+            if (isReserved || capacity.free.accelerators < reserve.minFreeAccelerators
+                || !isOfKind(capacity, reserve.service, reserve.label))
                 continue;
-            m_workers[worker].isReserved = true;
-            accelerators -= m_workers[worker].free.accelerators;
+            capacity.openToStepsReadyBy = openToStepsReadyBy;
+            missing -= capacity.free.accelerators;
         }
     }
 }
--- a/src/batch/policy/capacity_index_base.h
+++ b/src/batch/policy/capacity_index_base.h
@@ -19,6 +19,16 @@
 // How many of the step's pending tasks fit into the available resources together.
 std::size_t countFittingTasks(const Resources& available, const PendingStep& pending);
 
+// A reserve of workers that have the label and run tasks of the service; an empty label stands for any.
+struct WorkerReserve {
+    ServiceName service;
+    WorkerLabel label;
+    // How many free accelerators are reserved.
+    double accelerators = 0;
+    // Workers with fewer free accelerators are not reserved.
+    std::int32_t minFreeAccelerators = 0;
+};
+
 // Finds workers by rack, updates their free capacity while tasks are placed, and counts how often workers are examined:
 // the duration of an allocation round is proportional to that count. Workers are named by their index in the vector
 // that the constructor gets. Not thread-safe.
@@ -61,9 +71,10 @@
     // Reverts `markStopping`.
     void unmarkStopping(std::size_t worker, std::size_t run);
 
-    // Reserves workers for tasks of priority 0 until they have the given number of free accelerators, beginning on the
-    // rack with the most free accelerators. Skips workers with fewer than `minFreeAccelerators`.
-    void reserveEmptiest(double accelerators, std::int32_t minFreeAccelerators);
+    // Reserves workers of the kind for tasks of priority 0, and for steps that were ready by the time, until they have
+    // the given number of free accelerators, beginning on the rack with the most free accelerators. Skips workers that
+    // are reserved already.
+    void reserveEmptiest(const WorkerReserve& reserve, absl::Time openToStepsReadyBy);
 
 private:
     struct Rack {
--- a/src/batch/policy/priority_policy_base.cpp
+++ b/src/batch/policy/priority_policy_base.cpp
@@ -4,6 +4,7 @@
 #include <tuple>
 #include <utility>
 
+#include "absl/container/btree_map.h"
 #include "absl/container/flat_hash_map.h"
 #include "absl/strings/string_view.h"
 #include "batch/policy/eviction_search_base.h"
@@ -31,6 +32,9 @@
 constexpr double urgentReserveShare = 0.6;
 // Workers with fewer free accelerators are not reserved, because a large task would not fit there.
 constexpr std::int32_t minReservedAccelerators = 4;
+// How long a step waits for other workers than the reserved ones, while the workers are busy and otherwise.
+constexpr absl::Duration busyReserveWait = absl::Seconds(10);
+constexpr absl::Duration idleReserveWait = absl::Seconds(2);
 
 // The sort key of a step; steps with smaller keys are served first.
 auto serviceOrderKey(const PendingStep& pending, absl::Time now)
@@ -54,15 +58,22 @@
     return free + used == 0 ? 0 : static_cast<double>(used) / static_cast<double>(free + used);
 }
 
-// The number of accelerators that urgent runs occupy.
-std::int64_t urgentAccelerators(absl::Span<const WorkerCapacity> workers)
+// The reserves that urgent work needs: one for each kind of worker that urgent runs require, by the accelerators that
+// they occupy.
+std::vector<WorkerReserve> urgentReserves(absl::Span<const WorkerCapacity> workers)
 {
-    std::int64_t used = 0;
+    absl::btree_map<std::pair<ServiceName, WorkerLabel>, std::int64_t> used;
     for (const WorkerCapacity& capacity : workers) {
-        for (const AllocatedRun& run : capacity.runs)
-            used += run.priority == urgentPriority ? run.demand.accelerators : 0;
+        for (const AllocatedRun& run : capacity.runs) {
+            if (run.priority == urgentPriority)
+                used[{ capacity.service, run.requiredLabel }] += run.demand.accelerators;
+        }
     }
-    return used;
+    std::vector<WorkerReserve> reserves;
+    for (const auto& [kind, accelerators] : used)
+        reserves.push_back({ kind.first, kind.second, static_cast<double>(accelerators) * urgentReserveShare,
+            minReservedAccelerators });
+    return reserves;
 }
 
 // One allocation round over all workers.
@@ -77,8 +88,8 @@
     {
         // With a reserve, urgent work that arrives soon need not wait for evictions, and other tasks are not started
         // only to be evicted shortly after.
-        m_index.reserveEmptiest(
-            static_cast<double>(urgentAccelerators(workers)) * urgentReserveShare, minReservedAccelerators);
+        for (const WorkerReserve& reserve : urgentReserves(workers))
+            m_index.reserveEmptiest(reserve, now - (m_isBusy ? busyReserveWait : idleReserveWait));
     }
 
     // Places the step's tasks as far as they fit, and evicts runs for the rest if the step is urgent.
--- a/tests/batch/batch_path_test.cpp
+++ b/tests/batch/batch_path_test.cpp
@@ -116,6 +116,39 @@
     EXPECT_EQ(std::get<QueueCountAnswer>(*log.answer).waitingJobs, 2);
 }
 
+// Guards against a job that waits beside idle workers of the kind that it needs: they were reserved for urgent work
+// that needs another kind.
+TEST(BatchPath, ReservesNoWorkersThatUrgentWorkCannotUse)
+{
+    BatchCluster cluster;
+    cluster.workers().setRunTime("long", absl::Seconds(30));
+    for (const char* worker : { "w10", "w11" })
+        cluster.workers().restartAs(worker, { 128000, 1 << 30, 8 }, "b");
+    cluster.runFor(absl::Seconds(2));
+    JobSpec urgent = tasksOf("long", 4, 8);
+    urgent.steps.front().requiredLabel = WorkerLabel("a");
+    cluster.submit(0, urgentPath, urgent);
+    cluster.runFor(absl::Seconds(1));
+    ASSERT_EQ(cluster.workers().startCount("00000000000000a1"), 4);
+    JobSpec batch = tasksOf("p", 1, 1);
+    batch.steps.front().requiredLabel = WorkerLabel("b");
+    cluster.submit(0, batchPath, batch);
+    cluster.runFor(absl::Seconds(3));
+    EXPECT_EQ(cluster.phaseOf(batchPath), JobPhase::Completed);
+}
+
+// Guards against a job that waits without bound for workers that are reserved for urgent work which does not come.
+TEST(BatchPath, UsesReservedWorkersForAJobThatHasWaitedLong)
+{
+    BatchCluster cluster;
+    cluster.workers().setRunTime("long", absl::Seconds(60));
+    cluster.submit(0, urgentPath, tasksOf("long", 5, 8));
+    cluster.runFor(absl::Seconds(1));
+    cluster.submit(0, batchPath, tasksOf("p", 1, 8));
+    cluster.runFor(absl::Seconds(13));
+    EXPECT_EQ(cluster.phaseOf(batchPath), JobPhase::Completed);
+}
+
 // An urgent gang that a guarantee covers arrives while batch work occupies all workers.
 TEST(BatchPath, ReclaimsCapacityForUrgentWorkInTime)
 {
--- a/tests/batch/priority_policy_test.cpp
+++ b/tests/batch/priority_policy_test.cpp
@@ -243,6 +243,57 @@
     EXPECT_EQ(PriorityPolicy().allocate(workers, { pendingStepOf("more", spec, 0) }, now).placements.size(), 2U);
 }
 
+// Guards against a job that waits beside idle workers which the urgent work could not use either.
+TEST(PriorityPolicy, ReservesOnlyWorkersThatUrgentWorkCanUse)
+{
+    for (const bool isOtherService : { true, false }) {
+        std::vector<WorkerCapacity> workers = makeWorkers(1, 4);
+        occupy(workers[0], "urgent", 8, 1, 0);
+        occupy(workers[1], "urgent", 8, 1, 0);
+        workers[0].runs.front().requiredLabel = WorkerLabel("a");
+        workers[1].runs.front().requiredLabel = WorkerLabel("a");
+        StepSpec spec = specOf(2, 8);
+        for (const std::size_t idle : { 2, 3 }) {
+            workers[idle].labels = { WorkerLabel("b") };
+            if (isOtherService)
+                workers[idle].service = ServiceName("other");
+        }
+        PendingStep batch = pendingStepOf("batch", spec, 2);
+        batch.service = workers[2].service;
+        EXPECT_EQ(PriorityPolicy().allocate(workers, { batch }, now).placements.size(), 2U);
+    }
+}
+
+// Guards against a reserve without a bound in time.
+TEST(PriorityPolicy, OpensTheReserveToStepsThatHaveWaitedLong)
+{
+    std::vector<WorkerCapacity> workers = makeWorkers(1, 8);
+    for (const std::size_t busy : { 0, 1, 2 })
+        occupy(workers[busy], "urgent", 8, 1, 0);
+    const StepSpec spec = specOf(5, 8);
+    PendingStep batch = pendingStepOf("batch", spec, 2);
+    batch.readySince = now - absl::Seconds(1);
+    std::vector<WorkerCapacity> first = workers;
+    EXPECT_EQ(PriorityPolicy().allocate(first, { batch }, now).placements.size(), 3U);
+    batch.readySince = now - absl::Seconds(3);
+    EXPECT_EQ(PriorityPolicy().allocate(workers, { batch }, now).placements.size(), 5U);
+}
+
+// While most workers are busy, the reserve lasts longer.
+TEST(PriorityPolicy, KeepsTheReserveLongerWhileTheWorkersAreBusy)
+{
+    std::vector<WorkerCapacity> workers = makeWorkers(1, 8);
+    for (const std::size_t busy : { 0, 1, 2, 3, 4 })
+        occupy(workers[busy], "urgent", 8, 1, 0);
+    const StepSpec spec = specOf(3, 8);
+    PendingStep batch = pendingStepOf("batch", spec, 2);
+    batch.readySince = now - absl::Seconds(9);
+    std::vector<WorkerCapacity> first = workers;
+    EXPECT_TRUE(PriorityPolicy().allocate(first, { batch }, now).placements.empty());
+    batch.readySince = now - absl::Seconds(11);
+    EXPECT_EQ(PriorityPolicy().allocate(workers, { batch }, now).placements.size(), 3U);
+}
+
 TEST(PriorityPolicy, ReservesNothingWithoutUrgentWork)
 {
     std::vector<WorkerCapacity> workers = makeWorkers(1, 4);
