Fix: an owner that shuts down leaves no start in doubt that it can hear of

Cause: a confirmed start is written up to 500 ms later, and a node that shuts down gave up the ownership without that write; each next owner waited 14 s anew for a start that had been executed long before.

Evidence: BatchRecovery.RestartsAFailedTaskWhileTheNodesAreRestartedInTurn and .LeavesNoStartInDoubtWhenItStopsGracefully failed on the code before.

--- a/src/batch/owner/owner_part_base.h
+++ b/src/batch/owner/owner_part_base.h
@@ -91,8 +91,12 @@
     void place(absl::Span<const Placement> placements, absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void placeRun(const RunKey& run, const WorkerName& worker, absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void advance(absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    // Drops what was placed and not sent, so that the next owner finds no start in doubt that was not sent.
+    void beginHandover(absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    // Whether a draining owner has heard of its starts and has written what it knows, or has no more time for that.
+    bool isHandoverDone(absl::Time now) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     // Gives up the ownership of a draining node, and notifies the directory part once that is done.
-    void advanceDrain() ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    void advanceDrain(absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     absl::Time nextDue(absl::Time now) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void logJobEnd(const JobEntry& entry, absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void logRun(DecisionEffect::Kind kind, const RunKey& run, const WorkerName& worker, absl::string_view outcome = "",
@@ -133,6 +137,8 @@
     // The node shuts down and gives up the ownership; the directory part has been notified once that is done.
     bool m_isDraining ABSL_GUARDED_BY(m_mutex) = false;
     bool m_isDrained ABSL_GUARDED_BY(m_mutex) = false;
+    // When a draining owner gives up the ownership at the latest; the infinite past before it has begun to drain.
+    absl::Time m_handoverEndsAt ABSL_GUARDED_BY(m_mutex) = absl::InfinitePast();
 };
 
 } // namespace mangohall::batch
--- a/src/batch/owner/owner_part_cmd.cpp
+++ b/src/batch/owner/owner_part_cmd.cpp
@@ -61,7 +61,7 @@
     m_ownership.advance(m_outbox, now);
     if (m_ownership.isOwner())
         advance(now);
-    advanceDrain();
+    advanceDrain(now);
     m_outbox.add(WakeAtEffect { nextDue(now) });
     return m_outbox.take();
 }
@@ -77,6 +77,7 @@
         m_routes = routes->routes;
     } else if (std::holds_alternative<DrainEvent>(event)) {
         m_isDraining = true;
+        beginHandover(now);
     }
 }
 
@@ -108,7 +109,7 @@
 void OwnerPart::reviewWorkerList(absl::Time now)
 {
     const bool isCurrent = isWorkerListCurrent(now);
-    if (isCurrent == m_workers.mayStart())
+    if (isCurrent == m_workers.mayStart() || m_isDraining)
         return;
     m_workers.setMayStart(isCurrent);
     logWorkerList(isCurrent, now);
@@ -117,7 +118,7 @@
 absl::Time OwnerPart::nextAllocation(absl::Time now) const
 {
     // The next reply about the workers is an event of its own.
-    if (!isWorkerListCurrent(now))
+    if (!isWorkerListCurrent(now) || m_isDraining)
         return absl::InfiniteFuture();
     absl::Time due = absl::InfiniteFuture();
     if (m_isAllocationDue)
@@ -187,25 +188,13 @@
     if (m_jobs.openDueOccurrences(now))
         m_isAllocationDue = true;
     reviewWorkerList(now);
-    if (nextAllocation(now) <= now && !m_isDraining)
+    if (nextAllocation(now) <= now)
         allocate(now);
     m_writer.advance(m_ownership.expectation(), m_outbox, now);
     m_workers.setOwnedUntil(m_ownership.leaseEnd());
     m_workers.advance(*this, m_outbox, now);
 }
 
-void OwnerPart::advanceDrain()
-{
-    if (!m_isDraining || m_isDrained)
-        return;
-    if (!m_ownership.hasResigned()) {
-        m_ownership.resign(m_outbox);
-        return;
-    }
-    m_isDrained = true;
-    m_outbox.notify(directoryPart, PartDrainedEvent());
-}
-
 absl::Time OwnerPart::nextDue(absl::Time now) const
 {
     absl::Time due = m_ownership.nextDue();
@@ -215,6 +204,8 @@
     if (!m_loading.isDone)
         return std::max(std::min(due, std::max(m_loading.retryAt, now + loadRetryPeriod)), now);
     due = std::min({ due, m_writer.nextDue(), m_workers.nextDue(), m_jobs.nextDue() });
+    if (m_isDraining)
+        due = std::min(due, m_handoverEndsAt);
     return std::max(std::min(due, nextAllocation(now)), now);
 }
 
--- a/src/batch/owner/progress_writer_base.cpp
+++ b/src/batch/owner/progress_writer_base.cpp
@@ -60,7 +60,7 @@
 void ProgressWriter::addJobs(CommitRecords& commit, absl::Time now)
 {
     // What need not be written soon waits for a commit that is made anyway, or for the next check of the counts.
-    const bool takesLater = m_jobs.hasDirty() || now >= m_countsCheckedAt + countsPeriod;
+    const bool takesLater = m_writesAll || m_jobs.hasDirty() || now >= m_countsCheckedAt + countsPeriod;
     for (const JobId& job : m_jobs.takeDirty(m_jobsPerCommit, takesLater)) {
         JobEntry& entry = *m_jobs.find(job);
         const RecordKey key { Collection::Progress, job.str() };
@@ -101,7 +101,7 @@
 {
     if (m_call != 0)
         return absl::InfiniteFuture();
-    if (m_jobs.hasDirty())
+    if (m_jobs.hasDirty() || (m_writesAll && m_jobs.hasDirtyLater()))
         return m_retryAt;
     const absl::Time periodic = std::min(m_countsCheckedAt + countsPeriod, m_removalCheckedAt + removalPeriod);
     return std::max(m_retryAt, std::min(periodic, m_jobs.nextPostponed()));
--- a/src/batch/owner/progress_writer_base.h
+++ b/src/batch/owner/progress_writer_base.h
@@ -38,6 +38,11 @@
     // Sets the queue counts as an earlier owner has written them.
     void setWrittenCounts(const QueueCounts& counts, Revision revision);
 
+    // Writes from now on also at once what need not be written soon.
+    void setWritesAll() { m_writesAll = true; }
+    // Whether no commit is pending and no progress is left to write.
+    bool hasWrittenAll() const { return m_call == 0 && !m_jobs.hasDirty() && !m_jobs.hasDirtyLater(); }
+
     // Sends a commit if none is pending and there is something to write. `ownership` is the expectation that every
     // write of the owner has to contain.
     void advance(const ExpectedRevision& ownership, Outbox& outbox, absl::Time now);
@@ -80,6 +85,7 @@
     // The jobs that the pending commit removes.
     std::vector<JobId> m_removals;
     bool m_isWritingCounts = false;
+    bool m_writesAll = false;
     // The counts in the pending commit, and the counts in the store.
     QueueCounts m_counts;
     QueueCounts m_writtenCounts;
--- a/src/batch/owner/run_name_func.cpp
+++ b/src/batch/owner/run_name_func.cpp
@@ -73,6 +73,8 @@
         return "stalled";
     case StopReason::Superseded:
         return "superseded";
+    case StopReason::OwnerStops:
+        return "ownerStops";
     case StopReason::WorkerUnavailable:
         break;
     }
--- a/src/batch/owner/stop_reason_type.h
+++ b/src/batch/owner/stop_reason_type.h
@@ -19,6 +19,8 @@
     Superseded,
     // The worker accepts no work any more now that the placement is durable.
     WorkerUnavailable,
+    // The node shuts down, and the next owner has to know of every start that was sent.
+    OwnerStops,
 };
 
 } // namespace mangohall::batch
--- a/src/batch/owner/worker_registry_base.cpp
+++ b/src/batch/owner/worker_registry_base.cpp
@@ -130,6 +130,26 @@
         markChanged(worker);
 }
 
+std::vector<WorkerUpdate> WorkerRegistry::takeUnsentRuns()
+{
+    std::vector<WorkerUpdate> updates;
+    for (auto& [worker, session] : m_sessions) {
+        WorkerUpdate update { worker, session.processStartMs(), {} };
+        update.session.ended = session.takeUnsentRuns();
+        if (update.session.ended.empty())
+            continue;
+        markChanged(worker);
+        updates.push_back(std::move(update));
+    }
+    return updates;
+}
+
+bool WorkerRegistry::isStartPending() const
+{
+    return std::any_of(m_calls.begin(), m_calls.end(),
+        [](const auto& pending) { return pending.second.context.kind == SessionCall::Kind::Start; });
+}
+
 absl::Duration WorkerRegistry::nextPollWait() const
 {
     const absl::Duration wait = absl::Seconds(m_pendingPolls / maxPollsPerSecond);
--- a/src/batch/owner/worker_registry_base.h
+++ b/src/batch/owner/worker_registry_base.h
@@ -58,6 +58,11 @@
     void setMayStart(bool mayStart);
     bool mayStart() const { return m_mayStart; }
 
+    // Drops and returns the runs whose start was not sent.
+    std::vector<WorkerUpdate> takeUnsentRuns();
+    // Whether the reply to a start is still to come.
+    bool isStartPending() const;
+
     // Sets until when the node owns the workers, unless it renews its lease. Calls that are made from then on are not
     // sent later, even if the process is suspended before it sends them.
     void setOwnedUntil(absl::Time ownedUntil) { m_ownedUntil = ownedUntil; }
--- a/src/batch/worker/worker_session_base.cpp
+++ b/src/batch/worker/worker_session_base.cpp
@@ -51,8 +51,9 @@
     m_isListed = false;
 }
 
-void WorkerSession::endUnsentRuns(std::vector<EndedRun>& ended)
+std::vector<EndedRun> WorkerSession::takeUnsentRuns()
 {
+    std::vector<EndedRun> ended;
     for (auto it = m_runs.begin(); it != m_runs.end();) {
         if (!it->second.isUnsent()) {
             ++it;
@@ -61,6 +62,7 @@
         ended.push_back({ it->first, RunEnd::NotStarted, "", 0, EndEvidence::NeverSent });
         it = m_runs.erase(it);
     }
+    return ended;
 }
 
 bool WorkerSession::acceptsWork(absl::Time now) const
--- a/src/batch/worker/worker_session_base.h
+++ b/src/batch/worker/worker_session_base.h
@@ -160,6 +160,8 @@
     // estimate.
     static absl::Duration remainingTime(const RunSlot& slot, absl::Time now);
 
+    // Drops and returns the runs whose start was not sent.
+    std::vector<EndedRun> takeUnsentRuns();
     // Drops and returns the runs that can no longer be running on a worker that does not reply: their lease must have
     // expired, the drained worker is gone, or another worker has taken over its address.
     std::vector<EndedRun> takeLapsedRuns(absl::Time now);
@@ -208,8 +210,6 @@
     // Makes the last row the row of the worker's process if it is one.
     void takeProcessEntry();
     std::vector<EndedRun> endRunsOfEarlierProcess();
-    // Drops the runs whose start was not sent.
-    void endUnsentRuns(std::vector<EndedRun>& ended);
     // Drops all runs of a worker that has ended; none of their starts may be executed any more.
     std::vector<EndedRun> endAllRuns(EndEvidence evidence);
     // When the run must be over if the worker does not reply.
--- a/src/batch/worker/worker_session_lease_cmd.cpp
+++ b/src/batch/worker/worker_session_lease_cmd.cpp
@@ -53,8 +53,7 @@
 
 std::vector<EndedRun> WorkerSession::endAllRuns(EndEvidence evidence)
 {
-    std::vector<EndedRun> ended;
-    endUnsentRuns(ended);
+    std::vector<EndedRun> ended = takeUnsentRuns();
     for (const auto& [run, slot] : m_runs) {
         const bool isEndKnown = slot.stage == RunSlot::Stage::Ended;
         ended.push_back(isEndKnown ? describeEnd(run, slot) : EndedRun { run, RunEnd::LeaseLapsed, "", 0, evidence });
--- a/src/batch/worker/worker_session_process_cmd.cpp
+++ b/src/batch/worker/worker_session_process_cmd.cpp
@@ -95,8 +95,7 @@
 // start may still be executed. What was placed by the row of the old process and not sent yet may not fit the new one.
 std::vector<EndedRun> WorkerSession::endRunsOfEarlierProcess()
 {
-    std::vector<EndedRun> ended;
-    endUnsentRuns(ended);
+    std::vector<EndedRun> ended = takeUnsentRuns();
     for (auto it = m_runs.begin(); it != m_runs.end();) {
         RunSlot& slot = it->second;
         if (mayStillStart(it->first)) {
--- a/src/batch/worker/worker_session_reply_cmd.cpp
+++ b/src/batch/worker/worker_session_reply_cmd.cpp
@@ -134,7 +134,8 @@
     update.isLost = m_failedCalls == 0;
     ++m_failedCalls;
     // The worker takes no work until it has replied to a poll; what was not sent need not wait for that.
-    endUnsentRuns(update.ended);
+    for (EndedRun& unsent : takeUnsentRuns())
+        update.ended.push_back(std::move(unsent));
 }
 
 void WorkerSession::recordAnswer(
--- a/tests/batch/batch_recovery_test.cpp
+++ b/tests/batch/batch_recovery_test.cpp
@@ -1,4 +1,6 @@
 // Owners that are killed, suspended or shut down at any moment.
+#include <set>
+
 #include "batch/batch_cluster_base.h"
 #include "gtest/gtest.h"
 
@@ -114,6 +116,52 @@
     expectDoneOnce(cluster);
 }
 
+// Guards against a failed task that waits for a start which its worker has confirmed: each node that shuts down gave up
+// the ownership without writing what it knew, and the next one did not know which starts might still be executed.
+TEST(BatchRecovery, RestartsAFailedTaskWhileTheNodesAreRestartedInTurn)
+{
+    for (const int moment : { 14, 20, 40, 80, 160, 320 }) {
+        SCOPED_TRACE(moment);
+        BatchCluster cluster(4);
+        cluster.workers().setRunTime("long", absl::Seconds(2));
+        cluster.workers().setFailing("long");
+        cluster.submit(0, path, tasksOf("long", 1, 1));
+        cluster.runFor(absl::Milliseconds(moment));
+        ASSERT_EQ(cluster.workers().recordedRuns().size(), 1U);
+        cluster.workers().setFailing("long", false);
+        std::set<int> left { 0, 1, 2, 3 };
+        while (!left.empty()) {
+            const int owner = cluster.owner();
+            const int node = left.contains(owner) ? owner : *left.begin();
+            left.erase(node);
+            cluster.drain(node);
+            cluster.runFor(absl::Seconds(2));
+            cluster.kill(node);
+            cluster.start(node);
+        }
+        EXPECT_EQ(cluster.phaseOf(path), JobPhase::Completed);
+        EXPECT_EQ(cluster.workers().recordedRuns().size(), 2U);
+    }
+}
+
+// Guards against a start that the next owner has to wait for: the node shuts down while a placement is written, while
+// the worker has not replied yet, or before the confirmation is written.
+TEST(BatchRecovery, LeavesNoStartInDoubtWhenItStopsGracefully)
+{
+    for (int moment = 1; moment <= 30; ++moment) {
+        SCOPED_TRACE(moment);
+        BatchCluster cluster;
+        cluster.workers().setFailing("p");
+        cluster.submit(0, path, mixedJob());
+        cluster.runFor(absl::Milliseconds(moment));
+        cluster.drain(cluster.owner());
+        cluster.runFor(absl::Milliseconds(900));
+        cluster.workers().setFailing("p", false);
+        cluster.runFor(absl::Seconds(5));
+        expectDoneOnce(cluster);
+    }
+}
+
 // Guards against an ownership that moves from one slow node to the next: an owner with too little of a processor renews
 // its lease late and loses the ownership, so the node with the most processor has to claim it first.
 TEST(BatchRecovery, GivesTheOwnershipToTheNodeWithTheMostProcessor)
