Codechange: what ends a run without its worker's word is told in one place

evidenceOfEnd lists the three kinds of evidence and their order in place of two paths in takeLapsedRuns.

--- a/src/batch/worker/worker_session_base.h
+++ b/src/batch/worker/worker_session_base.h
@@ -210,8 +210,8 @@
     // Makes the last row the row of the worker's process if it is one.
     void takeProcessEntry();
     std::vector<EndedRun> endRunsOfEarlierProcess();
-    // Drops all runs of a worker that has ended; none of their starts may be executed any more.
-    std::vector<EndedRun> endAllRuns(EndEvidence evidence);
+    // What shows that the run is over on a worker that does not reply; empty if nothing does.
+    absl::optional<EndEvidence> evidenceOfEnd(const RunKey& run, const RunSlot& slot, absl::Time now) const;
     // When the run must be over if the worker does not reply.
     absl::Time lapsesAt(const RunKey& run, const RunSlot& slot) const;
     // The process that has sent the reply, given by its start; 0 if that is unknown.
--- a/src/batch/worker/worker_session_lease_cmd.cpp
+++ b/src/batch/worker/worker_session_lease_cmd.cpp
@@ -51,18 +51,6 @@
     return m_entry.isDraining && m_hasDeregistered && m_isUnreachable && !m_isPollPending;
 }
 
-std::vector<EndedRun> WorkerSession::endAllRuns(EndEvidence evidence)
-{
-    std::vector<EndedRun> ended = takeUnsentRuns();
-    for (const auto& [run, slot] : m_runs) {
-        const bool isEndKnown = slot.stage == RunSlot::Stage::Ended;
-        ended.push_back(isEndKnown ? describeEnd(run, slot) : EndedRun { run, RunEnd::LeaseLapsed, "", 0, evidence });
-        m_commands.settleStarts(run);
-    }
-    m_runs.clear();
-    return ended;
-}
-
 absl::Time WorkerSession::lapsesAt(const RunKey& run, const RunSlot& slot) const
 {
     if (slot.stage == RunSlot::Stage::Reserved || slot.isStartPending)
@@ -70,27 +58,40 @@
     return std::max(m_leaseBound, m_commands.foreignLeaseEnd(run, processOf(run)));
 }
 
-std::vector<EndedRun> WorkerSession::takeLapsedRuns(absl::Time now)
+// Without a word of the worker a run is over, and none of its starts can be executed any more,
+// - once another worker has taken over the address, since a command to this one is refused there: also if a start is
+//   pending;
+// - once every lease must have expired that any process of the worker may hold, with the starts that may still come;
+// - once the worker has left after it had drained, if no start may come to a later process.
+absl::optional<EndEvidence> WorkerSession::evidenceOfEnd(const RunKey& run, const RunSlot& slot, absl::Time now) const
 {
     if (m_claim.isTakenOver())
-        return endAllRuns(EndEvidence::AddressTakenOver);
-    std::vector<EndedRun> ended;
+        return EndEvidence::AddressTakenOver;
     if (isReachable())
-        return ended;
+        return absl::nullopt;
+    if (now >= lapsesAt(run, slot))
+        return EndEvidence::LeaseExpired;
+    const bool isGone = hasLeft() && !mayStillStart(run) && slot.stage != RunSlot::Stage::Reserved;
+    return isGone ? absl::make_optional(EndEvidence::WorkerLeft) : absl::nullopt;
+}
+
+std::vector<EndedRun> WorkerSession::takeLapsedRuns(absl::Time now)
+{
+    std::vector<EndedRun> ended;
+    if (m_claim.isTakenOver())
+        ended = takeUnsentRuns();
     for (auto it = m_runs.begin(); it != m_runs.end();) {
         const RunSlot& slot = it->second;
-        const bool hasLapsed = now >= lapsesAt(it->first, slot);
-        const bool isGone = hasLeft() && !mayStillStart(it->first) && slot.stage != RunSlot::Stage::Reserved;
-        if (!hasLapsed && !isGone) {
+        const absl::optional<EndEvidence> evidence = evidenceOfEnd(it->first, slot, now);
+        if (!evidence) {
             ++it;
             continue;
         }
-        const EndEvidence evidence = hasLapsed ? EndEvidence::LeaseExpired : EndEvidence::WorkerLeft;
         if (slot.stage == RunSlot::Stage::Ended)
-            ended.push_back(slot.end);
+            ended.push_back(describeEnd(it->first, slot));
         else
-            ended.push_back({ it->first, RunEnd::LeaseLapsed, "", 0, evidence });
-        if (evidence == EndEvidence::LeaseExpired)
+            ended.push_back({ it->first, RunEnd::LeaseLapsed, "", 0, *evidence });
+        if (*evidence == EndEvidence::LeaseExpired)
             ended.back().leaseAge = now - m_leaseSentAt;
         m_commands.settleStarts(it->first);
         it = m_runs.erase(it);
