--- a/src/adapters/json/batch_record_json_func.cpp
+++ b/src/adapters/json/batch_record_json_func.cpp
@@ -146,9 +146,9 @@
     return RecordValue(std::move(job));
 }
 
-// A task that was never placed is encoded as the number 0, and one that is done as a list of its phase: the most frequent
-// cases, so that a record keeps the sizes of `RecordLimits`. Any other task is encoded as a list of its fields. The last
-// ones are left out if they are 0, as they are in records of earlier versions.
+// A task that was never placed is encoded as the number 0, and one that is done as a list of its phase: the most
+// frequent cases, so that a record keeps the sizes of `RecordLimits`. Any other task is encoded as a list of its
+// fields. The last ones are left out if they are 0, as they are in records of earlier versions.
 json toJson(const TaskProgress& task)
 {
     if (task == TaskProgress())
--- a/src/batch/job/job_progress_base.cpp
+++ b/src/batch/job/job_progress_base.cpp
@@ -168,7 +168,8 @@
 
 void JobProgress::replaceCheckpoint(TaskProgress& task, absl::string_view checkpoint)
 {
-    m_checkpointBytes += static_cast<std::int64_t>(checkpoint.size()) - static_cast<std::int64_t>(task.checkpoint.size());
+    m_checkpointBytes
+        += static_cast<std::int64_t>(checkpoint.size()) - static_cast<std::int64_t>(task.checkpoint.size());
     task.checkpoint = std::string(checkpoint);
 }
 
