Fix: counts of waiting jobs are written again after a write of unknown outcome

Cause: counts are compared with the last ones whose write was confirmed; a write without a reply may have been executed all the same.

Change: after a commit that was not confirmed the counts in the store are unknown, and are written.

--- a/src/batch/owner/progress_writer_base.cpp
+++ b/src/batch/owner/progress_writer_base.cpp
@@ -193,7 +193,9 @@
         m_jobs.markDirty(*entry);
     }
     m_removals.clear();
-    m_isWritingCounts = false;
+    // The commit may have been executed, or another one that was sent before.
+    if (std::exchange(m_isWritingCounts, false))
+        m_writtenCounts.reset();
 }
 
 } // namespace mangohall::batch
--- a/src/batch/owner/progress_writer_base.h
+++ b/src/batch/owner/progress_writer_base.h
@@ -86,9 +86,10 @@
     std::vector<JobId> m_removals;
     bool m_isWritingCounts = false;
     bool m_writesAll = false;
-    // The counts in the pending commit, and the counts in the store.
+    // The counts in the pending commit, and the counts in the store; none if a commit without a reply may have changed
+    // those.
     QueueCounts m_counts;
-    QueueCounts m_writtenCounts;
+    absl::optional<QueueCounts> m_writtenCounts;
     Revision m_countsRevision = 0;
     absl::Time m_countsCheckedAt = absl::InfinitePast();
     absl::Time m_removalCheckedAt = absl::InfinitePast();
