--- a/src/batch/owner/progress_writer_base.cpp
+++ b/src/batch/owner/progress_writer_base.cpp
@@ -9,14 +9,16 @@
 
 namespace {
 
-// A removed job takes three entries.
-constexpr std::size_t removalsPerCommit = 4;
+// A removed job takes three entries of a commit.
+constexpr std::size_t entriesPerRemoval = 3;
 constexpr absl::Duration commitTimeout = absl::Milliseconds(900);
 constexpr absl::Duration retryPeriod = absl::Milliseconds(80);
 // How long the progress of a job that the store has refused waits before it is written again.
 constexpr absl::Duration refusedJobPeriod = absl::Seconds(5);
 constexpr absl::Duration countsPeriod = absl::Milliseconds(500);
+// How often ended jobs are looked for, and how often while more have ended than a commit removes.
 constexpr absl::Duration removalPeriod = absl::Seconds(5);
+constexpr absl::Duration busyRemovalPeriod = absl::Milliseconds(250);
 // The state of an ended job can be queried for at least this long.
 constexpr absl::Duration endedJobRetention = absl::Minutes(3);
 
@@ -50,8 +52,7 @@
     commit.expected.push_back(ownership);
     addJobs(commit, now);
     addCounts(commit, now);
-    if (commit.writes.empty())
-        addRemovals(commit, now);
+    addRemovals(commit, now);
     if (commit.writes.empty() && commit.removals.empty())
         return;
     m_call = outbox.toStore(std::move(commit), commitTimeout);
@@ -86,10 +87,11 @@
 
 void ProgressWriter::addRemovals(CommitRecords& commit, absl::Time now)
 {
-    if (now < m_removalCheckedAt + removalPeriod)
+    const std::size_t room = (maxCommitEntries - commit.expected.size() - commit.writes.size()) / entriesPerRemoval;
+    if (now < m_removalsDueAt || room == 0)
         return;
-    m_removalCheckedAt = now;
-    m_removals = m_jobs.endedBefore(now - endedJobRetention, removalsPerCommit);
+    m_removals = m_jobs.endedBefore(now - endedJobRetention, room);
+    m_removalsDueAt = now + (m_removals.size() == room ? busyRemovalPeriod : removalPeriod);
     for (const JobId& job : m_removals) {
         commit.removals.push_back({ Collection::Progress, job.str() });
         commit.removals.push_back({ Collection::Jobs, job.str() });
@@ -103,7 +105,7 @@
         return absl::InfiniteFuture();
     if (m_jobs.hasDirty() || (m_writesAll && m_jobs.hasDirtyLater()))
         return m_retryAt;
-    const absl::Time periodic = std::min(m_countsCheckedAt + countsPeriod, m_removalCheckedAt + removalPeriod);
+    const absl::Time periodic = std::min(m_countsCheckedAt + countsPeriod, m_removalsDueAt);
     return std::max(m_retryAt, std::min(periodic, m_jobs.nextPostponed()));
 }
 
--- a/src/batch/owner/progress_writer_base.h
+++ b/src/batch/owner/progress_writer_base.h
@@ -92,7 +92,7 @@
     absl::optional<QueueCounts> m_writtenCounts;
     Revision m_countsRevision = 0;
     absl::Time m_countsCheckedAt = absl::InfinitePast();
-    absl::Time m_removalCheckedAt = absl::InfinitePast();
+    absl::Time m_removalsDueAt = absl::InfinitePast();
 };
 
 } // namespace mangohall::batch
