Fix: a start that its worker has barred is not repeated there

Change: the refusal by the present process counts as the confirmation of a stop; a later process is told to bar the run anew.

--- a/src/batch/worker/worker_session_reply_cmd.cpp
+++ b/src/batch/worker/worker_session_reply_cmd.cpp
@@ -176,6 +176,12 @@
     RunSlot& slot = found->second;
     if (reply.refusal != WorkerRefusal::None) {
         m_startsPausedUntil = now + refusalPause;
+        // The present process never executes the start, so it is not repeated there; a later one is told to bar it.
+        if (reply.refusal == WorkerRefusal::AlreadyEnded && repliedBy != 0 && repliedBy == m_processStartMs) {
+            slot.isStopWanted = true;
+            slot.isStopConfirmed = true;
+            slot.confirmedAt = now;
+        }
         dropUnstartedRun(found, EndEvidence::StartRefused, update);
         return;
     }
--- a/tests/batch/worker_session_start_test.cpp
+++ b/tests/batch/worker_session_start_test.cpp
@@ -486,5 +486,53 @@
     EXPECT_TRUE(m_session.acceptsWork(m_now));
 }
 
+// Guards against a run that stays bound without end: each repetition of a start that its worker has barred may get no
+// reply.
+TEST_F(WorkerSessionTest, DoesNotRepeatAStartThatTheWorkerHasBarred)
+{
+    settle();
+    leaveStartWithoutReply();
+    answerPoll(answerOf(5200));
+    m_now += absl::Seconds(1);
+    const SessionCall repeated = due(SessionCall::Kind::Start).context;
+    WorkerReply barred = answerOf(6200);
+    barred.refusal = WorkerRefusal::AlreadyEnded;
+    m_session.handleReply(repeated, barred, m_now);
+    EXPECT_TRUE(m_session.mayStillStart(runOf(0)));
+    for (int second = 0; second < 5; ++second) {
+        m_now += absl::Seconds(1);
+        EXPECT_FALSE(isDue(SessionCall::Kind::Start));
+        EXPECT_FALSE(isDue(SessionCall::Kind::Stop));
+    }
+}
+
+// Guards against starts that get no reply in time since a worker gets too many at once.
+TEST_F(WorkerSessionTest, SendsOnlySoManyStartsAtOnce)
+{
+    constexpr int runs = 100;
+    settle();
+    for (int index = 0; index < runs; ++index) {
+        m_session.reserve(runOf(index), { 1, 1, 0 }, m_now);
+        m_session.release(runOf(index), m_now);
+    }
+    std::vector<SessionCall> pending;
+    int sent = 0;
+    while (sent < runs) {
+        takeCalls();
+        for (const DueCall& call : m_pending) {
+            if (call.context.kind == SessionCall::Kind::Start)
+                pending.push_back(call.context);
+        }
+        sent += static_cast<int>(m_pending.size());
+        m_pending.clear();
+        ASSERT_FALSE(pending.empty());
+        EXPECT_LE(pending.size(), 32U);
+        // Nothing is due before the next reply.
+        EXPECT_GT(m_session.nextDue(), m_now);
+        m_session.handleReply(pending.back(), answerOf(5100), m_now);
+        pending.pop_back();
+    }
+}
+
 } // namespace
 } // namespace mangohall::batch
