Fix: a grace that is no whole number of seconds is read as such

Change: stopGraceS in seconds with a fraction; stopGraceMs stays. NodeSettings.ReadsAGraceThatIsNoWholeNumberOfSeconds.

--- a/src/adapters/settings/settings_reader_base.cpp
+++ b/src/adapters/settings/settings_reader_base.cpp
@@ -106,6 +106,19 @@
     target = share;
 }
 
+void SettingsReader::readSeconds(absl::string_view field, IntegerRange rangeMs, absl::Duration& target)
+{
+    const nlohmann::json* const value = find(field);
+    if (value == nullptr)
+        return;
+    const absl::Duration duration = absl::Seconds(value->is_number() ? value->get<double>() : -1);
+    if (duration < absl::Milliseconds(rangeMs.minimum) || duration > absl::Milliseconds(rangeMs.maximum)) {
+        fail(field, absl::StrCat("must be a number of seconds from ", rangeMs.minimum, " to ", rangeMs.maximum, " ms"));
+        return;
+    }
+    target = duration;
+}
+
 void SettingsReader::readDuration(absl::string_view field, IntegerRange rangeMs, absl::Duration& target)
 {
     const absl::optional<std::int64_t> value = readInteger(field, rangeMs);
--- a/src/adapters/settings/settings_reader_base.h
+++ b/src/adapters/settings/settings_reader_base.h
@@ -52,6 +52,10 @@
     // Ms.
     void readDuration(absl::string_view field, IntegerRange rangeMs, absl::Duration& target);
 
+    // Reads an optional duration in seconds, which may have a fraction, within the range. By convention the name of the
+    // field ends in S.
+    void readSeconds(absl::string_view field, IntegerRange rangeMs, absl::Duration& target);
+
     // A reader for a nested object. An absent object is read as an empty one, so that its required fields are reported
     // as missing.
     SettingsReader section(absl::string_view field);
--- a/tests/platform/message_test.cpp
+++ b/tests/platform/message_test.cpp
@@ -438,5 +438,21 @@
     EXPECT_FALSE(parseNodeSettings("nothing").faults.empty());
 }
 
+// Guards against a grace of 7 ms where the platform's settings name 6.5 s.
+TEST(NodeSettings, ReadsAGraceThatIsNoWholeNumberOfSeconds)
+{
+    const auto graceOf = [](const std::string& value) {
+        const NodeSettingsResult read = parseNodeSettings(absl::StrCat(R"({"node":"n","dataCentre":"z",
+            "callers":"1.2.3.4:1","readiness":"1.2.3.4:2","store":"1.2.3.4:3","stopGraceS":)",
+            value, "}"));
+        return read.faults.empty() ? read.settings.stopGrace : absl::ZeroDuration();
+    };
+    EXPECT_EQ(graceOf("6"), absl::Seconds(6));
+    EXPECT_EQ(graceOf("6.5"), absl::Milliseconds(6500));
+    EXPECT_EQ(graceOf("0.5"), absl::ZeroDuration());
+    EXPECT_EQ(graceOf("\"6\""), absl::ZeroDuration());
+    EXPECT_EQ(graceOf("1e400"), absl::ZeroDuration());
+}
+
 } // namespace
 } // namespace mangohall::platform
