Fix: one reserve on all workers that urgent work can use

Change: one reserve as large as before, on workers of any service and label that running urgent work requires; open to a step that has been ready for 2 s while under half of the accelerators are in use, and for 60 s otherwise.

--- a/src/batch/policy/capacity_index_base.cpp
+++ b/src/batch/policy/capacity_index_base.cpp
@@ -18,11 +18,18 @@
     return available < requested ? 0 : available / requested;
 }
 
-bool isOfKind(const WorkerCapacity& capacity, const ServiceName& service, const WorkerLabel& label)
+bool isOfKind(const WorkerCapacity& capacity, const WorkerKind& kind)
 {
-    if (capacity.service != service)
+    if (capacity.service != kind.service)
         return false;
-    return label.empty() || std::find(capacity.labels.begin(), capacity.labels.end(), label) != capacity.labels.end();
+    return kind.label.empty()
+        || std::find(capacity.labels.begin(), capacity.labels.end(), kind.label) != capacity.labels.end();
+}
+
+bool isOfAnyKind(const WorkerCapacity& capacity, absl::Span<const WorkerKind> kinds)
+{
+    return std::any_of(
+        kinds.begin(), kinds.end(), [&capacity](const WorkerKind& kind) { return isOfKind(capacity, kind); });
 }
 
 bool belongsToStep(const AllocatedRun& run, const PendingStep& pending)
@@ -100,7 +107,7 @@
 {
     if (pending.readySince > capacity.openToStepsReadyBy && pending.priority != 0)
         return false;
-    return isOfKind(capacity, pending.service, pending.spec->requiredLabel);
+    return isOfKind(capacity, { pending.service, pending.spec->requiredLabel });
 }
 
 std::size_t CapacityIndex::stepAllowance(const WorkerCapacity& capacity, const PendingStep& pending)
@@ -149,7 +156,7 @@
     capacity.freeAfterStops -= capacity.runs[run].demand;
 }
 
-void CapacityIndex::reserveEmptiest(const WorkerReserve& reserve, absl::Time openToStepsReadyBy)
+void CapacityIndex::reserveEmptiest(const WorkerReserve& reserve)
 {
     double missing = reserve.accelerators;
     const std::vector<const Rack*> racks = sortFullestFirst();
@@ -158,11 +165,9 @@
             if (missing <= 0)
                 return;
             WorkerCapacity& capacity = m_workers[worker];
-            const bool isReserved = capacity.openToStepsReadyBy != absl::InfiniteFuture();
-            if (isReserved || capacity.free.accelerators < reserve.minFreeAccelerators
-                || !isOfKind(capacity, reserve.service, reserve.label))
+            if (capacity.free.accelerators < reserve.minFreeAccelerators || !isOfAnyKind(capacity, reserve.kinds))
                 continue;
-            capacity.openToStepsReadyBy = openToStepsReadyBy;
+            capacity.openToStepsReadyBy = reserve.openToStepsReadyBy;
             missing -= capacity.free.accelerators;
         }
     }
--- a/src/batch/policy/capacity_index_base.h
+++ b/src/batch/policy/capacity_index_base.h
@@ -19,14 +19,24 @@
 // How many of the step's pending tasks fit into the available resources together.
 std::size_t countFittingTasks(const Resources& available, const PendingStep& pending);
 
-// A reserve of workers that have the label and run tasks of the service; an empty label stands for any.
-struct WorkerReserve {
+// A kind of worker: one that runs tasks of the service and has the label. An empty label stands for any.
+struct WorkerKind {
     ServiceName service;
     WorkerLabel label;
+
+    friend bool operator==(const WorkerKind&, const WorkerKind&) = default;
+};
+
+// A reserve of workers.
+struct WorkerReserve {
+    // Workers of no other kinds are reserved.
+    std::vector<WorkerKind> kinds;
     // How many free accelerators are reserved.
     double accelerators = 0;
     // Workers with fewer free accelerators are not reserved.
     std::int32_t minFreeAccelerators = 0;
+    // Steps that were ready by this time may use the reserved workers all the same.
+    absl::Time openToStepsReadyBy = absl::InfinitePast();
 };
 
 // Finds workers by rack, updates their free capacity while tasks are placed, and counts how often workers are examined:
@@ -71,10 +81,9 @@
     // Reverts `markStopping`.
     void unmarkStopping(std::size_t worker, std::size_t run);
 
-    // Reserves workers of the kind for tasks of priority 0, and for steps that were ready by the time, until they have
-    // the given number of free accelerators, beginning on the rack with the most free accelerators. Skips workers that
-    // are reserved already.
-    void reserveEmptiest(const WorkerReserve& reserve, absl::Time openToStepsReadyBy);
+    // Reserves workers for tasks of priority 0 until they have the reserve's accelerators, beginning on the rack with
+    // the most free accelerators.
+    void reserveEmptiest(const WorkerReserve& reserve);
 
 private:
     struct Rack {
--- a/src/batch/policy/priority_policy_base.cpp
+++ b/src/batch/policy/priority_policy_base.cpp
@@ -4,7 +4,6 @@
 #include <tuple>
 #include <utility>
 
-#include "absl/container/btree_map.h"
 #include "absl/container/flat_hash_map.h"
 #include "absl/strings/string_view.h"
 #include "batch/policy/eviction_search_base.h"
@@ -32,9 +31,11 @@
 constexpr double urgentReserveShare = 0.6;
 // Workers with fewer free accelerators are not reserved, because a large task would not fit there.
 constexpr std::int32_t minReservedAccelerators = 4;
-// How long a step waits for other workers than the reserved ones, while the workers are busy and otherwise.
-constexpr absl::Duration busyReserveWait = absl::Seconds(10);
-constexpr absl::Duration idleReserveWait = absl::Seconds(2);
+// How long a step waits for other workers than the reserved ones while more than this share of the accelerators is in
+// use, and otherwise.
+constexpr double scarceShare = 0.5;
+constexpr absl::Duration scarceReserveWait = absl::Seconds(60);
+constexpr absl::Duration ampleReserveWait = absl::Seconds(2);
 
 // The sort key of a step; steps with smaller keys are served first.
 auto serviceOrderKey(const PendingStep& pending, absl::Time now)
@@ -58,22 +59,26 @@
     return free + used == 0 ? 0 : static_cast<double>(used) / static_cast<double>(free + used);
 }
 
-// The reserves that urgent work needs: one for each kind of worker that urgent runs require, by the accelerators that
-// they occupy.
-std::vector<WorkerReserve> urgentReserves(absl::Span<const WorkerCapacity> workers)
+// The reserve for urgent work, on the kinds of worker that urgent runs require. `usedShare` is the share of all
+// accelerators that runs occupy.
+WorkerReserve urgentReserve(absl::Span<const WorkerCapacity> workers, double usedShare, absl::Time now)
 {
-    absl::btree_map<std::pair<ServiceName, WorkerLabel>, std::int64_t> used;
+    WorkerReserve reserve;
+    std::int64_t used = 0;
     for (const WorkerCapacity& capacity : workers) {
         for (const AllocatedRun& run : capacity.runs) {
-            if (run.priority == urgentPriority)
-                used[{ capacity.service, run.requiredLabel }] += run.demand.accelerators;
+            if (run.priority != urgentPriority)
+                continue;
+            used += run.demand.accelerators;
+            const WorkerKind kind { capacity.service, run.requiredLabel };
+            if (std::find(reserve.kinds.begin(), reserve.kinds.end(), kind) == reserve.kinds.end())
+                reserve.kinds.push_back(kind);
         }
     }
-    std::vector<WorkerReserve> reserves;
-    for (const auto& [kind, accelerators] : used)
-        reserves.push_back({ kind.first, kind.second, static_cast<double>(accelerators) * urgentReserveShare,
-            minReservedAccelerators });
-    return reserves;
+    reserve.accelerators = static_cast<double>(used) * urgentReserveShare;
+    reserve.minFreeAccelerators = minReservedAccelerators;
+    reserve.openToStepsReadyBy = now - (usedShare > scarceShare ? scarceReserveWait : ampleReserveWait);
+    return reserve;
 }
 
 // One allocation round over all workers.
@@ -88,8 +93,7 @@
     {
         // With a reserve, urgent work that arrives soon need not wait for evictions, and other tasks are not started
         // only to be evicted shortly after.
-        for (const WorkerReserve& reserve : urgentReserves(workers))
-            m_index.reserveEmptiest(reserve, now - (m_isBusy ? busyReserveWait : idleReserveWait));
+        m_index.reserveEmptiest(urgentReserve(workers, usedAcceleratorShare(workers), now));
     }
 
     // Places the step's tasks as far as they fit, and evicts runs for the rest if the step is urgent.
