--- a/src/batch/job/progress_record_type.h
+++ b/src/batch/job/progress_record_type.h
@@ -1,6 +1,7 @@
 // The progress of a job as it is kept in the store.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -64,6 +65,13 @@
     friend bool operator==(const StepProgress&, const StepProgress&) = default;
 };
 
+// Whether all tasks of the step are done.
+inline bool isStepDone(const StepProgress& step)
+{
+    return std::all_of(step.tasks.begin(), step.tasks.end(),
+        [](const TaskProgress& task) { return task.phase == TaskProgress::Phase::Done; });
+}
+
 // The progress of one occurrence, which is one pass through all steps of the job.
 struct OccurrenceProgress {
     // Occurrences are numbered from 0.
--- a/tests/batch/batch_worker_fault_test.cpp
+++ b/tests/batch/batch_worker_fault_test.cpp
@@ -12,6 +12,13 @@
 const std::string path = "/batch/00000000000000a1";
 const std::string id = "00000000000000a1";
 
+// Expects that the job is completed and that no worker has seen a rule broken.
+void expectCompleted(BatchCluster& cluster)
+{
+    EXPECT_EQ(cluster.phaseOf(path), JobPhase::Completed);
+    EXPECT_TRUE(cluster.workers().violations().empty()) << cluster.workers().violations().front();
+}
+
 TEST(BatchWorkerFault, RestartsTasksOfACutOffWorkerOnceItsLeaseMustHaveExpired)
 {
     BatchCluster cluster;
@@ -21,8 +28,7 @@
     ASSERT_EQ(cluster.workers().recordedRuns().size(), 1U);
     cluster.workers().setCutOff(cluster.workers().recordedRuns().front().worker, true);
     cluster.runFor(absl::Seconds(60));
-    EXPECT_EQ(cluster.phaseOf(path), JobPhase::Completed);
-    EXPECT_TRUE(cluster.workers().violations().empty());
+    expectCompleted(cluster);
 }
 
 TEST(BatchWorkerFault, RestartsTasksOfARestartedWorkerAtOnce)
@@ -50,8 +56,7 @@
     cluster.runFor(absl::Seconds(2));
     cluster.workers().setCutOff("w00-next", false);
     cluster.runFor(absl::Seconds(6));
-    EXPECT_EQ(cluster.phaseOf(path), JobPhase::Completed);
-    EXPECT_TRUE(cluster.workers().violations().empty()) << cluster.workers().violations().front();
+    expectCompleted(cluster);
 }
 
 // As above, and a new owner finds the run in the progress of the earlier one, and the row of the replaced worker.
@@ -67,8 +72,7 @@
     cluster.runFor(absl::Seconds(2));
     cluster.workers().setCutOff("w00-next", false);
     cluster.runFor(absl::Seconds(8));
-    EXPECT_EQ(cluster.phaseOf(path), JobPhase::Completed);
-    EXPECT_TRUE(cluster.workers().violations().empty()) << cluster.workers().violations().front();
+    expectCompleted(cluster);
 }
 
 // Guards against a second run of a task: an address is refused by an intermediary, and the worker runs on.
@@ -80,8 +84,7 @@
     cluster.runFor(absl::Seconds(1));
     cluster.workers().setMisdirected("w00", true);
     cluster.runFor(absl::Seconds(40));
-    EXPECT_EQ(cluster.phaseOf(path), JobPhase::Completed);
-    EXPECT_TRUE(cluster.workers().violations().empty()) << cluster.workers().violations().front();
+    expectCompleted(cluster);
 }
 
 // Guards against a second run of a task: a worker that was replaced returns under its name once what was on its way to
@@ -98,8 +101,7 @@
     cluster.runFor(absl::Seconds(15));
     cluster.workers().returnReplaced("w00");
     cluster.runFor(absl::Seconds(80));
-    EXPECT_EQ(cluster.phaseOf(path), JobPhase::Completed);
-    EXPECT_TRUE(cluster.workers().violations().empty()) << cluster.workers().violations().front();
+    expectCompleted(cluster);
 }
 
 // Guards against a second run of a task: an idle worker is restarted under its name, takes a start before the list of
@@ -149,8 +151,7 @@
     cluster.runFor(absl::Seconds(1));
     cluster.workers().drain(cluster.workers().recordedRuns().front().worker, absl::Seconds(1));
     cluster.runFor(absl::Seconds(12));
-    EXPECT_EQ(cluster.phaseOf(path), JobPhase::Completed);
-    EXPECT_TRUE(cluster.workers().violations().empty());
+    expectCompleted(cluster);
 }
 
 TEST(BatchWorkerFault, StartsNothingOnAWorkerThatDrains)
@@ -216,8 +217,7 @@
     for (std::size_t run = 4; run < 6; ++run)
         EXPECT_FALSE(drained.contains(cluster.workers().recordedRuns()[run].worker));
     cluster.runFor(absl::Seconds(10));
-    EXPECT_EQ(cluster.phaseOf(path), JobPhase::Completed);
-    EXPECT_TRUE(cluster.workers().violations().empty());
+    expectCompleted(cluster);
 }
 
 TEST(BatchWorkerFault, KeepsRunsThatEndBeforeTheirDrainingWorker)
@@ -247,8 +247,7 @@
     cluster.runFor(absl::Milliseconds(200));
     cluster.workers().isolate(worker);
     cluster.runFor(absl::Seconds(40));
-    EXPECT_EQ(cluster.phaseOf(path), JobPhase::Completed);
-    EXPECT_TRUE(cluster.workers().violations().empty()) << cluster.workers().violations().front();
+    expectCompleted(cluster);
 }
 
 // The log tells the first start command of a run from a repeated one, and says which got no reply and which were
