Fix: a removed job is not learned anew from an earlier read

Change: the revisions of the last removals are remembered; a record that is no newer is left out. JobRegistry.DoesNotLearnARemovedJobFromAnEarlierRead.

--- a/src/batch/owner/job_registry_base.cpp
+++ b/src/batch/owner/job_registry_base.cpp
@@ -10,14 +10,19 @@
     m_entries.clear();
     m_unmatchedProgress.clear();
     m_cancelled.clear();
+    m_removed.clear();
+    m_removalOrder.clear();
     m_dirty.clear();
     m_dirtyLater.clear();
     m_due.clear();
     m_postponed.clear();
 }
 
-bool JobRegistry::add(const Job& job)
+bool JobRegistry::add(const Job& job, Revision revision)
 {
+    const auto removed = m_removed.find(job.id.text());
+    if (removed != m_removed.end() && revision <= removed->second)
+        return false;
     const auto [found, isNew] = m_entries.try_emplace(job.id, job, m_limits);
     if (!isNew)
         return false;
@@ -173,8 +178,14 @@
     return jobs;
 }
 
-void JobRegistry::remove(const JobId& job)
+void JobRegistry::remove(const JobId& job, Revision revision)
 {
+    if (m_removed.insert_or_assign(job.str(), revision).second)
+        m_removalOrder.push_back(job.str());
+    if (m_removalOrder.size() > rememberedRemovals) {
+        m_removed.erase(m_removalOrder.front());
+        m_removalOrder.pop_front();
+    }
     m_entries.erase(job);
     m_due.set(job, absl::InfiniteFuture());
     m_postponed.set(job, absl::InfiniteFuture());
--- a/src/batch/owner/job_registry_base.h
+++ b/src/batch/owner/job_registry_base.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <limits>
 #include <string>
 #include <utility>
 #include <vector>
@@ -74,8 +75,9 @@
 
     void clear();
 
-    // Adds an accepted job. Returns false and changes nothing if the registry has it already.
-    bool add(const Job& job);
+    // Adds an accepted job by its record of this revision. Returns false and changes nothing if the registry has the
+    // job already, or has removed it later: a read that began before the removal may still show it.
+    bool add(const Job& job, Revision revision = unknownRevision);
     // Applies a progress record that an earlier owner has written. It may be read before or after its job.
     void addProgress(const JobId& job, ProgressRecord record, Revision revision);
     // Records the request to cancel a job, which may be read before the job.
@@ -113,9 +115,15 @@
     absl::Time nextDue() const { return m_due.next(); }
     // Up to `count` jobs that ended before the time, have no placed tasks, and whose progress is written.
     std::vector<JobId> endedBefore(absl::Time time, std::size_t count) const;
-    void remove(const JobId& job);
+    // Removes the job, which the store has done with this revision.
+    void remove(const JobId& job, Revision revision);
 
 private:
+    // Newer than every removal.
+    static constexpr Revision unknownRevision = std::numeric_limits<Revision>::max();
+    // How many removals are remembered; a read takes far less time than so many.
+    static constexpr std::size_t rememberedRemovals = 4096;
+
     struct StoredProgress {
         ProgressRecord record;
         Revision revision = 0;
@@ -134,6 +142,9 @@
     DueIndex<JobId> m_due;
     // Progress records whose job has not been read yet.
     absl::flat_hash_map<std::string, StoredProgress> m_unmatchedProgress;
+    // The revisions of the last removals, and their jobs in order.
+    absl::flat_hash_map<std::string, Revision> m_removed;
+    std::deque<std::string> m_removalOrder;
     // Jobs with a request to cancel them.
     absl::flat_hash_map<std::string, bool> m_cancelled;
     // Jobs whose progress has to be written, longest waiting first.
--- a/src/batch/owner/owner_load_cmd.cpp
+++ b/src/batch/owner/owner_load_cmd.cpp
@@ -120,7 +120,7 @@
     for (const Record& record : update.records) {
         const JobId id(record.key.name);
         if (const auto* job = std::get_if<Job>(&record.value)) {
-            addJob(*job, now);
+            addJob(*job, record.revision, now);
         } else if (std::holds_alternative<Cancellation>(record.value)) {
             m_jobs.addCancellation(id);
             if (m_loading.isDone)
@@ -132,9 +132,9 @@
     m_loading.hasJobs = m_loading.hasJobs || update.isComplete;
 }
 
-void OwnerPart::addJob(const Job& job, absl::Time now)
+void OwnerPart::addJob(const Job& job, Revision revision, absl::Time now)
 {
-    if (!m_jobs.add(job) || !m_loading.isDone)
+    if (!m_jobs.add(job, revision) || !m_loading.isDone)
         return;
     DecisionEffect decision;
     decision.kind = DecisionEffect::Kind::JobAdded;
--- a/src/batch/owner/owner_part_base.h
+++ b/src/batch/owner/owner_part_base.h
@@ -59,7 +59,7 @@
     void applyCounts(const StoreReply& reply, absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void applyJobs(const CollectionUpdate& update, absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void applyWorkers(const CollectionUpdate& update, absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
-    void addJob(const Job& job, absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    void addJob(const Job& job, Revision revision, absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void cancelJob(const JobId& job, absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void stopRunsOf(JobEntry& entry, absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void stopGangOf(JobEntry& entry, const RunKey& run, absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
--- a/src/batch/owner/progress_writer_base.cpp
+++ b/src/batch/owner/progress_writer_base.cpp
@@ -141,7 +141,7 @@
     m_jobsPerCommit = std::min(maxJobsPerCommit, m_jobsPerCommit + std::max<std::size_t>(1, m_inFlight.size()));
     m_inFlight.clear();
     for (const JobId& job : std::exchange(m_removals, {}))
-        m_jobs.remove(job);
+        m_jobs.remove(job, revision);
     if (std::exchange(m_isWritingCounts, false)) {
         m_writtenCounts = m_counts;
         m_countsRevision = revision;
--- a/tests/batch/job_registry_test.cpp
+++ b/tests/batch/job_registry_test.cpp
@@ -43,6 +43,18 @@
     EXPECT_TRUE(jobs.takeDirty(9, true).empty());
 }
 
+// Guards against a job that is run again long after its end: a read that began before its removal still shows it.
+TEST(JobRegistry, DoesNotLearnARemovedJobFromAnEarlierRead)
+{
+    JobRegistry jobs;
+    EXPECT_TRUE(jobs.add(jobOf("a"), 3));
+    jobs.remove(JobId("a"), 9);
+    EXPECT_FALSE(jobs.add(jobOf("a"), 3));
+    EXPECT_TRUE(jobs.entries().empty());
+    // The same id, submitted after the removal.
+    EXPECT_TRUE(jobs.add(jobOf("a"), 12));
+}
+
 // Guards against a queue that says that no job waits (MIXED): a placed task has not started until a worker shows it.
 TEST(JobRegistry, CountsAJobAsWaitingUntilATaskHasStarted)
 {
