Fix: stops to a silent worker are repeated ever more rarely

Change: the delay doubles up to 4 s, and begins anew once the worker replies to a poll. WorkerSessionTest.RepeatsStopsToASilentWorkerEverMoreRarely.

--- a/src/batch/worker/run_slot_type.h
+++ b/src/batch/worker/run_slot_type.h
@@ -68,6 +68,8 @@
     // A start or a stop command was sent and its call has not ended.
     bool isStartPending = false;
     bool isStopPending = false;
+    // The stop commands without a reply since the worker last replied to a poll after it had been silent.
+    int unansweredStops = 0;
     // When the worker last confirmed a start or a stop of the run.
     absl::Time confirmedAt = absl::InfiniteFuture();
     // The start, in Unix milliseconds, of the process that the run was placed on. The start is repeated there only.
--- a/src/batch/worker/worker_session_base.h
+++ b/src/batch/worker/worker_session_base.h
@@ -245,6 +245,8 @@
     void extendLeaseBound(absl::Time now);
     // Makes the call renew the lease if the worker's clock is known.
     void grantLease(DueCall& due, absl::Time now);
+    // Delay before a stop is repeated that got no reply.
+    static absl::Duration stopRetryPeriod(int unansweredStops);
     // When the next start or stop command of the run is due.
     absl::Time commandDueAt(const RunSlot& slot) const;
 
--- a/src/batch/worker/worker_session_call_cmd.cpp
+++ b/src/batch/worker/worker_session_call_cmd.cpp
@@ -10,6 +10,8 @@
 constexpr absl::Duration callTimeout = absl::Milliseconds(800);
 // Delay before a command that got no reply is sent again.
 constexpr absl::Duration commandRetryPeriod = absl::Milliseconds(250);
+// How often that delay doubles for stops: up to 4 s.
+constexpr int maxStopDoublings = 4;
 // A worker that gets more starts at the same time may not reply to all of them in time.
 constexpr int maxPendingStarts = 32;
 // Interval between polls of a worker that does not reply.
@@ -28,6 +30,13 @@
 
 } // namespace
 
+// The delay doubles with each stop without a reply, so that few arrive together at a worker that was cut off.
+absl::Duration WorkerSession::stopRetryPeriod(int unansweredStops)
+{
+    const int doublings = std::min(unansweredStops, maxStopDoublings);
+    return commandRetryPeriod * (1 << doublings);
+}
+
 bool WorkerSession::hasLiveRuns() const
 {
     return std::any_of(
@@ -83,7 +92,7 @@
     // A stop does not wait for the reply to the start: it bars a start that has not arrived.
     if (slot.isStopWanted) {
         const bool isDone = slot.isStopPending || slot.isStopConfirmed || slot.end.number != 0;
-        return isDone ? absl::InfiniteFuture() : slot.stopSentAt + commandRetryPeriod;
+        return isDone ? absl::InfiniteFuture() : slot.stopSentAt + stopRetryPeriod(slot.unansweredStops);
     }
     // A start renews the lease, so none is sent to a worker that does not reply: its lease has to expire.
     const bool mayStart = m_mayStart && isProcessCertain() && m_processEntry && !isAcknowledgementPending()
--- a/src/batch/worker/worker_session_reply_cmd.cpp
+++ b/src/batch/worker/worker_session_reply_cmd.cpp
@@ -81,6 +81,8 @@
         handleFailedStart(context, reply, update);
     if (mayBeExecuted && context.kind == SessionCall::Kind::Poll && context.renewsLease)
         update.unansweredRenewal = context.processStartMs;
+    if (const auto found = m_runs.find(context.run); context.kind == SessionCall::Kind::Stop && found != m_runs.end())
+        ++found->second.unansweredStops;
     recordFailedCall(reply.status, update);
 }
 
@@ -160,6 +162,8 @@
     if (!isPoll)
         return;
     update.isFound = m_failedCalls > 0 || !m_hasAnswered;
+    for (auto& [run, slot] : m_runs)
+        slot.unansweredStops = 0;
     m_failedCalls = 0;
     m_isUnreachable = false;
     m_hasAnswered = true;
--- a/tests/batch/worker_session_start_test.cpp
+++ b/tests/batch/worker_session_start_test.cpp
@@ -506,6 +506,29 @@
     }
 }
 
+// Guards against a load of stops that reach a worker together at the end of a cut.
+TEST_F(WorkerSessionTest, RepeatsStopsToASilentWorkerEverMoreRarely)
+{
+    settle();
+    m_session.handleReply(startRun(runOf(0)), answerOf(5100), m_now);
+    m_session.stop(runOf(0), m_now);
+    int stops = 0;
+    for (const absl::Time end = m_now + absl::Seconds(6); m_now < end; m_now += absl::Milliseconds(50)) {
+        takeCalls();
+        for (const DueCall& call : std::exchange(m_pending, {})) {
+            stops += call.context.kind == SessionCall::Kind::Stop ? 1 : 0;
+            m_session.handleReply(call.context, noAnswer(), m_now);
+        }
+    }
+    EXPECT_LE(stops, 6);
+    // A worker that replies again gets the stop at once.
+    m_now += absl::Seconds(1);
+    WorkerReply list = answerOf(12200);
+    list.running = { { runOf(0), "", 10 } };
+    m_session.handleReply(due(SessionCall::Kind::Poll).context, list, m_now);
+    EXPECT_TRUE(isDue(SessionCall::Kind::Stop));
+}
+
 // Guards against starts that get no reply in time since a worker gets too many at once.
 TEST_F(WorkerSessionTest, SendsOnlySoManyStartsAtOnce)
 {
