Feature: logs say why a job has nothing running, and when a guaranteed job has begun

Change: jobHeld with the reason and the time, guaranteeMet with the times from acceptance to start, workerQuarantined; runEvicted names the job that gets the room. Lines about single runs, workers and requests have a limit of their own. No decision changes.

--- a/src/adapters/observe/decision_log_base.cpp
+++ b/src/adapters/observe/decision_log_base.cpp
@@ -15,9 +15,11 @@
 
 namespace {
 
-// The token bucket that limits the rate of lines: its refill rate and its capacity in lines.
-constexpr double maxLinesPerSecond = 400;
-constexpr double maxBurstLines = 800;
+// The limits on lines about single runs and requests, and on all others: lines per second, and lines at once.
+constexpr double maxFrequentLinesPerSecond = 400;
+constexpr double maxFrequentLinesAtOnce = 800;
+constexpr double maxOtherLinesPerSecond = 100;
+constexpr double maxOtherLinesAtOnce = 400;
 // The capacity of the queue between the threads that log and the thread that writes.
 constexpr int maxBufferedLines = 512;
 // An allocation round that takes less time is counted but not logged.
@@ -28,7 +30,34 @@
     "jobGuaranteed", "reclaimDue", "choiceMade", "runPlaced", "runEnded", "runEvicted", "runStopped", "workerFound",
     "workerLost", "ownershipTaken", "ownershipLost", "manifestTaken", "storeLost", "storeRegained", "recordUnreadable",
     "startSent", "startUnanswered", "startBarred", "workerListOld", "workerListCurrent", "renewalUnanswered",
-    "recordRefused" };
+    "recordRefused", "jobHeld", "guaranteeMet", "workerQuarantined" };
+
+// Whether the decision is about a single run or request, of which a busy node handles hundreds a second.
+bool isFrequent(DecisionEffect::Kind kind)
+{
+    using Kind = DecisionEffect::Kind;
+    switch (kind) {
+    case Kind::Submitted:
+    case Kind::Queried:
+    case Kind::Cancelled:
+    case Kind::Refused:
+    case Kind::JobAdded:
+    case Kind::JobEnded:
+    case Kind::RunPlaced:
+    case Kind::RunEnded:
+    case Kind::RunEvicted:
+    case Kind::RunStopped:
+    case Kind::WorkerFound:
+    case Kind::WorkerLost:
+    case Kind::StartSent:
+    case Kind::StartUnanswered:
+    case Kind::StartBarred:
+    case Kind::RenewalUnanswered:
+        return true;
+    default:
+        return false;
+    }
+}
 
 void setUnlessEmpty(nlohmann::json& line, const char* field, const std::string& text)
 {
@@ -46,6 +75,19 @@
     line["jobsAgeMs"] = absl::ToInt64Milliseconds(allocation.jobsAge);
 }
 
+void setUnlessInfinite(nlohmann::json& line, const char* field, absl::Duration duration)
+{
+    if (duration != absl::InfiniteDuration())
+        line[field] = absl::ToInt64Milliseconds(duration);
+}
+
+void setStartTimes(nlohmann::json& line, const StartTimes& times)
+{
+    setUnlessInfinite(line, "learnedMs", times.added);
+    setUnlessInfinite(line, "evictedMs", times.firstEviction);
+    setUnlessInfinite(line, "placedMs", times.lastPlacement);
+}
+
 nlohmann::json toLine(const DecisionEffect& decision)
 {
     nlohmann::json line = { { "event", std::string(kindNames[static_cast<std::size_t>(decision.kind)]) } };
@@ -64,10 +106,11 @@
         line["workerProcess"] = decision.workerProcessStartMs;
     if (decision.rowProcessStartMs != 0)
         line["entryProcess"] = decision.rowProcessStartMs;
-    if (decision.age != absl::InfiniteDuration())
-        line["ageMs"] = absl::ToInt64Milliseconds(decision.age);
+    setUnlessInfinite(line, "ageMs", decision.age);
     if (decision.allocation)
         setAllocation(line, *decision.allocation);
+    if (decision.startTimes)
+        setStartTimes(line, *decision.startTimes);
     return line;
 }
 
@@ -98,8 +141,8 @@
 DecisionLog::DecisionLog(NodeName self, const Clock& clock)
     : m_self(std::move(self))
     , m_clock(clock)
-    , m_lineTokens(maxBurstLines)
-    , m_refilledAt(clock.now())
+    , m_frequentLines(maxFrequentLinesPerSecond, maxFrequentLinesAtOnce, clock.now())
+    , m_otherLines(maxOtherLinesPerSecond, maxOtherLinesAtOnce, clock.now())
 {
     static_assert(std::size(kindNames) == kindCount);
 }
@@ -110,7 +153,7 @@
     if (decision.allocation && decision.age < slowAllocationThreshold)
         return;
     const absl::Time now = m_clock.now();
-    if (tryConsumeLineToken(now))
+    if (mayWriteLine(isFrequent(decision.kind), now))
         write(toLine(decision), now);
 }
 
@@ -118,7 +161,7 @@
 {
     const absl::Time now = m_clock.now();
     const absl::optional<SlowEventReport> report = m_eventLoad.add(timing, now);
-    if (!report || !tryConsumeLineToken(now))
+    if (!report || !mayWriteLine(false, now))
         return;
     write({ { "event", "partBehind" }, { "part", std::string(report->part) },
               { "kind", std::string(report->eventKind) }, { "waitedMs", absl::ToInt64Milliseconds(timing.waitTime) },
@@ -141,18 +184,14 @@
         { "timeMs", absl::ToUnixMillis(m_clock.now()) } });
 }
 
-bool DecisionLog::tryConsumeLineToken(absl::Time now)
+bool DecisionLog::mayWriteLine(bool isFrequent, absl::Time now)
 {
     absl::MutexLock lock(&m_rateMutex);
-    const double newTokens = absl::ToDoubleSeconds(now - m_refilledAt) * maxLinesPerSecond;
-    m_lineTokens = std::min(maxBurstLines, m_lineTokens + newTokens);
-    m_refilledAt = now;
-    if (m_lineTokens < 1) {
-        ++m_droppedLines;
-        return false;
-    }
-    m_lineTokens -= 1;
-    return true;
+    TokenBucket& lines = isFrequent ? m_frequentLines : m_otherLines;
+    if (lines.tryTake(now))
+        return true;
+    ++m_droppedLines;
+    return false;
 }
 
 void DecisionLog::count(const DecisionEffect& decision)
--- a/src/adapters/observe/decision_log_base.h
+++ b/src/adapters/observe/decision_log_base.h
@@ -15,14 +15,16 @@
 #include "adapters/observe/event_load_base.h"
 #include "batch/ports/observer_port.h"
 #include "core/name_type.h"
+#include "core/token_bucket_base.h"
 #include "nlohmann/json_fwd.hpp"
 #include "ports/clock_port.h"
 
 namespace mangohall::batch {
 
 // Counts each decision and logs it as one JSON line, except allocation rounds that take little time. Also measures how
-// long events wait and take, and logs slow ones. Lines that exceed a rate limit are dropped and counted. Logging never
-// blocks. Safe to call from several threads.
+// long events wait and take, and logs slow ones. Lines that exceed a rate limit are dropped and counted; lines about
+// single runs and requests have a limit of their own, so that many of them displace no others. Logging never blocks.
+// Safe to call from several threads.
 class DecisionLog : public ObserverPort {
 public:
     // `self` is the name of the node that each line has. The clock has to outlive the log.
@@ -54,12 +56,13 @@
     };
 
     // The number of enumerators of `DecisionEffect::Kind`.
-    static constexpr std::size_t kindCount = static_cast<std::size_t>(DecisionEffect::Kind::RecordRefused) + 1;
+    static constexpr std::size_t kindCount = static_cast<std::size_t>(DecisionEffect::Kind::WorkerQuarantined) + 1;
 
     // Adds the name of the node and the time to the line and logs it.
     void write(nlohmann::json line, absl::Time now) const;
-    // Whether the rate limit admits another line; counts a dropped line otherwise.
-    bool tryConsumeLineToken(absl::Time now);
+    // Whether the rate limit admits another line, of the frequent kinds or of the others; counts a dropped line
+    // otherwise.
+    bool mayWriteLine(bool isFrequent, absl::Time now);
     // Adds the decision to the metrics.
     void count(const DecisionEffect& decision);
 
@@ -68,10 +71,8 @@
     std::array<Shard, kindCount> m_shards;
     EventLoad m_eventLoad;
     mutable absl::Mutex m_rateMutex;
-    // The lines that may be logged at once; refilled at a constant rate up to a limit.
-    double m_lineTokens ABSL_GUARDED_BY(m_rateMutex);
-    // The time of the last refill.
-    absl::Time m_refilledAt ABSL_GUARDED_BY(m_rateMutex);
+    TokenBucket m_frequentLines ABSL_GUARDED_BY(m_rateMutex);
+    TokenBucket m_otherLines ABSL_GUARDED_BY(m_rateMutex);
     // Lines dropped because of the rate limit.
     std::uint64_t m_droppedLines ABSL_GUARDED_BY(m_rateMutex) = 0;
 };
--- a/src/batch/job/job_progress_base.cpp
+++ b/src/batch/job/job_progress_base.cpp
@@ -166,6 +166,20 @@
     return isNew || isSettledAnew;
 }
 
+bool JobProgress::haveFirstTasksBegun() const
+{
+    if (m_record.occurrences.empty())
+        return false;
+    const OccurrenceProgress& first = m_record.occurrences.front();
+    for (std::size_t step = 0; step < first.steps.size(); ++step) {
+        const std::vector<TaskProgress>& tasks = first.steps[step].tasks;
+        const bool isFirst = m_job.spec.steps[step].after.empty();
+        if (isFirst && !std::all_of(tasks.begin(), tasks.end(), hasStarted))
+            return false;
+    }
+    return true;
+}
+
 std::vector<TaskRef> JobProgress::startableDoneTasks() const
 {
     return tasksWith([](const TaskProgress& task) { return task.mayStartAgain; });
--- a/src/batch/job/job_progress_base.h
+++ b/src/batch/job/job_progress_base.h
@@ -74,6 +74,8 @@
     bool isLastAttemptStarted(const TaskRef& task) const;
     // Whether a task of the job has started, as far as a worker has shown it.
     bool hasBegun() const { return m_hasBegun; }
+    // Whether every task that depends on no other has been started at least once, as far as a worker has shown it.
+    bool haveFirstTasksBegun() const;
 
     // Records the end of a run. `Done` completes the task, whichever attempt it is, unless the step is long-running.
     // Any other end returns the task to the waiting tasks, but only if this attempt is the one that is placed. Ends of
--- a/src/batch/node/event_type.h
+++ b/src/batch/node/event_type.h
@@ -157,6 +157,13 @@
     absl::Duration jobsAge;
 };
 
+// When the owner dealt with a job, counted from the job's acceptance. Infinite if it did not, or another owner did.
+struct StartTimes {
+    absl::Duration added = absl::InfiniteDuration();
+    absl::Duration firstEviction = absl::InfiniteDuration();
+    absl::Duration lastPlacement = absl::InfiniteDuration();
+};
+
 // A decision, or a change that the node has detected, for logs and metrics. Empty fields are left out of the log.
 struct DecisionEffect {
     // The decision log names the kinds by their position.
@@ -198,6 +205,12 @@
         RenewalUnanswered,
         // The store refuses the progress of a job as invalid, as it does with one that is too large.
         RecordRefused,
+        // No task of a job was placed although one may start, and why; for jobs that have waited for a while.
+        JobHeld,
+        // All first tasks of a job have started that a guarantee covers.
+        GuaranteeMet,
+        // The worker gets no new work for a while, because it seems to be faulty.
+        WorkerQuarantined,
     };
     Kind kind = Kind::Submitted;
     std::string job;
@@ -217,6 +230,8 @@
     absl::Duration age = absl::InfiniteDuration();
     // Present for allocation rounds only.
     absl::optional<AllocationStats> allocation;
+    // Present for guarantees that are met only.
+    absl::optional<StartTimes> startTimes;
 };
 
 using Effect = std::variant<WakeAtEffect, StoreEffect, WorkerEffect, AnswerEffect, NotifyEffect, ReadyEffect,
--- a/src/batch/owner/allocation_input_func.cpp
+++ b/src/batch/owner/allocation_input_func.cpp
@@ -151,6 +151,18 @@
     return waitingSince + guaranteeBound;
 }
 
+// Whether a task of the job runs, by all that the workers have replied.
+bool isAnyTaskRunning(const JobProgress& progress, const WorkerRegistry& workers)
+{
+    const std::vector<TaskRef> placed = progress.placedTasks();
+    return std::any_of(placed.begin(), placed.end(), [&](const TaskRef& task) {
+        const TaskProgress& found = *progress.find(task);
+        const auto session = workers.sessions().find(found.worker);
+        return session != workers.sessions().end()
+            && session->second.isRunning({ { progress.job().id, task }, found.attempt });
+    });
+}
+
 PendingStep describeStep(JobEntry& entry, ReadyStep ready, absl::Time now)
 {
     const JobProgress& progress = entry.progress;
@@ -163,6 +175,7 @@
     pending.service = progress.job().service;
     pending.priority = progress.job().terms.priority;
     pending.targetEnd = targetEndOf(progress, ready.occurrence);
+    pending.jobIdleSince = entry.wait.idleSince();
     pending.readySince = entry.readySince.try_emplace({ ready.occurrence, ready.step }, now).first->second;
     return pending;
 }
@@ -179,22 +192,34 @@
     return usable;
 }
 
-std::vector<PendingStep> describeSteps(
-    absl::Span<JobEntry* const> entries, const JobNames& guaranteed, absl::Duration guaranteeBound, absl::Time now)
+void addGuarantee(PendingStep& pending, const JobProgress& progress, absl::Duration guaranteeBound, absl::Time now)
+{
+    pending.isGuaranteed = true;
+    pending.startBy = startByOf(progress, pending, guaranteeBound);
+    pending.mayReclaim = now >= pending.startBy - reclaimLead;
+}
+
+std::vector<PendingStep> describeSteps(absl::Span<JobEntry* const> entries, const WorkerRegistry& workers,
+    const JobNames& guaranteed, absl::Duration guaranteeBound, absl::Time now)
 {
     std::vector<PendingStep> steps;
     for (JobEntry* entry : entries) {
         // A placement would not become durable.
         if (entry->isWrittenAlone)
             continue;
-        for (ReadyStep& ready : entry->progress.readySteps()) {
-            steps.push_back(describeStep(*entry, std::move(ready), now));
+        std::vector<ReadyStep> ready = entry->progress.readySteps();
+        if (ready.empty())
+            continue;
+        if (isAnyTaskRunning(entry->progress, workers))
+            entry->wait.recordRunning();
+        else
+            entry->wait.recordIdle(now);
+        for (ReadyStep& step : ready) {
+            steps.push_back(describeStep(*entry, std::move(step), now));
             PendingStep& pending = steps.back();
-            pending.isGuaranteed = guaranteed.contains(entry->progress.job().id.text());
-            if (!pending.isGuaranteed)
-                continue;
-            pending.startBy = startByOf(entry->progress, pending, guaranteeBound);
-            pending.mayReclaim = now >= pending.startBy - reclaimLead;
+            if (guaranteed.contains(entry->progress.job().id.text()))
+                addGuarantee(pending, entry->progress, guaranteeBound, now);
+            pending.wantsReason = entry->wait.takeReasonDue(pending.mayReclaim, now);
         }
     }
     return steps;
@@ -208,7 +233,7 @@
     const std::vector<JobEntry*> entries = unfinishedEntries(jobs);
     const JobNames guaranteed = guaranteedJobs(entries, routes);
     AllocationInput input;
-    input.pendingSteps = describeSteps(entries, guaranteed, guaranteeBound, now);
+    input.pendingSteps = describeSteps(entries, workers, guaranteed, guaranteeBound, now);
     if (!input.pendingSteps.empty())
         input.workers = describeWorkers(workers, jobs, guaranteed, now);
     return input;
--- a/src/batch/owner/job_registry_base.h
+++ b/src/batch/owner/job_registry_base.h
@@ -14,6 +14,7 @@
 #include "absl/types/span.h"
 #include "batch/job/job_progress_base.h"
 #include "batch/owner/due_index_base.h"
+#include "batch/owner/job_wait_base.h"
 #include "batch/store/record_type.h"
 
 namespace mangohall::batch {
@@ -58,9 +59,11 @@
     // The store has refused the progress as invalid, so it is written without that of other jobs.
     bool isWrittenAlone = false;
     PendingWork pending;
-    // Whether it has been logged that a guarantee covers the job, and that the guarantee is enforced by eviction.
+    // Whether it has been logged that a guarantee covers the job, that it is enforced by eviction, and that it is met.
     bool isGuaranteeLogged = false;
     bool isReclaimLogged = false;
+    bool isGuaranteeMetLogged = false;
+    JobWait wait;
     // The time since when each ready step has been ready, by occurrence and step.
     absl::btree_map<std::pair<std::int32_t, std::int32_t>, absl::Time> readySince;
 };
--- /dev/null
+++ b/src/batch/owner/job_wait_base.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <algorithm>
+
+#include "absl/time/time.h"
+#include "absl/types/optional.h"
+#include "batch/policy/allocation_type.h"
+
+namespace mangohall::batch {
+
+// How long a job waits for its tasks to run, and why, as far as this owner has seen it. Not safe to call from several
+// threads.
+class JobWait {
+public:
+    // Records that a task of the job runs.
+    void recordRunning()
+    {
+        m_idleSince = absl::InfiniteFuture();
+        m_reason.reset();
+    }
+    // Records that none runs although one may start.
+    void recordIdle(absl::Time now) { m_idleSince = std::min(m_idleSince, now); }
+    // Since when none has run although one may start; the infinite future while one runs.
+    absl::Time idleSince() const { return m_idleSince; }
+
+    // Whether to find out now why the tasks wait: if the job has been idle for a while, or waits under a guarantee that
+    // is to be enforced, and at most at an interval.
+    bool takeReasonDue(bool isGuaranteeEnforced, absl::Time now)
+    {
+        const bool isLong = isGuaranteeEnforced || now - m_idleSince >= unremarkableIdleTime;
+        if (!isLong || now - m_reasonSoughtAt < reasonPeriod)
+            return false;
+        m_reasonSoughtAt = now;
+        return true;
+    }
+    // Records why the tasks wait. Returns whether that differs from the last reason since a task has run.
+    bool recordReason(HoldReason reason)
+    {
+        if (m_reason == reason)
+            return false;
+        m_reason = reason;
+        return true;
+    }
+
+    // Record when the owner has learned of the job, and when it made room for it, or placed a task of it.
+    void recordAdded(absl::Time now) { m_addedAt = now; }
+    void recordEviction(absl::Time now) { m_firstEvictionAt = std::min(m_firstEvictionAt, now); }
+    void recordPlacement(absl::Time now) { m_lastPlacementAt = now; }
+    // The infinite future for what has not happened.
+    absl::Time addedAt() const { return m_addedAt; }
+    absl::Time firstEvictionAt() const { return m_firstEvictionAt; }
+    absl::Time lastPlacementAt() const { return m_lastPlacementAt; }
+
+private:
+    static constexpr absl::Duration unremarkableIdleTime = absl::Seconds(1);
+    static constexpr absl::Duration reasonPeriod = absl::Milliseconds(500);
+
+    absl::Time m_idleSince = absl::InfiniteFuture();
+    absl::Time m_reasonSoughtAt = absl::InfinitePast();
+    absl::optional<HoldReason> m_reason;
+    absl::Time m_addedAt = absl::InfiniteFuture();
+    absl::Time m_firstEvictionAt = absl::InfiniteFuture();
+    absl::Time m_lastPlacementAt = absl::InfiniteFuture();
+};
+
+} // namespace mangohall::batch
--- a/src/batch/owner/owner_load_cmd.cpp
+++ b/src/batch/owner/owner_load_cmd.cpp
@@ -143,6 +143,7 @@
     decision.organisation = job.organisation.str();
     decision.age = now - job.acceptedAt;
     m_outbox.log(std::move(decision));
+    m_jobs.find(job.id)->wait.recordAdded(now);
     m_isAllocationDue = true;
     if (m_jobs.isCancelled(job.id))
         cancelJob(job.id, now);
--- a/src/batch/owner/owner_log_cmd.cpp
+++ b/src/batch/owner/owner_log_cmd.cpp
@@ -80,6 +80,52 @@
     }
 }
 
+void OwnerPart::logHeldJobs(absl::Span<const HeldStep> held, absl::Time now)
+{
+    for (const HeldStep& step : held) {
+        JobEntry& entry = *m_jobs.find(step.job);
+        if (!entry.wait.recordReason(step.reason))
+            continue;
+        DecisionEffect decision;
+        decision.kind = DecisionEffect::Kind::JobHeld;
+        decision.job = step.job.str();
+        decision.queue = entry.progress.job().queue.str();
+        decision.outcome = std::string(holdReasonName(step.reason));
+        decision.epoch = m_ownership.epoch();
+        decision.age = now - entry.wait.idleSince();
+        m_outbox.log(std::move(decision));
+    }
+}
+
+void OwnerPart::logGuaranteeMet(JobEntry& entry, absl::Time now)
+{
+    if (!entry.isGuaranteeLogged || entry.isGuaranteeMetLogged || !entry.progress.haveFirstTasksBegun())
+        return;
+    entry.isGuaranteeMetLogged = true;
+    const Job& job = entry.progress.job();
+    const auto sinceAcceptance = [&job](absl::Time time) {
+        return time == absl::InfiniteFuture() ? absl::InfiniteDuration() : time - job.acceptedAt;
+    };
+    DecisionEffect decision;
+    decision.kind = DecisionEffect::Kind::GuaranteeMet;
+    decision.job = job.id.str();
+    decision.organisation = job.organisation.str();
+    decision.age = now - job.acceptedAt;
+    decision.startTimes = { sinceAcceptance(entry.wait.addedAt()), sinceAcceptance(entry.wait.firstEvictionAt()),
+        sinceAcceptance(entry.wait.lastPlacementAt()) };
+    m_outbox.log(std::move(decision));
+}
+
+void OwnerPart::logQuarantine(const WorkerName& worker, absl::Duration duration)
+{
+    DecisionEffect decision;
+    decision.kind = DecisionEffect::Kind::WorkerQuarantined;
+    decision.worker = worker.str();
+    decision.epoch = m_ownership.epoch();
+    decision.age = duration;
+    m_outbox.log(std::move(decision));
+}
+
 void OwnerPart::logStart(const WorkerUpdate& update)
 {
     if (update.session.unansweredStart)
--- a/src/batch/owner/owner_part_base.h
+++ b/src/batch/owner/owner_part_base.h
@@ -70,7 +70,8 @@
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     // Whether a start of the run may still be executed by the worker.
     bool mayStillStart(const RunKey& run, const WorkerName& worker) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
-    void recordStarted(const RunKey& run, const WorkerName& worker) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    void recordStarted(const RunKey& run, const WorkerName& worker, absl::Time now)
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void handleRunningRow(const RunningRow& row, const WorkerName& worker, absl::Time now)
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void recordHealth(const EndedRun& ended, const WorkerName& worker, absl::Time now)
@@ -89,6 +90,7 @@
     // Runs one allocation round: places tasks and stops the evicted runs.
     void allocate(absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void place(absl::Span<const Placement> placements, absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    void evict(absl::Span<const Eviction> evictions, absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void placeRun(const RunKey& run, const WorkerName& worker, absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void advance(absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     // Drops what was placed and not sent, so that the next owner finds no start in doubt that was not sent.
@@ -105,6 +107,11 @@
     void logAllocation(const Allocation& allocation, const AllocationInput& input, absl::Duration took, absl::Time now)
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void logGuarantees(const AllocationInput& input, absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    // Logs why steps were not placed, unless it has been logged already.
+    void logHeldJobs(absl::Span<const HeldStep> held, absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    // Logs once that all first tasks of a job have started that a guarantee covers.
+    void logGuaranteeMet(JobEntry& entry, absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    void logQuarantine(const WorkerName& worker, absl::Duration duration) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     // Logs what became of a start command.
     void logStart(const WorkerUpdate& update) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void logUnansweredRenewal(const WorkerUpdate& update) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
--- a/src/batch/owner/owner_part_cmd.cpp
+++ b/src/batch/owner/owner_part_cmd.cpp
@@ -145,9 +145,16 @@
     if (!m_hasPendingSteps)
         return;
     logAllocation(allocation, input, ended - begun, now);
+    logHeldJobs(allocation.held, now);
     place(allocation.placements, now);
-    for (const Eviction& eviction : allocation.evictions) {
-        logRun(DecisionEffect::Kind::RunEvicted, eviction.run, eviction.worker, "");
+    evict(allocation.evictions, now);
+}
+
+void OwnerPart::evict(absl::Span<const Eviction> evictions, absl::Time now)
+{
+    for (const Eviction& eviction : evictions) {
+        m_jobs.find(eviction.beneficiary)->wait.recordEviction(now);
+        logRun(DecisionEffect::Kind::RunEvicted, eviction.run, eviction.worker, "", eviction.beneficiary.text());
         stopRun(eviction.run, eviction.worker, StopReason::Evicted, now);
     }
 }
@@ -172,6 +179,7 @@
     entry.progress.place(task, run.attempt, worker, session.describeProcess(session.processStartMs()));
     entry.pending.placed.push_back({ run, worker });
     entry.readySince.erase({ task.occurrence, task.step });
+    entry.wait.recordPlacement(now);
     m_jobs.markDirty(entry);
     logRun(DecisionEffect::Kind::RunPlaced, run, worker, "");
 }
--- a/src/batch/owner/owner_run_cmd.cpp
+++ b/src/batch/owner/owner_run_cmd.cpp
@@ -91,7 +91,7 @@
     if (update.session.isFound)
         m_isAllocationDue = true;
     if (update.session.confirmedStart)
-        recordStarted(*update.session.confirmedStart, update.worker);
+        recordStarted(*update.session.confirmedStart, update.worker, now);
     for (const EndedRun& ended : update.session.ended)
         handleRunEnd(ended, update, now);
     for (const RunningRow& row : update.session.running)
@@ -106,7 +106,8 @@
     const RunReview review = reviewRuns(*session, m_jobs, now);
     for (const RunKey& run : review.stalled) {
         const StepSpec& spec = m_jobs.find(run.task.job)->progress.stepSpec(run.task.task.step);
-        session->health().recordStall(run.task.job, spec.isGang, now);
+        if (session->health().recordStall(run.task.job, spec.isGang, now))
+            logQuarantine(worker, session->health().quarantinedUntil() - now);
     }
     for (const RelocatedRun& relocated : review.toRelocate)
         stopRun(relocated.run, worker, relocated.reason, now);
@@ -119,8 +120,8 @@
         return;
     if (ended.end == RunEnd::Done)
         session->health().recordCompletion();
-    else if (ended.end == RunEnd::Failed)
-        session->health().recordFailure(ended.run.task.job, now);
+    else if (ended.end == RunEnd::Failed && session->health().recordFailure(ended.run.task.job, now))
+        logQuarantine(worker, session->health().quarantinedUntil() - now);
 }
 
 void OwnerPart::handleRunEnd(const EndedRun& ended, const WorkerUpdate& update, absl::Time now)
@@ -139,7 +140,7 @@
     const bool isChanged
         = entry != nullptr && entry->progress.recordEnd(task, ended.run.attempt, ended.end, ended.checkpoint, now);
     if (showsStart(ended.end))
-        recordStarted(ended.run, update.worker);
+        recordStarted(ended.run, update.worker, now);
     // The progress that makes the end irrelevant may not be written yet, for instance because another member has ended
     // the gang.
     const bool isDurable = !isChanged && (entry == nullptr || !(entry->isDirty || entry->isWriting));
@@ -169,7 +170,7 @@
 }
 
 // The next owner need not wait for the starts of a run that has shown, unless one may still be executed.
-void OwnerPart::recordStarted(const RunKey& run, const WorkerName& worker)
+void OwnerPart::recordStarted(const RunKey& run, const WorkerName& worker, absl::Time now)
 {
     JobEntry* entry = m_jobs.find(run.task.job);
     if (entry == nullptr)
@@ -180,6 +181,8 @@
         shownBy = session->second.describeProcess(session->second.processOf(run));
     if (entry->progress.recordStarted(run.task.task, run.attempt, mayStillStart(run, worker), shownBy))
         m_jobs.markDirtyLater(*entry);
+    entry->wait.recordRunning();
+    logGuaranteeMet(*entry, now);
 }
 
 void OwnerPart::handleRunningRow(const RunningRow& row, const WorkerName& worker, absl::Time now)
@@ -187,7 +190,7 @@
     JobEntry* entry = m_jobs.find(row.run.task.job);
     const TaskRef& task = row.run.task.task;
     if (entry != nullptr && entry->progress.isCurrentRun(task, row.run.attempt, worker)) {
-        recordStarted(row.run, worker);
+        recordStarted(row.run, worker, now);
         entry->progress.recordCheckpoint(task, row.run.attempt, row.checkpoint);
         return;
     }
--- a/src/batch/owner/run_name_func.cpp
+++ b/src/batch/owner/run_name_func.cpp
@@ -81,4 +81,19 @@
     return "workerUnavailable";
 }
 
+absl::string_view holdReasonName(HoldReason reason)
+{
+    switch (reason) {
+    case HoldReason::NoCapacity:
+        return "noCapacity";
+    case HoldReason::AwaitsEvictions:
+        return "awaitsEvictions";
+    case HoldReason::Reserved:
+        return "reserved";
+    case HoldReason::AwaitsRack:
+        break;
+    }
+    return "awaitsRack";
+}
+
 } // namespace mangohall::batch
--- a/src/batch/owner/run_name_func.h
+++ b/src/batch/owner/run_name_func.h
@@ -1,4 +1,4 @@
-// The names of runs and of their ends in logs.
+// The names of runs, of their ends and of the reasons for decisions in logs.
 #pragma once
 
 #include <string>
@@ -6,6 +6,7 @@
 #include "absl/strings/string_view.h"
 #include "batch/job/job_type.h"
 #include "batch/owner/stop_reason_type.h"
+#include "batch/policy/allocation_type.h"
 #include "batch/worker/worker_session_base.h"
 
 namespace mangohall::batch {
@@ -18,5 +19,7 @@
 absl::string_view endEvidenceName(EndEvidence evidence);
 // The name of the reason for a stop.
 absl::string_view stopReasonName(StopReason reason);
+// The name of the reason why a step is not placed.
+absl::string_view holdReasonName(HoldReason reason);
 
 } // namespace mangohall::batch
--- a/src/batch/policy/allocation_type.h
+++ b/src/batch/policy/allocation_type.h
@@ -76,6 +76,28 @@
     absl::Time startBy = absl::InfiniteFuture();
     // The target completion time of the job.
     absl::Time targetEnd;
+    // Since when no task of the job has run although one may start; the infinite future while one runs.
+    absl::Time jobIdleSince = absl::InfiniteFuture();
+    // The result should say why tasks of the step are not placed. Finding that out examines each worker once more.
+    bool wantsReason = false;
+};
+
+// Why tasks of a step are not placed.
+enum class HoldReason {
+    // No worker has enough free capacity.
+    NoCapacity,
+    // Runs are being stopped, so that the tasks fit later.
+    AwaitsEvictions,
+    // The workers with enough free capacity are reserved for urgent work.
+    Reserved,
+    // The racks that the step prefers have too little free capacity, and it still waits for them.
+    AwaitsRack,
+};
+
+// A step of which no task was placed.
+struct HeldStep {
+    JobId job;
+    HoldReason reason = HoldReason::NoCapacity;
 };
 
 // A task and the worker that it starts on.
@@ -88,12 +110,16 @@
 struct Eviction {
     RunKey run;
     WorkerName worker;
+    // The job whose tasks get the capacity.
+    JobId beneficiary;
 };
 
 // The result of one allocation round.
 struct Allocation {
     std::vector<Placement> placements;
     std::vector<Eviction> evictions;
+    // The steps that want a reason and of which no task was placed.
+    std::vector<HeldStep> held;
     // How often the round examined a worker for a step; a worker counts each time.
     std::int64_t workersExamined = 0;
 };
--- a/src/batch/policy/capacity_index_base.cpp
+++ b/src/batch/policy/capacity_index_base.cpp
@@ -107,6 +107,11 @@
 {
     if (pending.readySince > capacity.openToStepsReadyBy && pending.priority != 0)
         return false;
+    return isSuitable(capacity, pending);
+}
+
+bool CapacityIndex::isSuitable(const WorkerCapacity& capacity, const PendingStep& pending)
+{
     return isOfKind(capacity, { pending.service, pending.spec->requiredLabel });
 }
 
--- a/src/batch/policy/capacity_index_base.h
+++ b/src/batch/policy/capacity_index_base.h
@@ -68,6 +68,8 @@
     // Whether the step's tasks may run on the worker at all: the service, the required label and the reservation allow
     // it. Does not check the free capacity.
     static bool isEligible(const WorkerCapacity& capacity, const PendingStep& pending);
+    // The same, but whether or not the worker is reserved.
+    static bool isSuitable(const WorkerCapacity& capacity, const PendingStep& pending);
     // How many more tasks of the step the worker may run under the step's `maxPerWorker`.
     static std::size_t stepAllowance(const WorkerCapacity& capacity, const PendingStep& pending);
 
--- a/src/batch/policy/eviction_search_base.cpp
+++ b/src/batch/policy/eviction_search_base.cpp
@@ -206,7 +206,7 @@
         const auto& stopped = std::get<RunPosition>(move);
         m_index.markStopping(stopped.worker, stopped.run);
         const WorkerCapacity& capacity = m_index.at(stopped.worker);
-        evictions.push_back({ capacity.runs[stopped.run].run, capacity.worker });
+        evictions.push_back({ capacity.runs[stopped.run].run, capacity.worker, pending.job });
     }
     return evictions;
 }
--- a/src/batch/policy/priority_policy_base.cpp
+++ b/src/batch/policy/priority_policy_base.cpp
@@ -99,10 +99,16 @@
     // Places the step's tasks as far as they fit, and evicts runs for the rest if the step is urgent.
     void serve(const PendingStep& pending)
     {
+        const std::size_t placed = m_allocation.placements.size();
+        const std::size_t evicted = m_allocation.evictions.size();
         if (pending.spec->isGang)
             serveGang(pending);
         else
             serveTasks(pending);
+        if (!pending.wantsReason || m_allocation.placements.size() > placed)
+            return;
+        const bool hasEvicted = m_allocation.evictions.size() > evicted;
+        m_allocation.held.push_back({ pending.job, hasEvicted ? HoldReason::AwaitsEvictions : holdReasonOf(pending) });
     }
 
     // Moves the result out of the round.
@@ -141,6 +147,27 @@
         return candidates;
     }
 
+    // Why no task of the step was placed on the workers as they are now.
+    HoldReason holdReasonOf(const PendingStep& pending) const
+    {
+        const std::size_t needed = pending.spec->isGang ? pending.indices.size() : 1;
+        std::size_t fitting = 0;
+        std::size_t fittingUnreserved = 0;
+        for (const std::size_t worker : m_index.workersOn(RackName())) {
+            const WorkerCapacity& capacity = m_index.examine(worker);
+            if (!CapacityIndex::isSuitable(capacity, pending))
+                continue;
+            const std::size_t tasks
+                = std::min(countFittingTasks(capacity.free, pending), CapacityIndex::stepAllowance(capacity, pending));
+            fitting += tasks;
+            if (CapacityIndex::isEligible(capacity, pending))
+                fittingUnreserved += tasks;
+        }
+        if (fitting < needed)
+            return HoldReason::NoCapacity;
+        return fittingUnreserved < needed ? HoldReason::Reserved : HoldReason::AwaitsRack;
+    }
+
     void serveTasks(const PendingStep& pending)
     {
         const std::vector<RackName> racks = candidateRacks(pending);
--- a/src/batch/worker/worker_health_base.cpp
+++ b/src/batch/worker/worker_health_base.cpp
@@ -27,29 +27,30 @@
     m_quarantinedUntil = absl::InfinitePast();
 }
 
-void WorkerHealth::recordFailure(const JobId& job, absl::Time now)
+bool WorkerHealth::recordFailure(const JobId& job, absl::Time now)
 {
-    addEvidence(job, failureWeight, now);
+    return addEvidence(job, failureWeight, now);
 }
 
-void WorkerHealth::recordStall(const JobId& job, bool isGang, absl::Time now)
+bool WorkerHealth::recordStall(const JobId& job, bool isGang, absl::Time now)
 {
-    addEvidence(job, isGang ? gangStallWeight : stallWeight, now);
+    return addEvidence(job, isGang ? gangStallWeight : stallWeight, now);
 }
 
-void WorkerHealth::addEvidence(const JobId& job, double weight, absl::Time now)
+bool WorkerHealth::addEvidence(const JobId& job, double weight, absl::Time now)
 {
     if (std::find(m_countedJobs.begin(), m_countedJobs.end(), job) != m_countedJobs.end())
-        return;
+        return false;
     m_countedJobs.push_back(job);
     m_faultWeight += weight;
     if (m_faultWeight < quarantineWeight)
-        return;
+        return false;
     m_quarantinedUntil = now + backoffCeiling(firstQuarantine, longestQuarantine, m_quarantines);
     ++m_quarantines;
     // After the quarantine a failure of one more job is enough for the next.
     m_faultWeight = quarantineWeight - failureWeight;
     m_countedJobs.clear();
+    return true;
 }
 
 double WorkerHealth::failureSuspicion() const
--- a/src/batch/worker/worker_health_base.h
+++ b/src/batch/worker/worker_health_base.h
@@ -14,20 +14,23 @@
 public:
     // Records a completed task. Clears all evidence against the worker and ends its quarantine.
     void recordCompletion();
-    // Records a failed task of the job.
-    void recordFailure(const JobId& job, absl::Time now);
+    // Records a failed task of the job. Returns whether that begins a quarantine.
+    bool recordFailure(const JobId& job, absl::Time now);
     // Records that the progress of a task has stalled. The members of a gang stall together, so a gang member counts
-    // for less.
-    void recordStall(const JobId& job, bool isGang, absl::Time now);
+    // for less. Returns whether that begins a quarantine.
+    bool recordStall(const JobId& job, bool isGang, absl::Time now);
 
     // Whether the worker is quarantined and gets no new work. The quarantine expires, and the worker is tried again.
     bool isQuarantined(absl::Time now) const { return now < m_quarantinedUntil; }
+    // When the last quarantine ends; the infinite past if a task was completed since.
+    absl::Time quarantinedUntil() const { return m_quarantinedUntil; }
     // The share of the evidence needed for a quarantine that has been collected, 0 to 1. Workers with a smaller value
     // are preferred.
     double failureSuspicion() const;
 
 private:
-    void addEvidence(const JobId& job, double weight, absl::Time now);
+    // Returns whether the evidence begins a quarantine.
+    bool addEvidence(const JobId& job, double weight, absl::Time now);
 
     // Jobs already counted in the fault weight. Each job counts once until a task completes on the worker.
     std::vector<JobId> m_countedJobs;
--- a/src/batch/worker/worker_session_base.cpp
+++ b/src/batch/worker/worker_session_base.cpp
@@ -71,6 +71,12 @@
     return isListed() && isProcessCertain() && m_processEntry && !m_entry.isDraining && now >= from;
 }
 
+bool WorkerSession::isRunning(const RunKey& run) const
+{
+    const auto found = m_runs.find(run);
+    return isReachable() && found != m_runs.end() && found->second.stage == RunSlot::Stage::Running;
+}
+
 Resources WorkerSession::freeCapacity() const
 {
     Resources capacity = entry().capacity;
--- a/src/batch/worker/worker_session_base.h
+++ b/src/batch/worker/worker_session_base.h
@@ -86,6 +86,8 @@
     // Whether a start of the run may still be executed, now or by a later process. Until none may, the run keeps its
     // capacity, and its task may run nowhere else.
     bool mayStillStart(const RunKey& run) const { return m_commands.mayStart(run); }
+    // Whether the worker runs the run, by all that it has replied; false while it does not reply.
+    bool isRunning(const RunKey& run) const;
     // When the process started that has the run, in Unix milliseconds; 0 if that is unknown.
     std::int64_t processOf(const RunKey& run) const;
     // What the record of a task says of a process of this worker, given by its start.
