--- a/tests/batch/priority_policy_test.cpp
+++ b/tests/batch/priority_policy_test.cpp
@@ -4,79 +4,12 @@
 #include <set>
 
 #include "absl/strings/str_cat.h"
+#include "batch/policy_builders_func.h"
 #include "gtest/gtest.h"
 
 namespace mangohall::batch {
 namespace {
 
-const absl::Time now = absl::FromUnixSeconds(1700000000);
-
-// Racks of workers with 8 accelerators each.
-std::vector<WorkerCapacity> makeWorkers(int racks, int workersPerRack)
-{
-    std::vector<WorkerCapacity> workers;
-    for (int rack = 0; rack < racks; ++rack) {
-        for (int worker = 0; worker < workersPerRack; ++worker) {
-            WorkerCapacity capacity;
-            capacity.worker = WorkerName(absl::StrCat("w", rack, worker));
-            capacity.rack = RackName(absl::StrCat("r", rack));
-            capacity.free = { 128000, 1 << 30, 8 };
-            capacity.freeAfterStops = capacity.free;
-            workers.push_back(capacity);
-        }
-    }
-    return workers;
-}
-
-// Adds a run that may be evicted to the worker.
-void occupy(WorkerCapacity& capacity, const std::string& job, int accelerators, double evictionCost, int priority = 2)
-{
-    AllocatedRun run;
-    run.run.task.job = JobId(job);
-    run.run.task.task.index = static_cast<std::int32_t>(capacity.runs.size());
-    run.demand = { 1000, 1, accelerators };
-    run.priority = priority;
-    run.isEvictable = true;
-    run.evictionCost = evictionCost;
-    capacity.free -= run.demand;
-    capacity.freeAfterStops -= run.demand;
-    capacity.runs.push_back(run);
-}
-
-StepSpec specOf(int tasks, int accelerators)
-{
-    StepSpec spec;
-    spec.taskCount = tasks;
-    spec.demand = { 1000, 1, accelerators };
-    spec.estimate = absl::Seconds(4);
-    return spec;
-}
-
-PendingStep pendingStepOf(const std::string& job, const StepSpec& spec, int priority)
-{
-    PendingStep pending;
-    pending.job = JobId(job);
-    pending.spec = &spec;
-    pending.priority = priority;
-    pending.readySince = now;
-    pending.targetEnd = now + absl::Seconds(5);
-    for (std::int32_t index = 0; index < spec.taskCount; ++index)
-        pending.indices.push_back(index);
-    return pending;
-}
-
-// The names of the racks that tasks were placed on.
-std::set<std::string> racksOf(const Allocation& allocation, absl::Span<const WorkerCapacity> workers)
-{
-    std::set<std::string> racks;
-    for (const Placement& placement : allocation.placements) {
-        const auto found = std::find_if(workers.begin(), workers.end(),
-            [&placement](const WorkerCapacity& candidate) { return candidate.worker == placement.worker; });
-        racks.insert(found->rack.str());
-    }
-    return racks;
-}
-
 // Long runs with different eviction costs fill all workers when an urgent task arrives.
 TEST(PriorityPolicy, EvictsWhatLosesLeastForUrgentWork)
 {
@@ -186,19 +119,6 @@
     EXPECT_EQ(racksOf(allocation, before).size(), 1U);
 }
 
-// A task runs three times as long far from its data, so it waits for the rack of its data, but only for a limited time.
-TEST(PriorityPolicy, WaitsForARackNearTheDataForAWhile)
-{
-    std::vector<WorkerCapacity> workers = makeWorkers(2, 1);
-    occupy(workers[0], "x", 8, 1);
-    StepSpec spec = specOf(1, 4);
-    spec.dataRack = RackName("r0");
-    PendingStep pending = pendingStepOf("near", spec, 1);
-    EXPECT_TRUE(PriorityPolicy().allocate(workers, { pending }, now).placements.empty());
-    pending.readySince = now - absl::Seconds(30);
-    EXPECT_EQ(PriorityPolicy().allocate(workers, { pending }, now).placements.size(), 1U);
-}
-
 // Small tasks must not spread over all workers, because tasks that need a whole worker would then find none.
 TEST(PriorityPolicy, PacksSmallTasksSoThatWholeWorkersStayFree)
 {
@@ -230,77 +150,6 @@
     EXPECT_EQ(all.placements.front().task.job, JobId("guaranteed"));
 }
 
-// While urgent jobs arrive all the time, batch work that takes all free workers would be evicted shortly after its
-// start.
-TEST(PriorityPolicy, ReservesEmptyWorkersWhileUrgentWorkRuns)
-{
-    std::vector<WorkerCapacity> workers = makeWorkers(1, 4);
-    occupy(workers[0], "urgent", 8, 1, 0);
-    occupy(workers[1], "urgent", 8, 1, 0);
-    const StepSpec spec = specOf(2, 8);
-    std::vector<WorkerCapacity> first = workers;
-    EXPECT_EQ(PriorityPolicy().allocate(first, { pendingStepOf("batch", spec, 2) }, now).placements.size(), 0U);
-    EXPECT_EQ(PriorityPolicy().allocate(workers, { pendingStepOf("more", spec, 0) }, now).placements.size(), 2U);
-}
-
-// Guards against a job that waits beside idle workers which the urgent work could not use either.
-TEST(PriorityPolicy, ReservesOnlyWorkersThatUrgentWorkCanUse)
-{
-    for (const bool isOtherService : { true, false }) {
-        std::vector<WorkerCapacity> workers = makeWorkers(1, 4);
-        occupy(workers[0], "urgent", 8, 1, 0);
-        occupy(workers[1], "urgent", 8, 1, 0);
-        workers[0].runs.front().requiredLabel = WorkerLabel("a");
-        workers[1].runs.front().requiredLabel = WorkerLabel("a");
-        StepSpec spec = specOf(2, 8);
-        for (const std::size_t idle : { 2, 3 }) {
-            workers[idle].labels = { WorkerLabel("b") };
-            if (isOtherService)
-                workers[idle].service = ServiceName("other");
-        }
-        PendingStep batch = pendingStepOf("batch", spec, 2);
-        batch.service = workers[2].service;
-        EXPECT_EQ(PriorityPolicy().allocate(workers, { batch }, now).placements.size(), 2U);
-    }
-}
-
-// Guards against a reserve without a bound in time.
-TEST(PriorityPolicy, OpensTheReserveToStepsThatHaveWaitedLong)
-{
-    std::vector<WorkerCapacity> workers = makeWorkers(1, 8);
-    for (const std::size_t busy : { 0, 1, 2 })
-        occupy(workers[busy], "urgent", 8, 1, 0);
-    const StepSpec spec = specOf(5, 8);
-    PendingStep batch = pendingStepOf("batch", spec, 2);
-    batch.readySince = now - absl::Seconds(1);
-    std::vector<WorkerCapacity> first = workers;
-    EXPECT_EQ(PriorityPolicy().allocate(first, { batch }, now).placements.size(), 3U);
-    batch.readySince = now - absl::Seconds(3);
-    EXPECT_EQ(PriorityPolicy().allocate(workers, { batch }, now).placements.size(), 5U);
-}
-
-// While most workers are busy, the reserve lasts longer.
-TEST(PriorityPolicy, KeepsTheReserveLongerWhileTheWorkersAreBusy)
-{
-    std::vector<WorkerCapacity> workers = makeWorkers(1, 8);
-    for (const std::size_t busy : { 0, 1, 2, 3, 4 })
-        occupy(workers[busy], "urgent", 8, 1, 0);
-    const StepSpec spec = specOf(3, 8);
-    PendingStep batch = pendingStepOf("batch", spec, 2);
-    batch.readySince = now - absl::Seconds(59);
-    std::vector<WorkerCapacity> first = workers;
-    EXPECT_TRUE(PriorityPolicy().allocate(first, { batch }, now).placements.empty());
-    batch.readySince = now - absl::Seconds(61);
-    EXPECT_EQ(PriorityPolicy().allocate(workers, { batch }, now).placements.size(), 3U);
-}
-
-TEST(PriorityPolicy, ReservesNothingWithoutUrgentWork)
-{
-    std::vector<WorkerCapacity> workers = makeWorkers(1, 4);
-    const StepSpec spec = specOf(4, 8);
-    EXPECT_EQ(PriorityPolicy().allocate(workers, { pendingStepOf("batch", spec, 2) }, now).placements.size(), 4U);
-}
-
 TEST(PriorityPolicy, KeepsToLabelsAndTheLimitPerWorker)
 {
     std::vector<WorkerCapacity> workers = makeWorkers(1, 2);
--- /dev/null
+++ b/tests/batch/priority_policy_wait_test.cpp
@@ -0,0 +1,96 @@
+// Tests how long steps wait for better workers: for those near their data, on one rack, or not reserved.
+#include <set>
+
+#include "batch/policy/priority_policy_base.h"
+#include "batch/policy_builders_func.h"
+#include "gtest/gtest.h"
+
+namespace mangohall::batch {
+namespace {
+
+// A task runs three times as long far from its data, so it waits for the rack of its data, but only for a limited time.
+TEST(PriorityPolicy, WaitsForARackNearTheDataForAWhile)
+{
+    std::vector<WorkerCapacity> workers = makeWorkers(2, 1);
+    occupy(workers[0], "x", 8, 1);
+    StepSpec spec = specOf(1, 4);
+    spec.dataRack = RackName("r0");
+    PendingStep pending = pendingStepOf("near", spec, 1);
+    EXPECT_TRUE(PriorityPolicy().allocate(workers, { pending }, now).placements.empty());
+    pending.readySince = now - absl::Seconds(30);
+    EXPECT_EQ(PriorityPolicy().allocate(workers, { pending }, now).placements.size(), 1U);
+}
+
+// While urgent jobs arrive all the time, batch work that takes all free workers would be evicted shortly after its
+// start.
+TEST(PriorityPolicy, ReservesEmptyWorkersWhileUrgentWorkRuns)
+{
+    std::vector<WorkerCapacity> workers = makeWorkers(1, 4);
+    occupy(workers[0], "urgent", 8, 1, 0);
+    occupy(workers[1], "urgent", 8, 1, 0);
+    const StepSpec spec = specOf(2, 8);
+    std::vector<WorkerCapacity> first = workers;
+    EXPECT_EQ(PriorityPolicy().allocate(first, { pendingStepOf("batch", spec, 2) }, now).placements.size(), 0U);
+    EXPECT_EQ(PriorityPolicy().allocate(workers, { pendingStepOf("more", spec, 0) }, now).placements.size(), 2U);
+}
+
+// Guards against a job that waits beside idle workers which the urgent work could not use either.
+TEST(PriorityPolicy, ReservesOnlyWorkersThatUrgentWorkCanUse)
+{
+    for (const bool isOtherService : { true, false }) {
+        std::vector<WorkerCapacity> workers = makeWorkers(1, 4);
+        occupy(workers[0], "urgent", 8, 1, 0);
+        occupy(workers[1], "urgent", 8, 1, 0);
+        workers[0].runs.front().requiredLabel = WorkerLabel("a");
+        workers[1].runs.front().requiredLabel = WorkerLabel("a");
+        StepSpec spec = specOf(2, 8);
+        for (const std::size_t idle : { 2, 3 }) {
+            workers[idle].labels = { WorkerLabel("b") };
+            if (isOtherService)
+                workers[idle].service = ServiceName("other");
+        }
+        PendingStep batch = pendingStepOf("batch", spec, 2);
+        batch.service = workers[2].service;
+        EXPECT_EQ(PriorityPolicy().allocate(workers, { batch }, now).placements.size(), 2U);
+    }
+}
+
+// Guards against a reserve without a bound in time.
+TEST(PriorityPolicy, OpensTheReserveToStepsThatHaveWaitedLong)
+{
+    std::vector<WorkerCapacity> workers = makeWorkers(1, 8);
+    for (const std::size_t busy : { 0, 1, 2 })
+        occupy(workers[busy], "urgent", 8, 1, 0);
+    const StepSpec spec = specOf(5, 8);
+    PendingStep batch = pendingStepOf("batch", spec, 2);
+    batch.readySince = now - absl::Seconds(1);
+    std::vector<WorkerCapacity> first = workers;
+    EXPECT_EQ(PriorityPolicy().allocate(first, { batch }, now).placements.size(), 3U);
+    batch.readySince = now - absl::Seconds(3);
+    EXPECT_EQ(PriorityPolicy().allocate(workers, { batch }, now).placements.size(), 5U);
+}
+
+// While most workers are busy, the reserve lasts longer.
+TEST(PriorityPolicy, KeepsTheReserveLongerWhileTheWorkersAreBusy)
+{
+    std::vector<WorkerCapacity> workers = makeWorkers(1, 8);
+    for (const std::size_t busy : { 0, 1, 2, 3, 4 })
+        occupy(workers[busy], "urgent", 8, 1, 0);
+    const StepSpec spec = specOf(3, 8);
+    PendingStep batch = pendingStepOf("batch", spec, 2);
+    batch.readySince = now - absl::Seconds(59);
+    std::vector<WorkerCapacity> first = workers;
+    EXPECT_TRUE(PriorityPolicy().allocate(first, { batch }, now).placements.empty());
+    batch.readySince = now - absl::Seconds(61);
+    EXPECT_EQ(PriorityPolicy().allocate(workers, { batch }, now).placements.size(), 3U);
+}
+
+TEST(PriorityPolicy, ReservesNothingWithoutUrgentWork)
+{
+    std::vector<WorkerCapacity> workers = makeWorkers(1, 4);
+    const StepSpec spec = specOf(4, 8);
+    EXPECT_EQ(PriorityPolicy().allocate(workers, { pendingStepOf("batch", spec, 2) }, now).placements.size(), 4U);
+}
+
+} // namespace
+} // namespace mangohall::batch
