Fix: a run that outlasts its expected end is not waited for

Cause: capacity of a run that is expected to end within 0.6 s counts as good as free, and nothing is evicted for it. That held without end: a run that stands still or slows down shortly before its expected end kept an urgent gang waiting for as long as it lasted.

Change: only until 0.6 s after the expected end; then the run may be evicted as any other.

Evidence: WorkerSessionTest.ExpectsNoEndOfARunThatHasOutlastedItsExpectedEnd failed with the old condition.

--- a/src/batch/owner/allocation_input_func.cpp
+++ b/src/batch/owner/allocation_input_func.cpp
@@ -72,7 +72,7 @@
         worker.runs.push_back(describeRun(run, slot, session.mayStillStart(run), jobs, guaranteed, now));
         // Waiting for a run that is about to end takes no longer than stopping another run.
         AllocatedRun& allocatedRun = worker.runs.back();
-        if (allocatedRun.isStopping || WorkerSession::remainingTime(slot, now) > stopTime)
+        if (allocatedRun.isStopping || !WorkerSession::isAboutToEnd(slot, stopTime, now))
             continue;
         allocatedRun.isStopping = true;
         worker.freeAfterStops += allocatedRun.demand;
--- a/src/batch/worker/worker_session_base.cpp
+++ b/src/batch/worker/worker_session_base.cpp
@@ -202,4 +202,12 @@
     return untilThen - (now - slot.percentChangedAt);
 }
 
+bool WorkerSession::isAboutToEnd(const RunSlot& slot, absl::Duration within, absl::Time now)
+{
+    // Progress is reported in whole percents, so the expected end may be too early.
+    constexpr absl::Duration longestOverrun = absl::Milliseconds(600);
+    const absl::Duration remaining = remainingTime(slot, now);
+    return remaining <= within && remaining >= -longestOverrun;
+}
+
 } // namespace mangohall::batch
--- a/src/batch/worker/worker_session_base.h
+++ b/src/batch/worker/worker_session_base.h
@@ -161,6 +161,9 @@
     // Estimates the remaining time of a run from its progress so far; infinite if the progress is too small for an
     // estimate.
     static absl::Duration remainingTime(const RunSlot& slot, absl::Time now);
+    // Whether the run is expected to end by itself within the time. A run that has outlasted its expected end for a
+    // while is not: it may stand still.
+    static bool isAboutToEnd(const RunSlot& slot, absl::Duration within, absl::Time now);
 
     // Drops and returns the runs whose start was not sent.
     std::vector<EndedRun> takeUnsentRuns();
--- a/tests/batch/worker_session_test.cpp
+++ b/tests/batch/worker_session_test.cpp
@@ -54,6 +54,24 @@
     EXPECT_EQ(WorkerSession::remainingTime(m_session.runs().at(runOf(0)), m_now), absl::Milliseconds(600));
 }
 
+// Guards against urgent work that waits for a run which stands still shortly before its expected end.
+TEST_F(WorkerSessionTest, ExpectsNoEndOfARunThatHasOutlastedItsExpectedEnd)
+{
+    settle();
+    m_session.handleReply(startRun(runOf(0)), answerOf(5100), m_now);
+    m_now += absl::Seconds(4);
+    WorkerReply reply = answerOf(9100);
+    reply.running = { { runOf(0), "", 80 } };
+    m_session.handleReply(due(SessionCall::Kind::Poll).context, reply, m_now);
+    const RunSlot& slot = m_session.runs().at(runOf(0));
+    const absl::Time expectedEnd = m_now + absl::Seconds(1);
+    const absl::Duration within = absl::Milliseconds(500);
+    EXPECT_FALSE(WorkerSession::isAboutToEnd(slot, within, expectedEnd - absl::Milliseconds(600)));
+    EXPECT_TRUE(WorkerSession::isAboutToEnd(slot, within, expectedEnd - absl::Milliseconds(400)));
+    EXPECT_TRUE(WorkerSession::isAboutToEnd(slot, within, expectedEnd + absl::Milliseconds(500)));
+    EXPECT_FALSE(WorkerSession::isAboutToEnd(slot, within, expectedEnd + absl::Seconds(1)));
+}
+
 TEST_F(WorkerSessionTest, KeepsCapacityUntilAStoppedRunIsListedAsEnded)
 {
     settle();
