Fix: a step waits for no rack that cannot hold it

Cause: a step that prefers one rack, and a guarantee covers, waits for a rack until 1.5 s before its latest start, any other up to 15 s, even if no rack is large enough: 18 whole workers where a rack has 8. Meanwhile runs are evicted for it only on racks, where the gang never fits, that is none.

Change: only racks that could hold the gang, or a task, if nothing else ran there are waited for.

Evidence: BatchWait.EvictsAtOnceForAGuaranteedGangThatNoRackCanHold, BatchWait.WaitsForNoRackThatCannotHoldAGang and two tests of PriorityPolicy failed before (the first three on or with this change undone).

--- a/src/batch/policy/allocation_type.h
+++ b/src/batch/policy/allocation_type.h
@@ -76,8 +76,9 @@
     absl::Time startBy = absl::InfiniteFuture();
     // The target completion time of the job.
     absl::Time targetEnd;
-    // Since when no task of the job has run although one may start; the infinite future while one runs.
-    absl::Time jobIdleSince = absl::InfiniteFuture();
+    // The step has waited for so long that one task of it, or its whole gang, is to start wherever there is room; each
+    // task of a long-running step.
+    bool isOverdue = false;
     // The result should say why tasks of the step are not placed. Finding that out examines each worker once more.
     bool wantsReason = false;
 };
--- a/src/batch/policy/capacity_index_base.cpp
+++ b/src/batch/policy/capacity_index_base.cpp
@@ -32,6 +32,15 @@
         kinds.begin(), kinds.end(), [&capacity](const WorkerKind& kind) { return isOfKind(capacity, kind); });
 }
 
+// The resources of the worker, free or not.
+Resources totalOf(const WorkerCapacity& capacity)
+{
+    Resources total = capacity.free;
+    for (const AllocatedRun& run : capacity.runs)
+        total += run.demand;
+    return total;
+}
+
 bool belongsToStep(const AllocatedRun& run, const PendingStep& pending)
 {
     const TaskKey& task = run.run.task;
@@ -63,6 +72,7 @@
 {
     std::iota(m_allWorkers.begin(), m_allWorkers.end(), std::size_t { 0 });
     m_rackByWorker.reserve(workers.size());
+    m_totals.reserve(workers.size());
     for (const std::size_t worker : m_allWorkers) {
         const auto [found, isNew] = m_rackByName.try_emplace(workers[worker].rack.text(), m_racks.size());
         if (isNew)
@@ -71,6 +81,7 @@
         rack.workers.push_back(worker);
         rack.freeAccelerators += workers[worker].free.accelerators;
         m_rackByWorker.push_back(found->second);
+        m_totals.push_back(totalOf(workers[worker]));
     }
 }
 
@@ -115,6 +126,21 @@
     return isOfKind(capacity, { pending.service, pending.spec->requiredLabel });
 }
 
+bool CapacityIndex::mayEverFit(const PendingStep& pending, std::size_t count, const RackName& rack) const
+{
+    const auto limit = static_cast<std::size_t>(std::max(0, pending.spec->maxPerWorker));
+    std::size_t tasks = 0;
+    for (const std::size_t worker : workersOn(rack)) {
+        if (tasks >= count)
+            break;
+        if (!isSuitable(examine(worker), pending))
+            continue;
+        const std::size_t fitting = countFittingTasks(m_totals[worker], pending);
+        tasks += limit == 0 ? fitting : std::min(fitting, limit);
+    }
+    return tasks >= count;
+}
+
 std::size_t CapacityIndex::stepAllowance(const WorkerCapacity& capacity, const PendingStep& pending)
 {
     if (pending.spec->maxPerWorker <= 0)
--- a/src/batch/policy/capacity_index_base.h
+++ b/src/batch/policy/capacity_index_base.h
@@ -70,6 +70,9 @@
     static bool isEligible(const WorkerCapacity& capacity, const PendingStep& pending);
     // The same, but whether or not the worker is reserved.
     static bool isSuitable(const WorkerCapacity& capacity, const PendingStep& pending);
+    // Whether `count` tasks of the step would fit on the rack if nothing else ran there. An empty rack name means all
+    // racks together.
+    bool mayEverFit(const PendingStep& pending, std::size_t count, const RackName& rack) const;
     // How many more tasks of the step the worker may run under the step's `maxPerWorker`.
     static std::size_t stepAllowance(const WorkerCapacity& capacity, const PendingStep& pending);
 
@@ -99,6 +102,8 @@
     std::vector<const Rack*> sortFullestFirst() const;
 
     std::vector<WorkerCapacity>& m_workers;
+    // The resources of each worker, free or not.
+    std::vector<Resources> m_totals;
     // The indices of all workers, in order.
     std::vector<std::size_t> m_allWorkers;
     std::vector<Rack> m_racks;
--- a/src/batch/policy/priority_policy_base.cpp
+++ b/src/batch/policy/priority_policy_base.cpp
@@ -128,19 +128,34 @@
         return m_now < pending.readySince + (m_isBusy ? std::max(busyWait, idleLocalityWait) : idleLocalityWait);
     }
 
-    // The racks on which the step may be placed now, best first. An empty name means all racks together.
+    // The number of tasks that have to be placed together.
+    static std::size_t leastTogether(const PendingStep& pending)
+    {
+        return pending.spec->isGang ? pending.indices.size() : 1;
+    }
+
+    // Whether the rack could hold the step: a task of it, or its whole gang.
+    bool mayHold(const RackName& rack, const PendingStep& pending) const
+    {
+        return m_index.mayEverFit(pending, leastTogether(pending), rack);
+    }
+
+    // The racks on which the step may be placed now, best first. An empty name means all racks together. A step waits
+    // for no rack that could not hold it.
     std::vector<RackName> candidateRacks(const PendingStep& pending) const
     {
         const StepSpec& spec = *pending.spec;
         std::vector<RackName> candidates;
-        if (!spec.dataRack.empty())
+        if (!spec.dataRack.empty() && mayHold(spec.dataRack, pending))
             candidates.push_back(spec.dataRack);
-        if (!spec.dataRack.empty() && isWaitingForRack(pending))
+        if (!candidates.empty() && isWaitingForRack(pending))
             return candidates;
         if (spec.isGang && spec.isRackLocal) {
-            const std::vector<RackName> racks = m_index.racksFullestFirst();
-            candidates.insert(candidates.end(), racks.begin(), racks.end());
-            if (isWaitingForRack(pending))
+            for (const RackName& rack : m_index.racksFullestFirst()) {
+                if (mayHold(rack, pending))
+                    candidates.push_back(rack);
+            }
+            if (!candidates.empty() && isWaitingForRack(pending))
                 return candidates;
         }
         candidates.emplace_back();
@@ -150,7 +165,7 @@
     // Why no task of the step was placed on the workers as they are now.
     HoldReason holdReasonOf(const PendingStep& pending) const
     {
-        const std::size_t needed = pending.spec->isGang ? pending.indices.size() : 1;
+        const std::size_t needed = leastTogether(pending);
         std::size_t fitting = 0;
         std::size_t fittingUnreserved = 0;
         for (const std::size_t worker : m_index.workersOn(RackName())) {
--- a/tests/batch/batch_wait_test.cpp
+++ b/tests/batch/batch_wait_test.cpp
@@ -26,6 +26,33 @@
     }
 };
 
+// Guards against a wait for a rack by a gang that needs more workers than any rack has.
+TEST(BatchWait, WaitsForNoRackThatCannotHoldAGang)
+{
+    BatchCluster cluster;
+    JobSpec spec = gangOf("p", 5, 8);
+    spec.steps.front().isRackLocal = true;
+    cluster.submit(0, batchPath, spec);
+    cluster.runFor(absl::Milliseconds(500));
+    EXPECT_EQ(startsOfBatchJob(cluster), 5);
+}
+
+// Guards against the incident of a guaranteed gang that began too late: it had waited for a rack that could hold it,
+// and no run was evicted for it meanwhile. The organisation "large" is guaranteed 32 accelerators.
+TEST(BatchWait, EvictsAtOnceForAGuaranteedGangThatNoRackCanHold)
+{
+    BatchCluster cluster;
+    cluster.workers().setRunTime("long", absl::Seconds(60));
+    cluster.submit(0, batchPath, tasksOf("long", 8, 8, absl::Seconds(60)));
+    cluster.runFor(absl::Seconds(3));
+    JobSpec spec = gangOf("p", 5, 6);
+    spec.steps.front().isRackLocal = true;
+    cluster.submit(1, urgentPath, spec);
+    cluster.runFor(absl::Milliseconds(500));
+    EXPECT_EQ(cluster.workers().startCount("00000000000000a1"), 5);
+    EXPECT_TRUE(cluster.workers().violations().empty());
+}
+
 // The jobs that were logged as held, and why.
 std::map<std::string, std::set<std::string>> heldJobs(const BatchCluster& cluster)
 {
--- a/tests/batch/priority_policy_wait_test.cpp
+++ b/tests/batch/priority_policy_wait_test.cpp
@@ -92,5 +92,25 @@
     EXPECT_EQ(PriorityPolicy().allocate(workers, { pendingStepOf("batch", spec, 2) }, now).placements.size(), 4U);
 }
 
+// Guards against a wait for a rack that has too few workers for the gang.
+TEST(PriorityPolicy, WaitsForNoRackThatCannotHoldTheGang)
+{
+    std::vector<WorkerCapacity> workers = makeWorkers(2, 4);
+    occupy(workers[0], "other", 8, 1);
+    StepSpec spec = specOf(5, 8);
+    spec.isGang = true;
+    spec.isRackLocal = true;
+    EXPECT_EQ(PriorityPolicy().allocate(workers, { pendingStepOf("gang", spec, 2) }, now).placements.size(), 5U);
+}
+
+// Guards against the wait for the rack of the data while it has no worker for the step.
+TEST(PriorityPolicy, WaitsForNoDataRackWithoutASuitableWorker)
+{
+    std::vector<WorkerCapacity> workers = makeWorkers(1, 2);
+    StepSpec spec = specOf(1, 8);
+    spec.dataRack = RackName("gone");
+    EXPECT_EQ(PriorityPolicy().allocate(workers, { pendingStepOf("near", spec, 2) }, now).placements.size(), 1U);
+}
+
 } // namespace
 } // namespace mangohall::batch
