Fix: a guaranteed step gives up its rack 2 s before its latest start

What callers saw: nothing yet; a near miss.

Cause: 1.5 s are enough for evictions (stops take up to 0.9 s) and a start, but not for a start that fails once, or an owner that is behind.

Evidence: PriorityPolicy.GivesUpTheRackOfAGuaranteedStepInTime failed with 1.5 s.

--- a/src/batch/policy/priority_policy_base.cpp
+++ b/src/batch/policy/priority_policy_base.cpp
@@ -22,7 +22,7 @@
 constexpr absl::Duration idleLocalityWait = absl::Milliseconds(2000);
 // How long before its latest start a step that a guarantee covers stops waiting for a preferred rack. Runs may have to
 // be stopped on the other racks first.
-constexpr absl::Duration guaranteeLeadTime = absl::Milliseconds(1500);
+constexpr absl::Duration guaranteeLeadTime = absl::Milliseconds(2000);
 // The share of accelerators in use above which the workers count as busy, and tasks wait longer for a rack near their
 // data.
 constexpr double busyShare = 0.55;
--- a/tests/batch/priority_policy_wait_test.cpp
+++ b/tests/batch/priority_policy_wait_test.cpp
@@ -112,5 +112,23 @@
     EXPECT_EQ(PriorityPolicy().allocate(workers, { pendingStepOf("near", spec, 2) }, now).placements.size(), 1U);
 }
 
+// Guards against a guaranteed step that begins too late: once it had given up its rack, no time was left to stop runs
+// elsewhere, and to place it again if a start failed.
+TEST(PriorityPolicy, GivesUpTheRackOfAGuaranteedStepInTime)
+{
+    std::vector<WorkerCapacity> workers = makeWorkers(2, 4);
+    for (const std::size_t busy : { 0, 1, 2, 3 })
+        occupy(workers[busy], "covered", 8, 1, 0);
+    StepSpec spec = specOf(1, 8);
+    spec.dataRack = RackName("r0");
+    PendingStep pending = pendingStepOf("guaranteed", spec, 0);
+    pending.isGuaranteed = true;
+    pending.startBy = now + absl::Milliseconds(2100);
+    std::vector<WorkerCapacity> first = workers;
+    EXPECT_TRUE(PriorityPolicy().allocate(first, { pending }, now).placements.empty());
+    pending.startBy = now + absl::Seconds(2);
+    EXPECT_EQ(PriorityPolicy().allocate(workers, { pending }, now).placements.size(), 1U);
+}
+
 } // namespace
 } // namespace mangohall::batch
