Fix: a job with nothing running gets a task started wherever there is room

Cause: while over half of the accelerators are in use, the reserve for urgent work is closed to a step for up to 60 s, and a step waits for the rack of its data, or for one rack for its gang, for up to 15 s. Both preferences hold a job back as a whole. Class: a preference without the bound that the promise sets.

Change: JobWait records since when nothing of a job has run. After 2 s one task of it (a gang: all; a long-running step: each) is placed on any worker, near its data or on one rack if possible, if it fits twice. The other tasks go on waiting for better workers.

--- a/src/batch/owner/allocation_input_func.cpp
+++ b/src/batch/owner/allocation_input_func.cpp
@@ -175,8 +175,10 @@
     pending.service = progress.job().service;
     pending.priority = progress.job().terms.priority;
     pending.targetEnd = targetEndOf(progress, ready.occurrence);
-    pending.jobIdleSince = entry.wait.idleSince();
     pending.readySince = entry.readySince.try_emplace({ ready.occurrence, ready.step }, now).first->second;
+    // Each long-running task has to run, whether others of its job do or not.
+    pending.isOverdue = pending.spec->isLongRunning ? now - pending.readySince >= JobWait::longestIdleTime
+                                                    : entry.wait.isOverdue(now);
     return pending;
 }
 
--- a/src/batch/owner/job_wait_base.h
+++ b/src/batch/owner/job_wait_base.h
@@ -12,6 +12,9 @@
 // threads.
 class JobWait {
 public:
+    // A job is to have something running within 3 s. That leaves a second for the next allocation round and the start.
+    static constexpr absl::Duration longestIdleTime = absl::Seconds(2);
+
     // Records that a task of the job runs.
     void recordRunning()
     {
@@ -23,6 +26,14 @@
     // Since when none has run although one may start; the infinite future while one runs.
     absl::Time idleSince() const { return m_idleSince; }
 
+    // Whether the job has been idle for so long that a task of it is to start wherever there is room, and none was
+    // placed a moment ago that may start yet.
+    bool isOverdue(absl::Time now) const
+    {
+        const bool isStarting = m_lastPlacementAt <= now && now - m_lastPlacementAt < longestStart;
+        return now - m_idleSince >= longestIdleTime && !isStarting;
+    }
+
     // Whether to find out now why the tasks wait: if the job has been idle for a while, or waits under a guarantee that
     // is to be enforced, and at most at an interval.
     bool takeReasonDue(bool isGuaranteeEnforced, absl::Time now)
@@ -52,6 +63,8 @@
     absl::Time lastPlacementAt() const { return m_lastPlacementAt; }
 
 private:
+    // The time from a placement until the worker has shown the run, unless the start has got lost.
+    static constexpr absl::Duration longestStart = absl::Seconds(1);
     static constexpr absl::Duration unremarkableIdleTime = absl::Seconds(1);
     static constexpr absl::Duration reasonPeriod = absl::Milliseconds(500);
 
--- a/src/batch/policy/capacity_index_base.cpp
+++ b/src/batch/policy/capacity_index_base.cpp
@@ -18,6 +18,14 @@
     return available < requested ? 0 : available / requested;
 }
 
+// How many times the demand fits into the available resources.
+std::size_t countFittingDemands(const Resources& available, const Resources& demand)
+{
+    return static_cast<std::size_t>(std::min(
+        { countFitting(available.cpuMillis, demand.cpuMillis), countFitting(available.memoryBytes, demand.memoryBytes),
+            countFitting(available.accelerators, demand.accelerators) }));
+}
+
 bool isOfKind(const WorkerCapacity& capacity, const WorkerKind& kind)
 {
     if (capacity.service != kind.service)
@@ -59,11 +67,7 @@
 
 std::size_t countFittingTasks(const Resources& available, const PendingStep& pending)
 {
-    const Resources needed = countedDemand(*pending.spec);
-    const std::int64_t tasks = std::min(
-        { countFitting(available.cpuMillis, needed.cpuMillis), countFitting(available.memoryBytes, needed.memoryBytes),
-            countFitting(available.accelerators, needed.accelerators) });
-    return static_cast<std::size_t>(std::min<std::int64_t>(tasks, static_cast<std::int64_t>(pending.indices.size())));
+    return std::min(countFittingDemands(available, countedDemand(*pending.spec)), pending.indices.size());
 }
 
 CapacityIndex::CapacityIndex(std::vector<WorkerCapacity>& workers)
@@ -141,6 +145,23 @@
     return tasks >= count;
 }
 
+std::size_t CapacityIndex::countFitting(const PendingStep& pending, std::size_t limit, bool includesReserved) const
+{
+    const Resources demand = countedDemand(*pending.spec);
+    std::size_t tasks = 0;
+    for (const std::size_t worker : m_allWorkers) {
+        if (tasks >= limit)
+            break;
+        const WorkerCapacity& capacity = examine(worker);
+        if (!(includesReserved ? isSuitable(capacity, pending) : isEligible(capacity, pending)))
+            continue;
+        const std::size_t fitting
+            = std::min(countFittingDemands(capacity.free, demand), stepAllowance(capacity, pending));
+        tasks += std::min(fitting, limit);
+    }
+    return std::min(tasks, limit);
+}
+
 std::size_t CapacityIndex::stepAllowance(const WorkerCapacity& capacity, const PendingStep& pending)
 {
     if (pending.spec->maxPerWorker <= 0)
--- a/src/batch/policy/capacity_index_base.h
+++ b/src/batch/policy/capacity_index_base.h
@@ -73,6 +73,9 @@
     // Whether `count` tasks of the step would fit on the rack if nothing else ran there. An empty rack name means all
     // racks together.
     bool mayEverFit(const PendingStep& pending, std::size_t count, const RackName& rack) const;
+    // How many tasks like those of the step fit into the free capacity of all workers together, counted up to `limit`.
+    // Counts reserved workers if `includesReserved`.
+    std::size_t countFitting(const PendingStep& pending, std::size_t limit, bool includesReserved) const;
     // How many more tasks of the step the worker may run under the step's `maxPerWorker`.
     static std::size_t stepAllowance(const WorkerCapacity& capacity, const PendingStep& pending);
 
--- a/src/batch/policy/priority_policy_base.cpp
+++ b/src/batch/policy/priority_policy_base.cpp
@@ -4,7 +4,7 @@
 #include <tuple>
 #include <utility>
 
-#include "absl/container/flat_hash_map.h"
+#include "absl/container/flat_hash_set.h"
 #include "absl/strings/string_view.h"
 #include "batch/policy/eviction_search_base.h"
 #include "batch/policy/task_placer_base.h"
@@ -105,10 +105,14 @@
             serveGang(pending);
         else
             serveTasks(pending);
-        if (!pending.wantsReason || m_allocation.placements.size() > placed)
-            return;
-        const bool hasEvicted = m_allocation.evictions.size() > evicted;
-        m_allocation.held.push_back({ pending.job, hasEvicted ? HoldReason::AwaitsEvictions : holdReasonOf(pending) });
+        const auto hasPlaced = [&] { return m_allocation.placements.size() > placed; };
+        if (!hasPlaced() && pending.isOverdue && !m_servedJobs.contains(pending.job.text()))
+            serveOverdue(pending);
+        if (hasPlaced())
+            m_servedJobs.insert(pending.job.str());
+        else if (pending.wantsReason)
+            m_allocation.held.push_back({ pending.job,
+                m_allocation.evictions.size() > evicted ? HoldReason::AwaitsEvictions : holdReasonOf(pending) });
     }
 
     // Moves the result out of the round.
@@ -128,12 +132,6 @@
         return m_now < pending.readySince + (m_isBusy ? std::max(busyWait, idleLocalityWait) : idleLocalityWait);
     }
 
-    // The number of tasks that have to be placed together.
-    static std::size_t leastTogether(const PendingStep& pending)
-    {
-        return pending.spec->isGang ? pending.indices.size() : 1;
-    }
-
     // Whether the rack could hold the step: a task of it, or its whole gang.
     bool mayHold(const RackName& rack, const PendingStep& pending) const
     {
@@ -162,25 +160,45 @@
         return candidates;
     }
 
+    // The number of tasks that have to be placed together.
+    static std::size_t leastTogether(const PendingStep& pending)
+    {
+        return pending.spec->isGang ? pending.indices.size() : 1;
+    }
+
+    // Places one task of the step, or its gang, on any workers if it would fit twice; each task if the step is
+    // long-running. The other tasks go on waiting for better workers.
+    void serveOverdue(const PendingStep& pending)
+    {
+        const std::size_t enough = 2 * leastTogether(pending);
+        if (m_index.countFitting(pending, enough, true) < enough)
+            return;
+        PendingStep overdue = pending;
+        // Reserved workers are open to steps that have waited long.
+        overdue.readySince = absl::InfinitePast();
+        if (pending.spec->isGang) {
+            placeGang(overdue, candidateRacks(overdue));
+            return;
+        }
+        const std::size_t count = pending.spec->isLongRunning ? pending.indices.size() : 1;
+        addPlacements(m_placer.placeMost(overdue, absl::MakeConstSpan(overdue.indices).first(count), RackName()));
+    }
+
+    // Places the gang on the first of the racks that has room for it. Returns whether there is one.
+    bool placeGang(const PendingStep& pending, absl::Span<const RackName> racks)
+    {
+        return std::any_of(racks.begin(), racks.end(),
+            [&](const RackName& rack) { return addPlacements(m_placer.placeAll(pending, rack)) > 0; });
+    }
+
     // Why no task of the step was placed on the workers as they are now.
     HoldReason holdReasonOf(const PendingStep& pending) const
     {
         const std::size_t needed = leastTogether(pending);
-        std::size_t fitting = 0;
-        std::size_t fittingUnreserved = 0;
-        for (const std::size_t worker : m_index.workersOn(RackName())) {
-            const WorkerCapacity& capacity = m_index.examine(worker);
-            if (!CapacityIndex::isSuitable(capacity, pending))
-                continue;
-            const std::size_t tasks
-                = std::min(countFittingTasks(capacity.free, pending), CapacityIndex::stepAllowance(capacity, pending));
-            fitting += tasks;
-            if (CapacityIndex::isEligible(capacity, pending))
-                fittingUnreserved += tasks;
-        }
-        if (fitting < needed)
+        if (m_index.countFitting(pending, needed, true) < needed)
             return HoldReason::NoCapacity;
-        return fittingUnreserved < needed ? HoldReason::Reserved : HoldReason::AwaitsRack;
+        const bool fitsUnreserved = m_index.countFitting(pending, needed, false) >= needed;
+        return fitsUnreserved ? HoldReason::AwaitsRack : HoldReason::Reserved;
     }
 
     void serveTasks(const PendingStep& pending)
@@ -202,11 +220,8 @@
     void serveGang(const PendingStep& pending)
     {
         const std::vector<RackName> racks = candidateRacks(pending);
-        for (const RackName& rack : racks) {
-            if (addPlacements(m_placer.placeAll(pending, rack)) > 0)
-                return;
-        }
-        evictFor(pending, pending.indices, racks);
+        if (!placeGang(pending, racks))
+            evictFor(pending, pending.indices, racks);
     }
 
     // Evicts runs so that the tasks of an urgent step fit later, on the candidate rack where this costs least. Evicts
@@ -235,6 +250,8 @@
     CapacityIndex m_index;
     TaskPlacer m_placer;
     EvictionSearch m_evictionSearch;
+    // The jobs of which a task was placed in this round.
+    absl::flat_hash_set<std::string> m_servedJobs;
     Allocation m_allocation;
 };
 
--- a/tests/batch/batch_wait_test.cpp
+++ b/tests/batch/batch_wait_test.cpp
@@ -11,6 +11,15 @@
 
 const std::string urgentPath = "/urgent/00000000000000a1";
 const std::string batchPath = "/batch/00000000000000b2";
+// A job may have nothing running for this long while its tasks fit twice.
+constexpr absl::Duration longestStandstill = absl::Seconds(3);
+
+// The number of runs of the batch job that `batchPath` names.
+int startsOfBatchJob(BatchCluster& cluster)
+{
+    return cluster.workers().startCount("00000000000000b2");
+}
+
 // A cluster on which an urgent job, or a batch job on the rack r0 first of all, occupies five of the eight workers for
 // a long time.
 class BusyCluster : public BatchCluster {
@@ -26,6 +35,26 @@
     }
 };
 
+// Guards against a job that has nothing running while free workers are reserved for urgent work: most workers are busy.
+TEST(BatchWait, StartsAnIdleJobOnReservedWorkers)
+{
+    BusyCluster cluster(true);
+    cluster.submit(0, batchPath, tasksOf("long", 2, 8));
+    cluster.runFor(longestStandstill);
+    EXPECT_EQ(startsOfBatchJob(cluster), 1);
+}
+
+// Guards against a job that has nothing running beside free workers on other racks than that of its data.
+TEST(BatchWait, StartsAnIdleJobFarFromItsData)
+{
+    BusyCluster cluster(false);
+    JobSpec spec = tasksOf("long", 2, 8, absl::Seconds(8));
+    spec.steps.front().dataRack = RackName("r0");
+    cluster.submit(0, batchPath, spec);
+    cluster.runFor(longestStandstill);
+    EXPECT_EQ(startsOfBatchJob(cluster), 1);
+}
+
 // Guards against a wait for a rack by a gang that needs more workers than any rack has.
 TEST(BatchWait, WaitsForNoRackThatCannotHoldAGang)
 {
--- a/tests/batch/priority_policy_wait_test.cpp
+++ b/tests/batch/priority_policy_wait_test.cpp
@@ -92,6 +92,94 @@
     EXPECT_EQ(PriorityPolicy().allocate(workers, { pendingStepOf("batch", spec, 2) }, now).placements.size(), 4U);
 }
 
+// Guards against a job that has nothing running beside free workers: all were reserved.
+TEST(PriorityPolicy, StartsOneTaskOfAnOverdueStepOnReservedWorkers)
+{
+    std::vector<WorkerCapacity> workers = makeWorkers(1, 8);
+    for (const std::size_t busy : { 0, 1, 2, 3, 4 })
+        occupy(workers[busy], "urgent", 8, 1, 0);
+    const StepSpec spec = specOf(3, 8);
+    PendingStep batch = pendingStepOf("batch", spec, 2);
+    batch.isOverdue = true;
+    EXPECT_EQ(PriorityPolicy().allocate(workers, { batch }, now).placements.size(), 1U);
+}
+
+// The rack of the data is full, and the workers are busy.
+TEST(PriorityPolicy, StartsOneTaskOfAnOverdueStepFarFromItsData)
+{
+    std::vector<WorkerCapacity> workers = makeWorkers(2, 4);
+    for (const std::size_t busy : { 0, 1, 2, 3, 4 })
+        occupy(workers[busy], "other", 8, 1);
+    StepSpec spec = specOf(3, 8);
+    spec.dataRack = RackName("r0");
+    PendingStep near = pendingStepOf("near", spec, 2);
+    std::vector<WorkerCapacity> first = workers;
+    EXPECT_TRUE(PriorityPolicy().allocate(first, { near }, now).placements.empty());
+    near.isOverdue = true;
+    EXPECT_EQ(PriorityPolicy().allocate(workers, { near }, now).placements.size(), 1U);
+}
+
+// A reserve that an overdue step could use up is no reserve, so the step has to fit twice.
+TEST(PriorityPolicy, KeepsTheReserveFromAnOverdueStepThatFitsOnlyOnce)
+{
+    std::vector<WorkerCapacity> workers = makeWorkers(1, 8);
+    for (const std::size_t busy : { 0, 1, 2, 3, 4, 5, 6 })
+        occupy(workers[busy], "urgent", 8, 1, 0);
+    const StepSpec spec = specOf(3, 8);
+    PendingStep batch = pendingStepOf("batch", spec, 2);
+    batch.isOverdue = true;
+    EXPECT_TRUE(PriorityPolicy().allocate(workers, { batch }, now).placements.empty());
+}
+
+// Two steps of a job are overdue together; one task is enough.
+TEST(PriorityPolicy, StartsOneTaskOfAnOverdueJobOnly)
+{
+    std::vector<WorkerCapacity> workers = makeWorkers(1, 8);
+    for (const std::size_t busy : { 0, 1, 2, 3, 4 })
+        occupy(workers[busy], "urgent", 8, 1, 0);
+    const StepSpec spec = specOf(1, 4);
+    PendingStep first = pendingStepOf("batch", spec, 2);
+    first.isOverdue = true;
+    PendingStep second = first;
+    second.step = 1;
+    EXPECT_EQ(PriorityPolicy().allocate(workers, { first, second }, now).placements.size(), 1U);
+}
+
+// Each task of a long-running step has to run, whether others do or not.
+TEST(PriorityPolicy, StartsEachTaskOfAnOverdueLongRunningStep)
+{
+    std::vector<WorkerCapacity> workers = makeWorkers(1, 8);
+    for (const std::size_t busy : { 0, 1, 2, 3, 4 })
+        occupy(workers[busy], "urgent", 8, 1, 0);
+    StepSpec spec = specOf(3, 4);
+    spec.isLongRunning = true;
+    PendingStep lasting = pendingStepOf("lasting", spec, 2);
+    lasting.isOverdue = true;
+    EXPECT_EQ(PriorityPolicy().allocate(workers, { lasting }, now).placements.size(), 3U);
+}
+
+// Four racks have room for three members each.
+TEST(PriorityPolicy, SpreadsAnOverdueGangOverRacksOnlyIfNoRackHasRoom)
+{
+    std::vector<WorkerCapacity> workers = makeWorkers(4, 4);
+    for (WorkerCapacity& worker : workers)
+        occupy(worker, "other", 5, 1);
+    StepSpec spec = specOf(5, 3);
+    spec.isGang = true;
+    spec.isRackLocal = true;
+    PendingStep gang = pendingStepOf("gang", spec, 2);
+    std::vector<WorkerCapacity> first = workers;
+    EXPECT_TRUE(PriorityPolicy().allocate(first, { gang }, now).placements.empty());
+    gang.isOverdue = true;
+    std::vector<WorkerCapacity> second = workers;
+    EXPECT_EQ(PriorityPolicy().allocate(second, { gang }, now).placements.size(), 5U);
+    workers[12] = makeWorkers(4, 4)[12];
+    const std::vector<WorkerCapacity> before = workers;
+    const Allocation allocation = PriorityPolicy().allocate(workers, { gang }, now);
+    EXPECT_EQ(allocation.placements.size(), 5U);
+    EXPECT_EQ(racksOf(allocation, before).size(), 1U);
+}
+
 // Guards against a wait for a rack that has too few workers for the gang.
 TEST(PriorityPolicy, WaitsForNoRackThatCannotHoldTheGang)
 {
