Fix: the room that is made for a guaranteed gang is kept for it

Cause, by the new lines: among guaranteed steps the one with the earliest target came first. Workers that were emptied for a gang of three whole workers from 0.80 s on went to three smaller jobs under a guarantee that were accepted at 1.15 to 1.35 s (i-c9e265cecb at 1.162 s, i-95e0c75ddf at 1.200 s). Then the gang did not fit whole even after evictions, so that nothing was kept for it at all, and a third worker that was empty at 2.05 s went to another job at 3.63 s. Class: a claim on capacity that does not outlast the round in which it is made.

Change: guaranteed steps come in the order of their latest starts, so that none accepted later goes before; and if their tasks do not all fit after evictions, room is made and kept for as many as do.

--- a/src/batch/policy/eviction_search_base.cpp
+++ b/src/batch/policy/eviction_search_base.cpp
@@ -156,17 +156,25 @@
 absl::optional<EvictionPlan> EvictionSearch::plan(
     const PendingStep& pending, absl::Span<const std::int32_t> indices, const RackName& rack)
 {
-    indexGangs();
+    EvictionPlan plan = planMost(pending, indices, rack);
+    if (plan.tasks < indices.size())
+        return absl::nullopt;
+    return plan;
+}
+
+EvictionPlan EvictionSearch::planMost(
+    const PendingStep& pending, absl::Span<const std::int32_t> indices, const RackName& rack)
+{
     EvictionPlan plan;
+    indexGangs();
     Candidates candidates(m_index.size());
     for (const std::size_t worker : m_index.workersOn(rack))
         candidates.set(worker, findVictims(worker, pending));
-    bool isComplete = true;
     for (const std::int32_t index : indices) {
         const absl::optional<std::size_t> worker = candidates.takeCheapest();
-        isComplete = worker.has_value();
-        if (!isComplete)
+        if (!worker)
             break;
+        ++plan.tasks;
         const Victims victims = *findVictims(*worker, pending);
         plan.cost += victims.cost;
         for (const std::size_t run : victims.runs) {
@@ -180,8 +188,6 @@
         candidates.set(*worker, findVictims(*worker, pending));
     }
     undo(plan);
-    if (!isComplete)
-        return absl::nullopt;
     return plan;
 }
 
--- a/src/batch/policy/eviction_search_base.h
+++ b/src/batch/policy/eviction_search_base.h
@@ -32,6 +32,8 @@
 struct EvictionPlan {
     // The runs to stop and the capacity to keep, in the order in which they have to be applied.
     std::vector<std::variant<RunPosition, KeptCapacity>> moves;
+    // The number of tasks that fit then.
+    std::size_t tasks = 0;
     // The work that the evictions lose, in core-seconds.
     double cost = 0;
 };
@@ -55,6 +57,9 @@
     absl::optional<EvictionPlan> plan(
         const PendingStep& pending, absl::Span<const std::int32_t> indices, const RackName& rack);
 
+    // The same for as many of the tasks as fit on the rack.
+    EvictionPlan planMost(const PendingStep& pending, absl::Span<const std::int32_t> indices, const RackName& rack);
+
     // Applies the plan to the index and returns the runs to stop.
     std::vector<Eviction> apply(const EvictionPlan& plan, const PendingStep& pending);
 
--- a/src/batch/policy/priority_policy_base.cpp
+++ b/src/batch/policy/priority_policy_base.cpp
@@ -41,9 +41,10 @@
 auto serviceOrderKey(const PendingStep& pending, absl::Time now)
 {
     const bool isLate = pending.targetEnd < now;
-    // A guarantee also holds for late work, so it comes before lateness. Steps that may reclaim have waited longest.
-    return std::make_tuple(pending.priority, !pending.isGuaranteed, !pending.mayReclaim, isLate, pending.targetEnd,
-        pending.readySince, pending.job.text());
+    // A guarantee also holds for late work, so it comes before lateness. Among guaranteed steps the one that has to
+    // start first comes first, so that no other takes the workers that are emptied for it.
+    return std::make_tuple(pending.priority, !pending.isGuaranteed, !pending.mayReclaim, pending.startBy, isLate,
+        pending.targetEnd, pending.readySince, pending.job.text());
 }
 
 // The share of all accelerators that runs occupy, 0 to 1.
@@ -224,8 +225,22 @@
             evictFor(pending, pending.indices, racks);
     }
 
+    // Returns the plan for as many of the tasks as fit on one of the racks, cheapest first.
+    absl::optional<EvictionPlan> planMostFor(
+        const PendingStep& pending, absl::Span<const std::int32_t> indices, absl::Span<const RackName> racks)
+    {
+        absl::optional<EvictionPlan> most;
+        for (const RackName& rack : racks) {
+            EvictionPlan plan = m_evictionSearch.planMost(pending, indices, rack);
+            if (!most || plan.tasks > most->tasks || (plan.tasks == most->tasks && plan.cost < most->cost))
+                most = std::move(plan);
+        }
+        return most;
+    }
+
     // Evicts runs so that the tasks of an urgent step fit later, on the candidate rack where this costs least. Evicts
-    // nothing for other steps, or if the tasks would not all fit even after evictions.
+    // nothing for other steps, or if the tasks would not all fit even after evictions; but under a guarantee, makes and
+    // keeps room for as many as fit.
     void evictFor(const PendingStep& pending, absl::Span<const std::int32_t> indices, absl::Span<const RackName> racks)
     {
         if (pending.priority != urgentPriority || indices.empty())
@@ -238,6 +253,8 @@
             if (plan && (!best || plan->cost < best->cost))
                 best = std::move(plan);
         }
+        if (!best && pending.isGuaranteed)
+            best = planMostFor(pending, indices, racks);
         if (!best)
             return;
         const std::vector<Eviction> evictions = m_evictionSearch.apply(*best, pending);
--- a/tests/batch/priority_policy_test.cpp
+++ b/tests/batch/priority_policy_test.cpp
@@ -83,6 +83,52 @@
     EXPECT_EQ(allocation.placements.front().task.job, JobId("waiting"));
 }
 
+// Guards against a guaranteed gang that begins too late: later jobs under a guarantee, which were to be done sooner,
+// took the workers that had been emptied for it one after the other.
+TEST(PriorityPolicy, KeepsTheRoomThatIsMadeForAGuaranteedGangFromLaterOnes)
+{
+    std::vector<WorkerCapacity> workers = makeWorkers(1, 2);
+    occupy(workers[1], "leaving", 8, 1);
+    workers[1].runs.front().isStopping = true;
+    workers[1].freeAfterStops.accelerators = 8;
+    StepSpec spec = specOf(2, 8);
+    spec.isGang = true;
+    PendingStep gang = pendingStepOf("gang", spec, 0);
+    gang.isGuaranteed = true;
+    gang.startBy = now + absl::Seconds(3);
+    const StepSpec small = specOf(1, 8);
+    PendingStep later = pendingStepOf("later", small, 0);
+    later.isGuaranteed = true;
+    later.startBy = now + absl::Milliseconds(3400);
+    later.targetEnd = gang.targetEnd - absl::Seconds(2);
+    const Allocation allocation = PriorityPolicy().allocate(workers, { gang, later }, now);
+    EXPECT_TRUE(allocation.placements.empty());
+    EXPECT_TRUE(allocation.evictions.empty());
+}
+
+// Guards against the same while not all of the gang's room can be made at once: one worker is free, one runs what may
+// be evicted, and one runs work under a guarantee.
+TEST(PriorityPolicy, MakesRoomForAGuaranteedGangAsFarAsItCan)
+{
+    std::vector<WorkerCapacity> workers = makeWorkers(1, 3);
+    occupy(workers[1], "batch", 8, 1);
+    occupy(workers[2], "covered", 8, 1, 0);
+    workers[2].runs.front().isGuaranteed = true;
+    StepSpec spec = specOf(3, 8);
+    spec.isGang = true;
+    PendingStep gang = pendingStepOf("gang", spec, 0);
+    gang.isGuaranteed = true;
+    gang.startBy = now + absl::Seconds(3);
+    const StepSpec small = specOf(1, 8);
+    PendingStep later = pendingStepOf("later", small, 0);
+    later.isGuaranteed = true;
+    later.startBy = now + absl::Milliseconds(3400);
+    const Allocation allocation = PriorityPolicy().allocate(workers, { gang, later }, now);
+    EXPECT_TRUE(allocation.placements.empty());
+    ASSERT_EQ(allocation.evictions.size(), 1U);
+    EXPECT_EQ(allocation.evictions.front().run.task.job, JobId("batch"));
+}
+
 TEST(PriorityPolicy, DoesNotEvictAgainWhileRoomIsComingFree)
 {
     std::vector<WorkerCapacity> workers = makeWorkers(1, 2);
