Fix: an enforced guarantee waits for no expected end of a run

At 1.42, 2.05 and 3.64 s the gang was planned on other workers each time, as runs lasted longer than expected; at 3.64 s two workers that had been empty since 2.88 s went to another job, and the gang began at 4.30 s.

Change: from the moment at which a guarantee is enforced (2.5 s before the latest start) such a run is stopped as any other that may be.

--- a/src/batch/owner/allocation_input_func.cpp
+++ b/src/batch/owner/allocation_input_func.cpp
@@ -70,12 +70,7 @@
     worker.runs.reserve(session.runs().size());
     for (const auto& [run, slot] : session.runs()) {
         worker.runs.push_back(describeRun(run, slot, session.mayStillStart(run), jobs, guaranteed, now));
-        // Waiting for a run that is about to end takes no longer than stopping another run.
-        AllocatedRun& allocatedRun = worker.runs.back();
-        if (allocatedRun.isStopping || !WorkerSession::isAboutToEnd(slot, stopTime, now))
-            continue;
-        allocatedRun.isStopping = true;
-        worker.freeAfterStops += allocatedRun.demand;
+        worker.runs.back().isEnding = WorkerSession::isAboutToEnd(slot, stopTime, now);
     }
     return worker;
 }
--- a/src/batch/policy/allocation_type.h
+++ b/src/batch/policy/allocation_type.h
@@ -21,6 +21,8 @@
     std::int32_t priority = 0;
     // A stop of the run has been requested. Its resources become free when it ends.
     bool isStopping = false;
+    // The run is expected to end by itself about as soon as it could be stopped.
+    bool isEnding = false;
     // The run may be stopped to free its resources for more urgent work.
     bool isEvictable = false;
     // The run is covered by its organisation's guarantee.
--- a/src/batch/policy/eviction_search_base.cpp
+++ b/src/batch/policy/eviction_search_base.cpp
@@ -65,15 +65,25 @@
 
 bool EvictionSearch::isVictim(const AllocatedRun& run, const PendingStep& pending)
 {
-    if (!run.isEvictable || run.isStopping)
+    if (!run.isEvictable || run.isStopping || (run.isEnding && !pending.mayReclaim))
         return false;
     const bool isReclaimed = pending.mayReclaim && run.priority == pending.priority && !run.isGuaranteed;
     return isReclaimed || run.priority > pending.priority;
 }
 
+Resources EvictionSearch::freeAfterEnds(const WorkerCapacity& capacity, const PendingStep& pending)
+{
+    Resources free = capacity.freeAfterStops;
+    for (const AllocatedRun& run : capacity.runs) {
+        if (run.isEnding && !run.isStopping && !isVictim(run, pending))
+            free += run.demand;
+    }
+    return free;
+}
+
 std::size_t EvictionSearch::maxTasksAfterEvictions(const WorkerCapacity& capacity, const PendingStep& pending) const
 {
-    Resources freed = capacity.freeAfterStops;
+    Resources freed = freeAfterEnds(capacity, pending);
     for (const AllocatedRun& run : capacity.runs) {
         if (isVictim(run, pending))
             freed += run.demand;
@@ -102,7 +112,7 @@
         return absl::nullopt;
     const Resources needed = countedDemand(*pending.spec);
     Victims victims;
-    Resources freed = capacity.freeAfterStops;
+    Resources freed = freeAfterEnds(capacity, pending);
     if (needed.fitsInto(freed))
         return victims;
     std::vector<std::size_t> order;
--- a/src/batch/policy/eviction_search_base.h
+++ b/src/batch/policy/eviction_search_base.h
@@ -88,8 +88,11 @@
     // The candidate workers of a search, ordered by eviction cost.
     class Candidates;
 
-    // Whether the run may be evicted for the step.
+    // Whether the run may be evicted for the step. A run that is expected to end is evicted only to enforce a
+    // guarantee, since it may last longer than expected.
     static bool isVictim(const AllocatedRun& run, const PendingStep& pending);
+    // The capacity of the worker for the step once the runs that are stopping, or expected to end, have ended.
+    static Resources freeAfterEnds(const WorkerCapacity& capacity, const PendingStep& pending);
     static GangKey gangKeyOf(const AllocatedRun& run);
     // The number of tasks that would fit on the worker if every run that may be evicted for them were evicted.
     std::size_t maxTasksAfterEvictions(const WorkerCapacity& capacity, const PendingStep& pending) const;
--- a/tests/batch/priority_policy_test.cpp
+++ b/tests/batch/priority_policy_test.cpp
@@ -140,6 +140,21 @@
     EXPECT_TRUE(PriorityPolicy().allocate(workers, { pendingStepOf("urgent", spec, 0) }, now).evictions.empty());
 }
 
+// Guards against a guaranteed step that waits for one run after the other that is about to end and lasts longer.
+TEST(PriorityPolicy, StopsARunThatIsExpectedToEndOnlyForAnEnforcedGuarantee)
+{
+    std::vector<WorkerCapacity> workers = makeWorkers(1, 1);
+    occupy(workers[0], "ending", 8, 1);
+    workers[0].runs.front().isEnding = true;
+    const StepSpec spec = specOf(1, 8);
+    PendingStep pending = pendingStepOf("guaranteed", spec, 0);
+    pending.isGuaranteed = true;
+    std::vector<WorkerCapacity> early = workers;
+    EXPECT_TRUE(PriorityPolicy().allocate(early, { pending }, now).evictions.empty());
+    pending.mayReclaim = true;
+    EXPECT_EQ(PriorityPolicy().allocate(workers, { pending }, now).evictions.size(), 1U);
+}
+
 TEST(PriorityPolicy, PlacesAGangWholeOrNotAtAll)
 {
     std::vector<WorkerCapacity> workers = makeWorkers(1, 2);
