--- a/tests/batch/policy_builders_func.h
+++ b/tests/batch/policy_builders_func.h
@@ -48,6 +48,16 @@
     capacity.runs.push_back(run);
 }
 
+// Racks of workers as above, of which runs of this priority use the first `busy` workers whole.
+inline std::vector<WorkerCapacity> makeBusyWorkers(int racks, int workersPerRack, std::size_t busy, int priority)
+{
+    std::vector<WorkerCapacity> workers = makeWorkers(racks, workersPerRack);
+    for (std::size_t worker = 0; worker < busy; ++worker)
+        occupy(workers[worker], "busy", 8, 1, priority);
+    return workers;
+}
+
+// A step of tasks that run for 4 s.
 inline StepSpec specOf(int tasks, int accelerators)
 {
     StepSpec spec;
--- a/tests/batch/priority_policy_wait_test.cpp
+++ b/tests/batch/priority_policy_wait_test.cpp
@@ -58,9 +58,7 @@
 // Guards against a reserve without a bound in time.
 TEST(PriorityPolicy, OpensTheReserveToStepsThatHaveWaitedLong)
 {
-    std::vector<WorkerCapacity> workers = makeWorkers(1, 8);
-    for (const std::size_t busy : { 0, 1, 2 })
-        occupy(workers[busy], "urgent", 8, 1, 0);
+    std::vector<WorkerCapacity> workers = makeBusyWorkers(1, 8, 3, 0);
     const StepSpec spec = specOf(5, 8);
     PendingStep batch = pendingStepOf("batch", spec, 2);
     batch.readySince = now - absl::Seconds(1);
@@ -73,9 +71,7 @@
 // While most workers are busy, the reserve lasts longer.
 TEST(PriorityPolicy, KeepsTheReserveLongerWhileTheWorkersAreBusy)
 {
-    std::vector<WorkerCapacity> workers = makeWorkers(1, 8);
-    for (const std::size_t busy : { 0, 1, 2, 3, 4 })
-        occupy(workers[busy], "urgent", 8, 1, 0);
+    std::vector<WorkerCapacity> workers = makeBusyWorkers(1, 8, 5, 0);
     const StepSpec spec = specOf(3, 8);
     PendingStep batch = pendingStepOf("batch", spec, 2);
     batch.readySince = now - absl::Seconds(59);
@@ -95,9 +91,7 @@
 // Guards against a job that has nothing running beside free workers: all were reserved.
 TEST(PriorityPolicy, StartsOneTaskOfAnOverdueStepOnReservedWorkers)
 {
-    std::vector<WorkerCapacity> workers = makeWorkers(1, 8);
-    for (const std::size_t busy : { 0, 1, 2, 3, 4 })
-        occupy(workers[busy], "urgent", 8, 1, 0);
+    std::vector<WorkerCapacity> workers = makeBusyWorkers(1, 8, 5, 0);
     const StepSpec spec = specOf(3, 8);
     PendingStep batch = pendingStepOf("batch", spec, 2);
     batch.isOverdue = true;
@@ -107,9 +101,7 @@
 // The rack of the data is full, and the workers are busy.
 TEST(PriorityPolicy, StartsOneTaskOfAnOverdueStepFarFromItsData)
 {
-    std::vector<WorkerCapacity> workers = makeWorkers(2, 4);
-    for (const std::size_t busy : { 0, 1, 2, 3, 4 })
-        occupy(workers[busy], "other", 8, 1);
+    std::vector<WorkerCapacity> workers = makeBusyWorkers(2, 4, 5, 2);
     StepSpec spec = specOf(3, 8);
     spec.dataRack = RackName("r0");
     PendingStep near = pendingStepOf("near", spec, 2);
@@ -122,9 +114,7 @@
 // A reserve that an overdue step could use up is no reserve, so the step has to fit twice.
 TEST(PriorityPolicy, KeepsTheReserveFromAnOverdueStepThatFitsOnlyOnce)
 {
-    std::vector<WorkerCapacity> workers = makeWorkers(1, 8);
-    for (const std::size_t busy : { 0, 1, 2, 3, 4, 5, 6 })
-        occupy(workers[busy], "urgent", 8, 1, 0);
+    std::vector<WorkerCapacity> workers = makeBusyWorkers(1, 8, 7, 0);
     const StepSpec spec = specOf(3, 8);
     PendingStep batch = pendingStepOf("batch", spec, 2);
     batch.isOverdue = true;
@@ -134,9 +124,7 @@
 // Two steps of a job are overdue together; one task is enough.
 TEST(PriorityPolicy, StartsOneTaskOfAnOverdueJobOnly)
 {
-    std::vector<WorkerCapacity> workers = makeWorkers(1, 8);
-    for (const std::size_t busy : { 0, 1, 2, 3, 4 })
-        occupy(workers[busy], "urgent", 8, 1, 0);
+    std::vector<WorkerCapacity> workers = makeBusyWorkers(1, 8, 5, 0);
     const StepSpec spec = specOf(1, 4);
     PendingStep first = pendingStepOf("batch", spec, 2);
     first.isOverdue = true;
@@ -148,9 +136,7 @@
 // Each task of a long-running step has to run, whether others do or not.
 TEST(PriorityPolicy, StartsEachTaskOfAnOverdueLongRunningStep)
 {
-    std::vector<WorkerCapacity> workers = makeWorkers(1, 8);
-    for (const std::size_t busy : { 0, 1, 2, 3, 4 })
-        occupy(workers[busy], "urgent", 8, 1, 0);
+    std::vector<WorkerCapacity> workers = makeBusyWorkers(1, 8, 5, 0);
     StepSpec spec = specOf(3, 4);
     spec.isLongRunning = true;
     PendingStep lasting = pendingStepOf("lasting", spec, 2);
@@ -204,9 +190,7 @@
 // elsewhere, and to place it again if a start failed.
 TEST(PriorityPolicy, GivesUpTheRackOfAGuaranteedStepInTime)
 {
-    std::vector<WorkerCapacity> workers = makeWorkers(2, 4);
-    for (const std::size_t busy : { 0, 1, 2, 3 })
-        occupy(workers[busy], "covered", 8, 1, 0);
+    std::vector<WorkerCapacity> workers = makeBusyWorkers(2, 4, 4, 0);
     StepSpec spec = specOf(1, 8);
     spec.dataRack = RackName("r0");
     PendingStep pending = pendingStepOf("guaranteed", spec, 0);
--- a/tests/platform/platform_standin_base.cpp
+++ b/tests/platform/platform_standin_base.cpp
@@ -162,15 +162,27 @@
     call->address = absl::StrCat(loopback, ":", m_server.port());
     absl::MutexLock lock(&m_platform.m_mutex);
     m_platform.advanceTimeline();
-    m_platform.m_workers.call(
-        *call, [exchange](const batch::WorkerReply& reply) { exchange->answer(workerResponseOf(reply)); });
+    m_platform.m_workers.call(*call, [exchange](const batch::WorkerReply& reply) {
+        // The worker was out of reach, or its reply is lost.
+        if (!reply.status.ok())
+            exchange->drop();
+        else
+            exchange->answer(workerResponseOf(reply));
+    });
     m_platform.m_changed.Signal();
 }
 
 void PlatformStandin::setRunTime(const std::string& payload, absl::Duration time)
+{
+    change([&](batch::BatchStore& /*store*/, batch::SimulatedWorkers& workers) { workers.setRunTime(payload, time); });
+}
+
+void PlatformStandin::change(const std::function<void(batch::BatchStore&, batch::SimulatedWorkers&)>& action)
 {
     absl::MutexLock lock(&m_mutex);
-    m_workers.setRunTime(payload, time);
+    advanceTimeline();
+    action(m_store, m_workers);
+    m_changed.Signal();
 }
 
 int PlatformStandin::startCount(const std::string& job)
--- a/tests/platform/platform_standin_base.h
+++ b/tests/platform/platform_standin_base.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -19,7 +20,7 @@
 namespace mangohall::platform {
 
 // Simulates the platform over loopback HTTP in real time: its store and some workers, each on its own port. It serves
-// the simulated store and workers that other tests use with a paused clock.
+// the simulated store and workers that other tests use with a paused clock. Safe to call from several threads.
 class PlatformStandin : private RequestHandler {
 public:
     PlatformStandin();
@@ -44,6 +45,10 @@
 
     // Sets how long tasks with the payload run.
     void setRunTime(const std::string& payload, absl::Duration time);
+    // Calls the action with the store and the workers, which no other thread uses meanwhile.
+    void change(const std::function<void(batch::BatchStore&, batch::SimulatedWorkers&)>& action);
+    // The system's time at a time of the simulated workers.
+    absl::Time systemTime(absl::Time simulated) const { return m_startedAt + (simulated - m_timelineStart); }
     // How many runs of the job's tasks the workers have started.
     int startCount(const std::string& job);
     // Descriptions of the rules that the workers have seen violated; empty if there was no violation.
--- a/tests/platform/standin_json_func.cpp
+++ b/tests/platform/standin_json_func.cpp
@@ -277,7 +277,9 @@
             { row.number, taskName(row.run.task), row.run.attempt, std::string(endName(row.end)), row.checkpoint });
     HttpResponse response;
     response.status = 200;
-    if (reply.refusal != batch::WorkerRefusal::None) {
+    if (reply.refusal == batch::WorkerRefusal::Unhealthy) {
+        response.status = 503;
+    } else if (reply.refusal != batch::WorkerRefusal::None) {
         response.status = 409;
         body["reason"] = std::string(reasonOf(reply.refusal));
     }
--- a/tests/platform/standin_platform_main.cpp
+++ b/tests/platform/standin_platform_main.cpp
@@ -1,11 +1,34 @@
-// The program standin-platform: simulates the platform's store and some workers over loopback, for the quick start.
-// Exits with 1 if the workers have seen a rule violated.
+// The program standin-platform: simulates the platform's store and some workers over loopback, for the quick start and
+// the soak. Carries out the commands on its standard input, one in each line, and replies in one line each. Exits with
+// 1 if the workers have seen a rule violated.
 #include <csignal>
 
 #include <iostream>
+#include <string>
+#include <thread>
 
 #include "absl/strings/numbers.h"
 #include "platform/platform_standin_base.h"
+#include "platform/standin_command_func.h"
+
+namespace {
+
+// Carries out the commands on standard input until it ends.
+void serveCommands(mangohall::platform::PlatformStandin& platform)
+{
+    std::string command;
+    while (std::getline(std::cin, command)) {
+        const absl::StatusOr<std::string> reply = mangohall::platform::carryOut(platform, command);
+        if (reply.ok())
+            std::cout << *reply << std::endl;
+        else
+            std::cout << "{\"error\": \"command refused\"}" << std::endl;
+        if (!reply.ok())
+            std::cerr << reply.status() << "\n";
+    }
+}
+
+} // namespace
 
 int main(int argc, char** argv)
 {
@@ -28,6 +51,8 @@
         return 1;
     }
     std::cout << "{\"port\": " << platform.storePort() << "}" << std::endl;
+    // Reading ends with the process, so nothing waits for the thread.
+    std::thread([&platform] { serveCommands(platform); }).detach();
     int received = 0;
     sigwait(&signals, &received);
     const std::vector<std::string> violations = platform.ruleViolations();
