Fix: a signal right after the start does not end the process

What callers saw: nothing yet.

Cause: the signals were blocked only after the command line and the settings had been read; until then the default action ends the process. Class: it acts in mangohall-entry and mangohall-scheduler as well.

Change: all three block their signals first of all, so that a signal waits until they handle it.

--- a/src/programs/server/server_program_func.cpp
+++ b/src/programs/server/server_program_func.cpp
@@ -18,7 +18,6 @@
 
 int serve(const Settings& settings, const ServerProgram& program)
 {
-    blockSignals(stopSignals());
     setUpLogging(settings.log.level, settings.log.filePath);
     const std::unique_ptr<ServerProcess> process = program.makeProcess(settings);
     const absl::Status status = process->start();
@@ -41,6 +40,8 @@
 
 int runServerProgram(absl::Span<const char* const> arguments, const ServerProgram& program)
 {
+    // A signal that arrives before the program waits for it stops the program gracefully.
+    blockSignals(stopSignals());
     const ServerArguments line = parseServerArguments(arguments, program.name);
     if (line.action == CommandAction::ShowText) {
         std::cout << line.text;
--- a/tools/soak_world.py
+++ b/tools/soak_world.py
@@ -3,6 +3,7 @@
 import http.client
 import json
 import os
+import pathlib
 import signal
 import subprocess
 import threading
@@ -189,6 +190,17 @@
         with self.lock:
             if self.program.is_down:
                 self.program.start()
+                self.wait_for_signal_mask()
+
+    def wait_for_signal_mask(self):
+        """Waits until the process blocks signals: one that arrives while it is loaded ends any program."""
+        deadline = time.monotonic() + READY_TIMEOUT_S
+        status = pathlib.Path(f"/proc/{self.program.process.pid}/status")
+        while time.monotonic() < deadline:
+            masks = [line.split()[1] for line in status.read_text().splitlines() if line.startswith("SigBlk")]
+            if int(masks[0], 16) != 0:
+                return
+            time.sleep(0.005)
 
     def stop(self):
         """Stops the process gracefully and notes a fault if it did not."""
