Fix: soak runs that take place at the same time use different ports

Both runs had taken the same block of ports by their process number, and their clients talked to each other's nodes. A run holds the first port of its block now.

--- a/tools/soak_world.py
+++ b/tools/soak_world.py
@@ -5,6 +5,7 @@
 import os
 import pathlib
 import signal
+import socket
 import subprocess
 import threading
 import time
@@ -12,7 +13,7 @@
 from deployment import BUILD, Program
 
 HOST = "127.0.0.1"
-# Runs that take place at the same time use different blocks of ports, below those that the system gives to clients.
+# Each run has a block of ports for its nodes, below those that the system gives to clients.
 FIRST_PORT = 10000
 PORTS_OF_BLOCK = 240
 BLOCKS = 80
@@ -22,6 +23,24 @@
 KEYS = ("key-large", "key-spare")
 
 
+class PortBlock:
+    """A block of ports that no other run uses: the first one is bound for as long as the run lasts."""
+
+    def __init__(self):
+        self.holder = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        for block in range(BLOCKS):
+            self.first = FIRST_PORT + (os.getpid() + block) % BLOCKS * PORTS_OF_BLOCK
+            try:
+                self.holder.bind((HOST, self.first))
+                return
+            except OSError:
+                continue
+        raise RuntimeError("no block of ports is free")
+
+    def of_node(self, number):
+        return self.first + 1 + number * PORTS_OF_NODE
+
+
 class Platform:
     """The simulated store and workers, in a process of their own that is disturbed by commands."""
 
@@ -149,12 +168,12 @@
 class Node:
     """One process of mangohall-node. The lock keeps faults that overlap from starting or stopping it twice."""
 
-    def __init__(self, number, folder, link):
+    def __init__(self, number, folder, link, ports):
         self.number = number
         self.link = link
         self.lock = threading.Lock()
         self.faults = []
-        first = FIRST_PORT + os.getpid() % BLOCKS * PORTS_OF_BLOCK + number * PORTS_OF_NODE
+        first = ports.of_node(number)
         self.callers = f"{HOST}:{first}"
         self.readiness = f"{HOST}:{first + 1}"
         settings = {"node": f"node-{number}", "dataCentre": "here", "callers": self.callers,
@@ -227,7 +246,9 @@
         self.platform = Platform(folder, workers)
         self.workers = [f"worker-{number}" for number in range(workers)]
         self.links = Links()
-        self.nodes = [Node(number, folder, self.links.add(self.platform.store_port)) for number in range(nodes)]
+        self.ports = PortBlock()
+        self.nodes = [Node(number, folder, self.links.add(self.platform.store_port), self.ports)
+                      for number in range(nodes)]
 
     def wait_until_ready(self):
         self.platform.write_manifest()
