Fix: part of a guaranteed gang's room is kept for a bounded time; idle times after failed starts

Room for part of a gang was kept without end, also for one that can never fit, and kept others out: now until 3 s after the latest start, and only if all of it fits on all workers together. An urgent step for which runs were evicted is not placed elsewhere in the same round. A start that has failed no longer holds up the next one for a second. jobHeld logged an infinite age for a guaranteed job of which some tasks run.

Evidence: PriorityPolicy.KeepsPartOfTheRoomOfAGuaranteedGangForABoundedTime and two tests of JobWait are new; the first asserts what the code before did not do, by reading: it was not run there.

--- a/src/batch/owner/job_wait_base.h
+++ b/src/batch/owner/job_wait_base.h
@@ -23,15 +23,15 @@
     }
     // Records that none runs although one may start.
     void recordIdle(absl::Time now) { m_idleSince = std::min(m_idleSince, now); }
-    // Since when none has run although one may start; the infinite future while one runs.
-    absl::Time idleSince() const { return m_idleSince; }
+    // How long none has run although one may start; zero while one runs.
+    absl::Duration idleTime(absl::Time now) const { return std::max(absl::ZeroDuration(), now - m_idleSince); }
 
     // Whether the job has been idle for so long that a task of it is to start wherever there is room, and none was
     // placed a moment ago that may start yet.
     bool isOverdue(absl::Time now) const
     {
-        const bool isStarting = m_lastPlacementAt <= now && now - m_lastPlacementAt < longestStart;
-        return now - m_idleSince >= longestIdleTime && !isStarting;
+        const bool mayBegin = m_isStarting && now - m_lastPlacementAt < longestStart;
+        return now - m_idleSince >= longestIdleTime && !mayBegin;
     }
 
     // Whether to find out now why the tasks wait: if the job has been idle for a while, or waits under a guarantee that
@@ -56,7 +56,13 @@
     // Record when the owner has learned of the job, and when it made room for it, or placed a task of it.
     void recordAdded(absl::Time now) { m_addedAt = now; }
     void recordEviction(absl::Time now) { m_firstEvictionAt = std::min(m_firstEvictionAt, now); }
-    void recordPlacement(absl::Time now) { m_lastPlacementAt = now; }
+    void recordPlacement(absl::Time now)
+    {
+        m_lastPlacementAt = now;
+        m_isStarting = true;
+    }
+    // Records that a placed task has ended without having run.
+    void recordFailedStart() { m_isStarting = false; }
     // The infinite future for what has not happened.
     absl::Time addedAt() const { return m_addedAt; }
     absl::Time firstEvictionAt() const { return m_firstEvictionAt; }
@@ -74,6 +80,8 @@
     absl::Time m_addedAt = absl::InfiniteFuture();
     absl::Time m_firstEvictionAt = absl::InfiniteFuture();
     absl::Time m_lastPlacementAt = absl::InfiniteFuture();
+    // The last task that was placed has not ended without having run.
+    bool m_isStarting = false;
 };
 
 } // namespace mangohall::batch
--- a/src/batch/owner/owner_log_cmd.cpp
+++ b/src/batch/owner/owner_log_cmd.cpp
@@ -92,7 +92,7 @@
         decision.queue = entry.progress.job().queue.str();
         decision.outcome = std::string(holdReasonName(step.reason));
         decision.epoch = m_ownership.epoch();
-        decision.age = now - entry.wait.idleSince();
+        decision.age = entry.wait.idleTime(now);
         m_outbox.log(std::move(decision));
     }
 }
--- a/src/batch/owner/owner_run_cmd.cpp
+++ b/src/batch/owner/owner_run_cmd.cpp
@@ -141,6 +141,8 @@
         = entry != nullptr && entry->progress.recordEnd(task, ended.run.attempt, ended.end, ended.checkpoint, now);
     if (showsStart(ended.end))
         recordStarted(ended.run, update.worker, now);
+    else if (entry != nullptr)
+        entry->wait.recordFailedStart();
     // The progress that makes the end irrelevant may not be written yet, for instance because another member has ended
     // the gang.
     const bool isDurable = !isChanged && (entry == nullptr || !(entry->isDirty || entry->isWriting));
--- a/src/batch/policy/priority_policy_base.cpp
+++ b/src/batch/policy/priority_policy_base.cpp
@@ -23,6 +23,9 @@
 // How long before its latest start a step that a guarantee covers stops waiting for a preferred rack. Runs may have to
 // be stopped on the other racks first.
 constexpr absl::Duration guaranteeLeadTime = absl::Milliseconds(2000);
+// How long after its latest start a step that a guarantee covers still keeps room while not all its tasks fit. One that
+// never fits must not keep others out for longer.
+constexpr absl::Duration longestPartialClaim = absl::Seconds(3);
 // The share of accelerators in use above which the workers count as busy, and tasks wait longer for a rack near their
 // data.
 constexpr double busyShare = 0.55;
@@ -107,13 +110,14 @@
         else
             serveTasks(pending);
         const auto hasPlaced = [&] { return m_allocation.placements.size() > placed; };
-        if (!hasPlaced() && pending.isOverdue && !m_servedJobs.contains(pending.job.text()))
+        const bool hasEvicted = m_allocation.evictions.size() > evicted;
+        if (!hasPlaced() && !hasEvicted && pending.isOverdue && !m_servedJobs.contains(pending.job.text()))
             serveOverdue(pending);
         if (hasPlaced())
             m_servedJobs.insert(pending.job.str());
         else if (pending.wantsReason)
-            m_allocation.held.push_back({ pending.job,
-                m_allocation.evictions.size() > evicted ? HoldReason::AwaitsEvictions : holdReasonOf(pending) });
+            m_allocation.held.push_back(
+                { pending.job, hasEvicted ? HoldReason::AwaitsEvictions : holdReasonOf(pending) });
     }
 
     // Moves the result out of the round.
@@ -225,6 +229,12 @@
             evictFor(pending, pending.indices, racks);
     }
 
+    // Whether room is kept for some tasks of the step although not all fit: for a while, and only if all could fit.
+    bool mayClaimPart(const PendingStep& pending) const
+    {
+        return pending.isGuaranteed && m_now < pending.startBy + longestPartialClaim && mayHold(RackName(), pending);
+    }
+
     // Returns the plan for as many of the tasks as fit on one of the racks, cheapest first.
     absl::optional<EvictionPlan> planMostFor(
         const PendingStep& pending, absl::Span<const std::int32_t> indices, absl::Span<const RackName> racks)
@@ -240,7 +250,7 @@
 
     // Evicts runs so that the tasks of an urgent step fit later, on the candidate rack where this costs least. Evicts
     // nothing for other steps, or if the tasks would not all fit even after evictions; but under a guarantee, makes and
-    // keeps room for as many as fit.
+    // keeps room for as many as fit for a while.
     void evictFor(const PendingStep& pending, absl::Span<const std::int32_t> indices, absl::Span<const RackName> racks)
     {
         if (pending.priority != urgentPriority || indices.empty())
@@ -253,7 +263,7 @@
             if (plan && (!best || plan->cost < best->cost))
                 best = std::move(plan);
         }
-        if (!best && pending.isGuaranteed)
+        if (!best && mayClaimPart(pending))
             best = planMostFor(pending, indices, racks);
         if (!best)
             return;
--- a/tests/batch/job_wait_test.cpp
+++ b/tests/batch/job_wait_test.cpp
@@ -38,6 +38,28 @@
     EXPECT_TRUE(wait.isOverdue(now + absl::Seconds(3)));
 }
 
+// Guards against another second of waiting for a start that has failed.
+TEST(JobWait, IsOverdueAgainOnceTheStartHasFailed)
+{
+    JobWait wait;
+    wait.recordIdle(now);
+    wait.recordPlacement(now + absl::Milliseconds(1900));
+    EXPECT_FALSE(wait.isOverdue(now + absl::Milliseconds(2100)));
+    wait.recordFailedStart();
+    EXPECT_TRUE(wait.isOverdue(now + absl::Milliseconds(2100)));
+}
+
+// Guards against an infinite age in the log and the metrics: a guaranteed job may be held while some of it runs.
+TEST(JobWait, HasNoIdleTimeWhileATaskRuns)
+{
+    JobWait wait;
+    EXPECT_EQ(wait.idleTime(now), absl::ZeroDuration());
+    wait.recordIdle(now);
+    EXPECT_EQ(wait.idleTime(now + absl::Seconds(1)), absl::Seconds(1));
+    wait.recordRunning();
+    EXPECT_EQ(wait.idleTime(now + absl::Seconds(2)), absl::ZeroDuration());
+}
+
 TEST(JobWait, ReportsEachReasonOnceUntilATaskHasRun)
 {
     JobWait wait;
--- a/tests/batch/priority_policy_test.cpp
+++ b/tests/batch/priority_policy_test.cpp
@@ -129,6 +129,31 @@
     EXPECT_EQ(allocation.evictions.front().run.task.job, JobId("batch"));
 }
 
+// Guards against room that is kept without end for a gang that does not fit, or could never fit: others are kept out.
+TEST(PriorityPolicy, KeepsPartOfTheRoomOfAGuaranteedGangForABoundedTime)
+{
+    std::vector<WorkerCapacity> workers = makeWorkers(1, 3);
+    occupy(workers[2], "covered", 8, 1, 0);
+    workers[2].runs.front().isGuaranteed = true;
+    StepSpec spec = specOf(3, 8);
+    spec.isGang = true;
+    PendingStep gang = pendingStepOf("gang", spec, 0);
+    gang.isGuaranteed = true;
+    gang.mayReclaim = true;
+    gang.startBy = now - absl::Seconds(2);
+    const StepSpec small = specOf(1, 8);
+    const PendingStep other = pendingStepOf("other", small, 2);
+    std::vector<WorkerCapacity> first = workers;
+    EXPECT_TRUE(PriorityPolicy().allocate(first, { gang, other }, now).placements.empty());
+    gang.startBy = now - absl::Seconds(3);
+    std::vector<WorkerCapacity> second = workers;
+    EXPECT_EQ(PriorityPolicy().allocate(second, { gang, other }, now).placements.size(), 1U);
+    spec.taskCount = 4;
+    gang.indices.push_back(3);
+    gang.startBy = now + absl::Seconds(1);
+    EXPECT_EQ(PriorityPolicy().allocate(workers, { gang, other }, now).placements.size(), 1U);
+}
+
 TEST(PriorityPolicy, DoesNotEvictAgainWhileRoomIsComingFree)
 {
     std::vector<WorkerCapacity> workers = makeWorkers(1, 2);
