--- a/src/batch/policy/priority_policy_base.cpp
+++ b/src/batch/policy/priority_policy_base.cpp
@@ -22,7 +22,7 @@
 constexpr absl::Duration idleLocalityWait = absl::Milliseconds(2000);
 // How long before its latest start a step that a guarantee covers stops waiting for a preferred rack. Runs may have to
 // be stopped on the other racks first.
-constexpr absl::Duration guaranteeLeadTime = absl::Milliseconds(2000);
+constexpr absl::Duration guaranteeLeadTime = absl::Milliseconds(1500);
 // How long after its latest start a step that a guarantee covers still keeps room while not all its tasks fit. One that
 // never fits must not keep others out for longer.
 constexpr absl::Duration longestPartialClaim = absl::Seconds(3);
