Fix: part of the room is kept for one guaranteed gang at a time

Cause: hold and wait. Each guaranteed gang that did not fit whole kept what it could get, so that none of them could start.

Change: only the first such step of a round, the one that has to start first.

--- a/src/batch/policy/priority_policy_base.cpp
+++ b/src/batch/policy/priority_policy_base.cpp
@@ -230,9 +230,11 @@
     }
 
     // Whether room is kept for some tasks of the step although not all fit: for a while, and only if all could fit.
+    // Only one step at a time, because several that each keep part of their room would wait for one another.
     bool mayClaimPart(const PendingStep& pending) const
     {
-        return pending.isGuaranteed && m_now < pending.startBy + longestPartialClaim && mayHold(RackName(), pending);
+        return pending.isGuaranteed && !m_hasPartialClaim && m_now < pending.startBy + longestPartialClaim
+            && mayHold(RackName(), pending);
     }
 
     // Returns the plan for as many of the tasks as fit on one of the racks, cheapest first.
@@ -263,8 +265,10 @@
             if (plan && (!best || plan->cost < best->cost))
                 best = std::move(plan);
         }
-        if (!best && mayClaimPart(pending))
+        if (!best && mayClaimPart(pending)) {
             best = planMostFor(pending, indices, racks);
+            m_hasPartialClaim = true;
+        }
         if (!best)
             return;
         const std::vector<Eviction> evictions = m_evictionSearch.apply(*best, pending);
@@ -279,6 +283,8 @@
     EvictionSearch m_evictionSearch;
     // The jobs of which a task was placed in this round.
     absl::flat_hash_set<std::string> m_servedJobs;
+    // Room is kept for some tasks of a step of which not all fit.
+    bool m_hasPartialClaim = false;
     Allocation m_allocation;
 };
 
--- a/tests/batch/priority_policy_test.cpp
+++ b/tests/batch/priority_policy_test.cpp
@@ -129,6 +129,30 @@
     EXPECT_EQ(allocation.evictions.front().run.task.job, JobId("batch"));
 }
 
+// Guards against gangs that each keep part of their room and wait for one another: the one that has to start first
+// does.
+TEST(PriorityPolicy, KeepsPartOfTheRoomForOneGuaranteedGangAtATime)
+{
+    std::vector<WorkerCapacity> workers = makeWorkers(1, 4);
+    occupy(workers[3], "covered", 8, 1, 0);
+    workers[3].runs.front().isGuaranteed = true;
+    occupy(workers[2], "batch", 4, 1);
+    StepSpec wide = specOf(4, 8);
+    wide.isGang = true;
+    StepSpec narrow = specOf(5, 4);
+    narrow.isGang = true;
+    PendingStep first = pendingStepOf("first", wide, 0);
+    PendingStep second = pendingStepOf("second", narrow, 0);
+    for (PendingStep* gang : { &first, &second }) {
+        gang->isGuaranteed = true;
+        gang->startBy = now + absl::Seconds(gang == &first ? 1 : 2);
+    }
+    const Allocation allocation = PriorityPolicy().allocate(workers, { first, second }, now);
+    EXPECT_TRUE(allocation.placements.empty());
+    ASSERT_EQ(allocation.evictions.size(), 1U);
+    EXPECT_EQ(allocation.evictions.front().beneficiary, JobId("first"));
+}
+
 // Guards against room that is kept without end for a gang that does not fit, or could never fit: others are kept out.
 TEST(PriorityPolicy, KeepsPartOfTheRoomOfAGuaranteedGangForABoundedTime)
 {
