Codechange: comments of the soak's commands and of overdue steps use the field's terms

Cause: two comments of the stand-in, and one of the soak, said "disturbance", the users' word, where the field says fault injection; the comment of serveOverdue left open what is placed.

Change: comments only.

--- a/src/batch/policy/priority_policy_base.cpp
+++ b/src/batch/policy/priority_policy_base.cpp
@@ -171,8 +171,8 @@
         return pending.spec->isGang ? pending.indices.size() : 1;
     }
 
-    // Places one task of the step, or its gang, on any workers if it would fit twice; each task if the step is
-    // long-running. The other tasks go on waiting for better workers.
+    // Places the smallest part of the step that can run on any workers, if there is capacity for two such parts. The
+    // part is the whole gang, each task of a long-running step, or one task otherwise; the other tasks stay pending.
     void serveOverdue(const PendingStep& pending)
     {
         const std::size_t enough = 2 * leastTogether(pending);
--- a/tests/platform/standin_command_func.cpp
+++ b/tests/platform/standin_command_func.cpp
@@ -25,7 +25,7 @@
     return command.at("worker").get<std::string>();
 }
 
-// Lets the store do what a disturbance of the platform's store does.
+// The fault injection commands for the store, by name.
 const std::map<std::string, std::function<void(BatchStore&, const Json&)>> storeCommands = {
     { "storeOut",
         [](BatchStore& store, const Json& command) {
@@ -53,7 +53,7 @@
         } },
 };
 
-// Lets the workers do what a disturbance of the platform's workers does.
+// The fault injection commands for the workers, by name.
 const std::map<std::string, std::function<void(SimulatedWorkers&, const Json&)>> workerCommands = {
     { "workerCrash",
         [](SimulatedWorkers& workers, const Json& command) { workers.crash(workerOf(command), millisOf(command)); } },
--- a/tools/soak_faults.py
+++ b/tools/soak_faults.py
@@ -12,7 +12,7 @@
 
 @dataclasses.dataclass
 class Fault:
-    """A disturbance that begins at a time, in seconds from the start of the traffic, and may be ended by a second action
+    """A fault that begins at a time, in seconds from the start of the traffic, and may be ended by a second action
     after it has lasted for some seconds."""
 
     at: float
