Feature: operators can evacuate a data centre

Each node follows the requests in the watch of the manifest. The owner starts nothing in an evacuated data centre, drops what it has not sent, bars what got no response, and starts nothing at all on a view older than the bound. Ruled out: a watch at the owner alone, which a new owner would begin with no view. The release tests of batch_test, batch_cluster_test and platform_message_test pass.

--- a/src/adapters/json/batch_record_json_func.cpp
+++ b/src/adapters/json/batch_record_json_func.cpp
@@ -311,6 +311,7 @@
     }
     // Nodes do not write these: other systems do, or they stand for a record that is unreadable or absent.
     json operator()(const Manifest& /*manifest*/) const { return nullptr; }
+    json operator()(const Evacuation& /*evacuation*/) const { return nullptr; }
     json operator()(const WorkerEntry& /*entry*/) const { return nullptr; }
     json operator()(const UnreadableRecord& /*record*/) const { return nullptr; }
     json operator()(const std::monostate& /*absent*/) const { return nullptr; }
@@ -362,6 +363,7 @@
     case Collection::Epoch:
         return ownerFromJson(collection, *parsed);
     case Collection::Manifest:
+    case Collection::Evacuations:
     case Collection::Workers:
         break;
     }
--- a/src/adapters/observe/decision_log_base.cpp
+++ b/src/adapters/observe/decision_log_base.cpp
@@ -30,7 +30,8 @@
     "jobGuaranteed", "reclaimDue", "choiceMade", "runPlaced", "runEnded", "runEvicted", "runStopped", "workerFound",
     "workerLost", "ownershipTaken", "ownershipLost", "manifestTaken", "storeLost", "storeRegained", "recordUnreadable",
     "startSent", "startUnanswered", "startBarred", "workerListOld", "workerListCurrent", "renewalUnanswered",
-    "recordRefused", "jobHeld", "guaranteeMet", "workerQuarantined" };
+    "recordRefused", "jobHeld", "guaranteeMet", "workerQuarantined",
+    "evacuationBegun", "evacuationEnded", "evacuationsOld", "evacuationsCurrent" };
 
 // Whether the decision is about a single run or request, of which a busy node handles hundreds a second.
 bool isFrequent(DecisionEffect::Kind kind)
@@ -96,6 +97,7 @@
     setUnlessEmpty(line, "worker", decision.worker);
     setUnlessEmpty(line, "queue", decision.queue);
     setUnlessEmpty(line, "organisation", decision.organisation);
+    setUnlessEmpty(line, "dataCentre", decision.dataCentre);
     setUnlessEmpty(line, "outcome", decision.outcome);
     setUnlessEmpty(line, "reason", decision.reason);
     if (decision.epoch != 0)
--- a/src/batch/node/directory_part_base.h
+++ b/src/batch/node/directory_part_base.h
@@ -10,8 +10,8 @@
 
 namespace mangohall::batch {
 
-// Follows the manifest in the store, notifies the other parts of it and of the time of its last confirmation, reports
-// whether the node is ready for new connections, and times the node's drain.
+// Follows the manifest and the evacuations in the store, notifies the other parts of them and of the time of their last
+// confirmation, reports whether the node is ready for new connections, and times the node's drain.
 class DirectoryPart : public NodePart {
 public:
     explicit DirectoryPart(const NodeSettings& settings);
@@ -22,9 +22,11 @@
     void handleStoreReply(const StoreReply& reply, absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     // Replaces the manifest by a newer version, and logs this. An unreadable record is logged and ignored.
     void applyManifest(const Record& record, absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    // Applies the requests to evacuate data centres, and logs what has changed.
+    void applyEvacuations(const CollectionUpdate& update, absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     // Logs when the store stops or resumes answering.
     void recordStoreState(const CollectionUpdate& update, absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
-    // Sends the manifest and the time of its confirmation to the other parts.
+    // Sends the manifest, the evacuations and the time of their confirmation to the other parts.
     void notifyParts() ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     // Starts the drain time and passes the drain on to the owner part.
     void startDrain(absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
@@ -38,10 +40,13 @@
     const NodeSettings m_settings;
     absl::Mutex m_mutex;
     Outbox m_outbox ABSL_GUARDED_BY(m_mutex);
-    // Follows the manifest's record in the store.
+    // Follows the records of the manifest and the evacuations in the store.
     CollectionFollower m_manifest ABSL_GUARDED_BY(m_mutex);
     // Null until a manifest has been read.
     std::shared_ptr<const RouteTable> m_routes ABSL_GUARDED_BY(m_mutex);
+    // Never null. It is replaced, not changed, since other parts read it.
+    std::shared_ptr<const EvacuationSet> m_evacuations ABSL_GUARDED_BY(m_mutex)
+        = std::make_shared<const EvacuationSet>();
     // The readiness that was reported last.
     bool m_isReady ABSL_GUARDED_BY(m_mutex) = false;
     // The last call to the store has failed.
--- a/src/batch/node/directory_part_cmd.cpp
+++ b/src/batch/node/directory_part_cmd.cpp
@@ -44,12 +44,16 @@
     recordStoreState(update, now);
     for (const Record& record : update.records)
         applyManifest(record, now);
+    if (update.isConfirmed)
+        applyEvacuations(update, now);
     if (update.isConfirmed && m_routes != nullptr)
         notifyParts();
 }
 
 void DirectoryPart::applyManifest(const Record& record, absl::Time now)
 {
+    if (record.key.collection != Collection::Manifest)
+        return;
     DecisionEffect decision;
     if (const auto* unreadable = std::get_if<UnreadableRecord>(&record.value)) {
         decision.kind = DecisionEffect::Kind::RecordUnreadable;
@@ -71,6 +75,24 @@
     m_outbox.log(std::move(decision));
 }
 
+void DirectoryPart::applyEvacuations(const CollectionUpdate& update, absl::Time now)
+{
+    EvacuationSet evacuations = *m_evacuations;
+    const std::vector<EvacuationSet::Change> changes = evacuations.apply(update.records, update.isComplete);
+    if (changes.empty())
+        return;
+    m_evacuations = std::make_shared<const EvacuationSet>(std::move(evacuations));
+    for (const EvacuationSet::Change& change : changes) {
+        DecisionEffect decision;
+        decision.kind
+            = change.isEvacuated ? DecisionEffect::Kind::EvacuationBegun : DecisionEffect::Kind::EvacuationEnded;
+        decision.dataCentre = change.dataCentre.str();
+        decision.version = change.revision;
+        decision.age = now - m_manifest.confirmedAt();
+        m_outbox.log(std::move(decision));
+    }
+}
+
 void DirectoryPart::recordStoreState(const CollectionUpdate& update, absl::Time now)
 {
     const bool isChanged = update.isFailed != m_isStoreLost && (update.isFailed || update.isConfirmed);
@@ -85,7 +107,7 @@
 
 void DirectoryPart::notifyParts()
 {
-    const RoutesEvent routes { m_routes, m_manifest.confirmedAt() };
+    const RoutesEvent routes { m_routes, m_evacuations, m_manifest.confirmedAt() };
     m_outbox.notify(ownerPart, routes);
     for (std::size_t callerPart = 0; callerPart < m_settings.callerPartCount; ++callerPart)
         m_outbox.notify(firstCallerPart + callerPart, routes);
--- a/src/batch/node/event_type.h
+++ b/src/batch/node/event_type.h
@@ -11,6 +11,7 @@
 #include "absl/status/statusor.h"
 #include "absl/time/time.h"
 #include "absl/types/optional.h"
+#include "batch/evacuation/evacuation_set_base.h"
 #include "batch/routing/route_table_base.h"
 #include "batch/store/record_type.h"
 #include "batch/worker/worker_type.h"
@@ -88,10 +89,12 @@
     CallerRequest request;
 };
 
-// The manifest has changed or has been confirmed. The directory part sends this to the other parts.
+// The manifest or the evacuations have changed, or have been confirmed. The directory part sends this to the other
+// parts.
 struct RoutesEvent {
     std::shared_ptr<const RouteTable> routes;
-    // The manifest was known to be the latest at this time.
+    std::shared_ptr<const EvacuationSet> evacuations;
+    // Both were known to be the latest at this time.
     absl::Time confirmedAt;
 };
 
@@ -211,6 +214,12 @@
         GuaranteeMet,
         // The worker gets no new work for a while, because it seems to be faulty.
         WorkerQuarantined,
+        // Operators have asked to evacuate a data centre, or have withdrawn that.
+        EvacuationBegun,
+        EvacuationEnded,
+        // The evacuations were not confirmed for so long that no run is started, or are confirmed again.
+        EvacuationsOld,
+        EvacuationsCurrent,
     };
     Kind kind = Kind::Submitted;
     std::string job;
@@ -218,6 +227,7 @@
     std::string worker;
     std::string queue;
     std::string organisation;
+    std::string dataCentre;
     std::string outcome;
     std::string reason;
     Epoch epoch = 0;
--- a/src/batch/node/node_base.h
+++ b/src/batch/node/node_base.h
@@ -25,6 +25,9 @@
     // Requests of callers are refused while the last confirmation of the manifest is older than this, because a key may
     // have been revoked since.
     absl::Duration maxManifestAge = absl::Seconds(4);
+    // No run is started while the last confirmation of the evacuations is older than this, because a data centre may
+    // have been evacuated since. Infinite where operators evacuate none.
+    absl::Duration maxEvacuationAge = absl::InfiniteDuration();
     SessionSettings session;
     RecordLimits recordLimits;
     // The longest time from the acceptance of an urgent job that a guarantee covers to its start.
--- a/src/batch/owner/owner_load_cmd.cpp
+++ b/src/batch/owner/owner_load_cmd.cpp
@@ -30,6 +30,8 @@
     m_workerFollower.stop();
     m_loading = Loading();
     m_allocatedAt = now;
+    m_wasWorkerListCurrent = true;
+    m_wereEvacuationsCurrent = true;
 }
 
 void OwnerPart::advanceLoading(absl::Time now)
--- a/src/batch/owner/owner_log_cmd.cpp
+++ b/src/batch/owner/owner_log_cmd.cpp
@@ -163,6 +163,15 @@
     m_outbox.log(std::move(decision));
 }
 
+void OwnerPart::logEvacuationAge(bool isCurrent, absl::Time now)
+{
+    DecisionEffect decision;
+    decision.kind = isCurrent ? DecisionEffect::Kind::EvacuationsCurrent : DecisionEffect::Kind::EvacuationsOld;
+    decision.epoch = m_ownership.epoch();
+    decision.age = now - m_routesConfirmedAt;
+    m_outbox.log(std::move(decision));
+}
+
 void OwnerPart::logUnreadable(const Record& record)
 {
     DecisionEffect decision;
--- a/src/batch/owner/owner_part_base.h
+++ b/src/batch/owner/owner_part_base.h
@@ -81,10 +81,13 @@
     void applyWriteUpdate(const WriteUpdate& update, absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void handleRefusedRecord(const JobId& job, absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void releaseRun(const PlacedRun& placed, absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    void applyEvacuations(const RoutesEvent& event, absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     // Whether the list of workers is known to be new enough to start runs on it.
     bool isWorkerListCurrent(absl::Time now) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
-    // Lets starts be sent only while the list of workers is current, and logs when that changes.
-    void reviewWorkerList(absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    // Whether the evacuations are known to be new enough to start runs.
+    bool areEvacuationsCurrent(absl::Time now) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    // Lets starts be sent only while the list of workers and the evacuations are current, and logs when that changes.
+    void reviewStarts(absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     // When the next allocation round may begin; the infinite future if none is due.
     absl::Time nextAllocation(absl::Time now) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     // Runs one allocation round: places tasks and stops the evicted runs.
@@ -117,6 +120,7 @@
     void logUnansweredRenewal(const WorkerUpdate& update) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void logWorker(const WorkerUpdate& update) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void logWorkerList(bool isCurrent, absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    void logEvacuationAge(bool isCurrent, absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void logUnreadable(const Record& record) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     StartRun describeStart(const RunKey& run) const override ABSL_NO_THREAD_SAFETY_ANALYSIS;
 
@@ -134,6 +138,11 @@
     WorkerRegistry m_workers ABSL_GUARDED_BY(m_mutex);
     ProgressWriter m_writer ABSL_GUARDED_BY(m_mutex);
     std::shared_ptr<const RouteTable> m_routes ABSL_GUARDED_BY(m_mutex);
+    // The routes and the evacuations were known to be the latest at this time.
+    absl::Time m_routesConfirmedAt ABSL_GUARDED_BY(m_mutex) = absl::InfinitePast();
+    // What was logged last of the age of the list of workers and of the evacuations.
+    bool m_wasWorkerListCurrent ABSL_GUARDED_BY(m_mutex) = true;
+    bool m_wereEvacuationsCurrent ABSL_GUARDED_BY(m_mutex) = true;
     // Something has changed that may let a task start.
     bool m_isAllocationDue ABSL_GUARDED_BY(m_mutex) = false;
     // When the last allocation round began.
--- a/src/batch/owner/owner_part_cmd.cpp
+++ b/src/batch/owner/owner_part_cmd.cpp
@@ -75,6 +75,8 @@
             applyWorkerUpdate(m_workers.handleReply(worker->call, worker->reply, now), now);
     } else if (const auto* routes = std::get_if<RoutesEvent>(&event)) {
         m_routes = routes->routes;
+        m_routesConfirmedAt = routes->confirmedAt;
+        applyEvacuations(*routes, now);
     } else if (std::holds_alternative<DrainEvent>(event)) {
         m_isDraining = true;
         beginHandover(now);
@@ -106,19 +108,43 @@
     return now - m_workerFollower.confirmedAt() <= maxWorkerListAge;
 }
 
-void OwnerPart::reviewWorkerList(absl::Time now)
+bool OwnerPart::areEvacuationsCurrent(absl::Time now) const
 {
-    const bool isCurrent = isWorkerListCurrent(now);
-    if (isCurrent == m_workers.mayStart() || m_isDraining)
+    return m_settings.maxEvacuationAge == absl::InfiniteDuration()
+        || now - m_routesConfirmedAt <= m_settings.maxEvacuationAge;
+}
+
+void OwnerPart::reviewStarts(absl::Time now)
+{
+    if (m_isDraining)
         return;
-    m_workers.setMayStart(isCurrent);
-    logWorkerList(isCurrent, now);
+    const bool isListCurrent = isWorkerListCurrent(now);
+    const bool areRequestsCurrent = areEvacuationsCurrent(now);
+    if (isListCurrent != std::exchange(m_wasWorkerListCurrent, isListCurrent))
+        logWorkerList(isListCurrent, now);
+    if (areRequestsCurrent != std::exchange(m_wereEvacuationsCurrent, areRequestsCurrent))
+        logEvacuationAge(areRequestsCurrent, now);
+    const bool mayStart = isListCurrent && areRequestsCurrent;
+    if (mayStart != m_workers.mayStart())
+        m_workers.setMayStart(mayStart);
+}
+
+// Placements in an evacuated data centre that were not sent are made anew elsewhere; the rest of their gang is stopped.
+void OwnerPart::applyEvacuations(const RoutesEvent& event, absl::Time now)
+{
+    if (event.evacuations == nullptr)
+        return;
+    for (const WorkerUpdate& unsent : m_workers.setEvacuations(event.evacuations)) {
+        for (const EndedRun& ended : unsent.session.ended)
+            handleRunEnd(ended, unsent, now);
+    }
+    m_isAllocationDue = true;
 }
 
 absl::Time OwnerPart::nextAllocation(absl::Time now) const
 {
-    // The next reply about the workers is an event of its own.
-    if (!isWorkerListCurrent(now) || m_isDraining)
+    // The next reply about the workers, or the evacuations, is an event of its own.
+    if (!isWorkerListCurrent(now) || !areEvacuationsCurrent(now) || m_isDraining)
         return absl::InfiniteFuture();
     absl::Time due = absl::InfiniteFuture();
     if (m_isAllocationDue)
@@ -195,7 +221,7 @@
         applyWorkerUpdate(lapsed, now);
     if (m_jobs.openDueOccurrences(now))
         m_isAllocationDue = true;
-    reviewWorkerList(now);
+    reviewStarts(now);
     if (nextAllocation(now) <= now)
         allocate(now);
     m_writer.advance(m_ownership.expectation(), m_outbox, now);
--- a/src/batch/owner/worker_registry_base.cpp
+++ b/src/batch/owner/worker_registry_base.cpp
@@ -64,6 +64,7 @@
         m_addresses.add(entry.address, entry.name);
     }
     session.update(entry, reportedAfter, now);
+    session.setEvacuated(m_evacuations != nullptr && m_evacuations->contains(entry.dataCentre));
 }
 
 void WorkerRegistry::applyMissingEntry(const Record& record, absl::Time now)
@@ -133,13 +134,36 @@
 std::vector<WorkerUpdate> WorkerRegistry::takeUnsentRuns()
 {
     std::vector<WorkerUpdate> updates;
+    for (auto& [worker, session] : m_sessions)
+        takeUnsentRunsOf(worker, session, updates);
+    return updates;
+}
+
+void WorkerRegistry::takeUnsentRunsOf(
+    const WorkerName& worker, WorkerSession& session, std::vector<WorkerUpdate>& updates)
+{
+    WorkerUpdate update { worker, session.processStartMs(), {} };
+    update.session.ended = session.takeUnsentRuns();
+    if (update.session.ended.empty())
+        return;
+    markChanged(worker);
+    updates.push_back(std::move(update));
+}
+
+std::vector<WorkerUpdate> WorkerRegistry::setEvacuations(std::shared_ptr<const EvacuationSet> evacuations)
+{
+    std::vector<WorkerUpdate> updates;
+    if (evacuations == m_evacuations)
+        return updates;
+    m_evacuations = std::move(evacuations);
     for (auto& [worker, session] : m_sessions) {
-        WorkerUpdate update { worker, session.processStartMs(), {} };
-        update.session.ended = session.takeUnsentRuns();
-        if (update.session.ended.empty())
+        const bool isEvacuated = m_evacuations->contains(session.entry().dataCentre);
+        if (isEvacuated == session.isEvacuated())
             continue;
+        session.setEvacuated(isEvacuated);
         markChanged(worker);
-        updates.push_back(std::move(update));
+        if (isEvacuated)
+            takeUnsentRunsOf(worker, session, updates);
     }
     return updates;
 }
--- a/src/batch/owner/worker_registry_base.h
+++ b/src/batch/owner/worker_registry_base.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include <memory>
 #include <vector>
 
 #include "absl/container/btree_map.h"
 #include "absl/container/btree_set.h"
 #include "absl/container/flat_hash_map.h"
+#include "batch/evacuation/evacuation_set_base.h"
 #include "batch/node/outbox_base.h"
 #include "batch/owner/address_index_base.h"
 #include "batch/owner/due_index_base.h"
@@ -58,6 +60,10 @@
     void setMayStart(bool mayStart);
     bool mayStart() const { return m_mayStart; }
 
+    // Sets which data centres are being evacuated: their workers get no starts from now on. Drops and returns the runs
+    // there whose start was not sent.
+    std::vector<WorkerUpdate> setEvacuations(std::shared_ptr<const EvacuationSet> evacuations);
+
     // Drops and returns the runs whose start was not sent.
     std::vector<WorkerUpdate> takeUnsentRuns();
     // Whether the reply to a start is still to come.
@@ -89,6 +95,8 @@
         SessionCall context;
     };
 
+    // Drops the runs of the session whose start was not sent, and adds them to the updates if there are any.
+    void takeUnsentRunsOf(const WorkerName& worker, WorkerSession& session, std::vector<WorkerUpdate>& updates);
     void applyEntry(const WorkerEntry& entry, absl::Time reportedAfter, absl::Time now);
     // Tells the other workers at the address of the call that this worker has replied from there.
     void recordReplyAt(const PendingCall& pending);
@@ -107,6 +115,8 @@
     absl::Time m_ownedSince = absl::InfinitePast();
     absl::Time m_ownedUntil = absl::InfinitePast();
     absl::btree_map<WorkerName, WorkerSession> m_sessions;
+    // Null until the evacuations are known.
+    std::shared_ptr<const EvacuationSet> m_evacuations;
     AddressIndex m_addresses;
     absl::flat_hash_map<CallId, PendingCall> m_calls;
     // The number of polls among the pending calls.
--- a/src/batch/store/record_type.h
+++ b/src/batch/store/record_type.h
@@ -18,8 +18,10 @@
 
 // The collections of records. A read or watch of one collection may include another, as noted below.
 enum class Collection {
-    // The operators' manifest. Only operators write it.
+    // The operators' manifest, and their requests to evacuate data centres, by the data centre's name. Only operators
+    // write them. A read or watch of the manifest includes the evacuations.
     Manifest,
+    Evacuations,
     // The workers' own entries. Only workers write them.
     Workers,
     // Accepted jobs and their cancellations, each written once by the node that took the call. A read or watch of the
@@ -48,6 +50,11 @@
     friend auto operator<=>(const RecordKey&, const RecordKey&) = default;
 };
 
+// An operators' request to evacuate the data centre that its key names.
+struct Evacuation {
+    friend bool operator==(const Evacuation&, const Evacuation&) = default;
+};
+
 // A caller's request to cancel a job.
 struct Cancellation {
     absl::Time requestedAt;
@@ -86,8 +93,8 @@
     friend bool operator==(const UnreadableRecord&, const UnreadableRecord&) = default;
 };
 
-using RecordValue = std::variant<std::monostate, Manifest, WorkerEntry, Job, Cancellation, ProgressRecord, QueueCounts,
-    HolderRecord, EpochRecord, UnreadableRecord>;
+using RecordValue = std::variant<std::monostate, Manifest, Evacuation, WorkerEntry, Job, Cancellation, ProgressRecord,
+    QueueCounts, HolderRecord, EpochRecord, UnreadableRecord>;
 
 // A record as the store holds it. Revision 0 without a value means that the record is absent.
 struct Record {
--- a/src/batch/worker/worker_session_base.cpp
+++ b/src/batch/worker/worker_session_base.cpp
@@ -68,7 +68,7 @@
 bool WorkerSession::acceptsWork(absl::Time now) const
 {
     const absl::Time from = std::max(m_startsPausedUntil, m_commands.unansweredAcknowledgementUntil());
-    return isListed() && isProcessCertain() && m_processEntry && !m_entry.isDraining && now >= from;
+    return isListed() && isProcessCertain() && m_processEntry && !isClosedToStarts() && now >= from;
 }
 
 bool WorkerSession::isRunning(const RunKey& run) const
--- a/src/batch/worker/worker_session_base.h
+++ b/src/batch/worker/worker_session_base.h
@@ -114,8 +114,9 @@
 
     // Whether the worker has replied to a poll with this owner's epoch.
     bool hasAnswered() const { return m_hasAnswered; }
-    // Whether new runs may be started on the worker: it is listed by a row of the process that has replied, is not
-    // draining, has refused no start just before, and executes no acknowledgement that was sent to an earlier process.
+    // Whether new runs may be started on the worker: it is listed by a row of the process that has replied, is neither
+    // draining nor evacuated, has refused no start just before, and executes no acknowledgement that was sent to an
+    // earlier process.
     bool acceptsWork(absl::Time now) const;
 
     // The capacity that no run uses.
@@ -149,6 +150,10 @@
     void setPollWait(absl::Duration wait) { m_pollWait = wait; }
     // While this is off, no start is due.
     void setMayStart(bool mayStart) { m_mayStart = mayStart; }
+    // Sets whether the worker's data centre is being evacuated: if so, the worker gets no start, not even a repeated
+    // one, and its runs go on.
+    void setEvacuated(bool isEvacuated) { m_isEvacuated = isEvacuated; }
+    bool isEvacuated() const { return m_isEvacuated; }
     // Returns the calls that are due and records them as sent.
     std::vector<DueCall> takeDueCalls(absl::Time now);
     // When `takeDueCalls` or `takeLapsedRuns` has something to do next, unless a method is called that changes the
@@ -221,7 +226,10 @@
     absl::Time lapsesAt(const RunKey& run, const RunSlot& slot) const;
     // The process that has sent the reply, given by its start; 0 if that is unknown.
     std::int64_t replyingProcess(const WorkerReply& reply, absl::Time now) const;
-    void barStartsWhileDraining(absl::Time now);
+    // Whether the worker gets no starts: it drains, or its data centre is being evacuated.
+    bool isClosedToStarts() const { return m_entry.isDraining || m_isEvacuated; }
+    // Bars the unconfirmed starts of a worker that gets none any more.
+    void barUnconfirmedStarts(absl::Time now);
     // When the first of the starts was sent that have no reply yet; the infinite future if there is none.
     absl::Time firstPendingStartSentAt() const;
     // Whether an end is not acknowledged yet since the outcome of a start, or of another command, is
@@ -293,6 +301,7 @@
 
     absl::Duration m_pollWait;
     bool m_mayStart = true;
+    bool m_isEvacuated = false;
     bool m_isPollPending = false;
     // The number of starts whose calls have not ended.
     int m_pendingStarts = 0;
--- a/src/batch/worker/worker_session_call_cmd.cpp
+++ b/src/batch/worker/worker_session_call_cmd.cpp
@@ -106,10 +106,10 @@
     return mayRepeat ? std::max(slot.startSentAt + commandRetryPeriod, m_startsPausedUntil) : absl::InfiniteFuture();
 }
 
-// A draining worker is sent no start. One that it has not confirmed may still be executed, so it is barred by a stop.
-void WorkerSession::barStartsWhileDraining(absl::Time now)
+// A start that the worker has not confirmed may still be executed, so it is barred by a stop.
+void WorkerSession::barUnconfirmedStarts(absl::Time now)
 {
-    if (!m_entry.isDraining)
+    if (!isClosedToStarts())
         return;
     for (auto& [run, slot] : m_runs) {
         if (slot.stage != RunSlot::Stage::Starting || slot.isStartPending || slot.isStopWanted)
@@ -121,7 +121,7 @@
 
 std::vector<DueCall> WorkerSession::takeDueCalls(absl::Time now)
 {
-    barStartsWhileDraining(now);
+    barUnconfirmedStarts(now);
     m_commands.expire(now);
     std::vector<DueCall> calls;
     for (auto& [run, slot] : m_runs) {
--- a/tests/batch/batch_cluster_base.cpp
+++ b/tests/batch/batch_cluster_base.cpp
@@ -64,6 +64,7 @@
     NodeSettings settings;
     settings.self = NodeName(nameOf(node));
     settings.seed = ++m_starts;
+    settings.maxEvacuationAge = m_maxEvacuationAge;
     settings.processorShare = m_shares.try_emplace(node, 1).first->second;
     NodeSlot& slot = m_nodes[node];
     slot = NodeSlot();
@@ -92,6 +93,15 @@
         deliver(node, held.part, held.event);
 }
 
+void BatchCluster::setEvacuated(const std::string& dataCentre, bool isEvacuated)
+{
+    const RecordKey key { Collection::Evacuations, dataCentre };
+    if (isEvacuated)
+        m_store.put(key, Evacuation());
+    else
+        m_store.remove(key);
+}
+
 void BatchCluster::drain(int node)
 {
     deliver(node, directoryPart, DrainEvent());
--- a/tests/batch/batch_cluster_base.h
+++ b/tests/batch/batch_cluster_base.h
@@ -52,6 +52,8 @@
     // Sets the processor time that the node's work costs, from its next start on. The node handles one event after the
     // other.
     void setProcessorCost(int node, ProcessorCost cost) { m_costs[node] = cost; }
+    // Sets how old the evacuations may be for a node that starts runs, from its next start on.
+    void setMaxEvacuationAge(absl::Duration age) { m_maxEvacuationAge = age; }
     // Suspends the node's process: events are held back until it is resumed.
     void suspend(int node, bool isSuspended);
     void drain(int node);
@@ -61,6 +63,8 @@
     int owner() const;
 
     void putManifest(const Manifest& manifest) { m_store.put({ Collection::Manifest, "" }, manifest); }
+    // Writes, or removes, the operators' request to evacuate the data centre.
+    void setEvacuated(const std::string& dataCentre, bool isEvacuated);
     // All decisions that the nodes have logged, in order.
     const std::vector<DecisionEffect>& decisions() const { return m_decisions; }
     const Manifest& manifest() const { return m_manifest; }
@@ -110,6 +114,7 @@
     Manifest m_manifest;
     std::map<int, double> m_shares;
     std::map<int, ProcessorCost> m_costs;
+    absl::Duration m_maxEvacuationAge = absl::InfiniteDuration();
     std::map<int, NodeSlot> m_nodes;
     std::map<CallerId, CallerLog> m_logs;
     CallerId m_lastCaller = 0;
--- a/tests/batch/batch_store_base.cpp
+++ b/tests/batch/batch_store_base.cpp
@@ -15,6 +15,8 @@
 {
     if (collection == Collection::Cancellations)
         return Collection::Jobs;
+    if (collection == Collection::Evacuations)
+        return Collection::Manifest;
     return collection == Collection::Epoch ? Collection::Holder : collection;
 }
 
--- a/tests/batch/simulated_workers_base.cpp
+++ b/tests/batch/simulated_workers_base.cpp
@@ -51,6 +51,13 @@
     m_workers[name] = std::move(worker);
 }
 
+void SimulatedWorkers::setDataCentre(const std::string& name, const std::string& dataCentre)
+{
+    Worker& worker = m_workers.at(name);
+    worker.entry.dataCentre = DataCentreName(dataCentre);
+    writeEntry(worker);
+}
+
 void SimulatedWorkers::writeEntry(const Worker& worker)
 {
     if (worker.isPartitioned || worker.isDown || worker.isGone)
--- a/tests/batch/simulated_workers_base.h
+++ b/tests/batch/simulated_workers_base.h
@@ -41,6 +41,8 @@
     // Adds a worker that writes its entry to the store. Its address is its name if none is given.
     void add(
         const std::string& name, const std::string& rack, const Resources& capacity, const std::string& address = "");
+    // Moves the worker to another data centre, which its entry names from now on.
+    void setDataCentre(const std::string& name, const std::string& dataCentre);
     // Delivers a call; replies once, at the latest with a failure after the timeout.
     void call(const WorkerCall& call, Reply reply);
 
--- a/tests/platform/message_test.cpp
+++ b/tests/platform/message_test.cpp
@@ -331,13 +331,33 @@
 
 TEST(StoreMessage, RecordKeysSurviveRoundTrip)
 {
-    for (const batch::RecordKey& key : { batch::RecordKey { Collection::Manifest, "" }, { Collection::Workers, "i-1" },
-             { Collection::Jobs, "00a1" }, { Collection::Cancellations, "00a1" }, { Collection::Progress, "00a1" },
+    for (const batch::RecordKey& key : { batch::RecordKey { Collection::Manifest, "" },
+             { Collection::Evacuations, "ct-a" }, { Collection::Workers, "i-1" }, { Collection::Jobs, "00a1" }, { Collection::Cancellations, "00a1" }, { Collection::Progress, "00a1" },
              { Collection::QueueCounts, "" }, { Collection::Holder, "" }, { Collection::Epoch, "" } })
         EXPECT_EQ(recordKeyOf(storeKeyOf(key)), key);
     EXPECT_FALSE(recordKeyOf("op/wave/1"));
 }
 
+// Guards against a watch of the manifest that leaves out the requests to evacuate a data centre, and against a request
+// that is ignored for what its value holds.
+TEST(StoreMessage, WatchOfTheManifestIncludesEvacuations)
+{
+    const batch::StoreRequest request = batch::WatchCollection { Collection::Manifest, 411, absl::Seconds(2) };
+    EXPECT_EQ(encodeStoreRequest(request, "h:1").url, "http://h:1/v1/kv-watch?pathPrefix=op/&after=411&waitMs=2000");
+    HttpResponse response;
+    response.status = 200;
+    response.body = R"({"atRev":420,"events":[{"key":"op/evacuate/ct-a","revision":412,"value":"AAAA"},)"
+                    R"({"key":"op/evacuate/sr-b","revision":413,"value":"e30="},)"
+                    R"({"key":"op/evacuate/pa-a","revision":414,"deleted":true},)"
+                    R"({"key":"op/wave/1","revision":415,"value":"e30="}]})";
+    const batch::StoreReply reply = decodeStoreReply(request, response);
+    ASSERT_EQ(reply.records.size(), 3U);
+    EXPECT_EQ(reply.records[0].key, (batch::RecordKey { Collection::Evacuations, "ct-a" }));
+    EXPECT_TRUE(std::holds_alternative<batch::Evacuation>(reply.records[0].value));
+    EXPECT_TRUE(std::holds_alternative<batch::Evacuation>(reply.records[1].value));
+    EXPECT_TRUE(std::holds_alternative<std::monostate>(reply.records[2].value));
+}
+
 // Guards against one job whose progress takes more memory than any owner has, so that each owner in turn is killed.
 TEST(JobMessage, RefusesAJobWithTooManyTasksInAllItsOccurrences)
 {
