Fix: a change of owner does not begin the wait for an unsettled run anew

A new owner knew nothing of what its predecessor had sent, and counted 24.55 s from its own beginning for each start without a response on a silent worker; a start was repeated for as long as its worker replied to polls, each repetition being possible for another 14 s. Now the owner writes into the task's record by when such a run has ended. While that stands, no owner sends the worker a start or renews its lease; a worker that replies again gets both only after the record is withdrawn. A start that is not confirmed within 8 s is stopped. Log line runUnsettled. A record of progress has an eleventh field. RecordJson.RejectsMalformedRecords: eleven numbers are a record now; three checks (twelve fields, a text, a negative number) in place of one. batch_test and batch_cluster_test pass.

--- a/src/adapters/json/batch_record_json_func.cpp
+++ b/src/adapters/json/batch_record_json_func.cpp
@@ -157,8 +157,8 @@
         return json::array({ static_cast<int>(task.phase) });
     json fields = json::array({ static_cast<int>(task.phase), task.attempt, task.failures, task.checkpoint,
         task.worker.str(), task.workerProcessStartMs });
-    const std::int64_t lastFields[]
-        = { task.lastFailedAttempt, task.lastStartedAttempt, task.mayStartAgain ? 1 : 0, task.earlierCommandsUntilMs };
+    const std::int64_t lastFields[] = { task.lastFailedAttempt, task.lastStartedAttempt, task.mayStartAgain ? 1 : 0,
+        task.earlierCommandsUntilMs, task.lapsesByMs };
     std::size_t count = std::size(lastFields);
     while (count > 0 && lastFields[count - 1] == 0)
         --count;
@@ -170,7 +170,7 @@
 absl::Status malformedTask()
 {
     return makeError(
-        ErrorKind::MalformedBody, "the progress of a task is not a list of six to ten fields of the expected types");
+        ErrorKind::MalformedBody, "the progress of a task is not a list of six to eleven fields of the expected types");
 }
 
 absl::Status taskFromJson(const json& source, TaskProgress& task)
@@ -182,11 +182,12 @@
         return absl::OkStatus();
     }
     constexpr std::size_t minFieldCount = 6;
-    constexpr std::size_t maxFieldCount = 10;
+    constexpr std::size_t maxFieldCount = 11;
     constexpr std::size_t failedPosition = 6;
     constexpr std::size_t startedPosition = 7;
     constexpr std::size_t startsAgainPosition = 8;
     constexpr std::size_t earlierCommandsPosition = 9;
+    constexpr std::size_t lapsesByPosition = 10;
     const bool hasExpectedTypes = source.is_array() && source.size() >= minFieldCount && source.size() <= maxFieldCount
         && source[3].is_string() && source[4].is_string();
     if (!hasExpectedTypes)
@@ -202,8 +203,9 @@
     const absl::optional<std::int64_t> lastStartedAttempt = optionalNumber(startedPosition);
     const absl::optional<std::int64_t> mayStartAgain = optionalNumber(startsAgainPosition);
     const absl::optional<std::int64_t> earlierCommandsUntil = optionalNumber(earlierCommandsPosition, maxInt64);
+    const absl::optional<std::int64_t> lapsesBy = optionalNumber(lapsesByPosition, maxInt64);
     if (!phase || !attempt || !failures || !processStart || !lastFailedAttempt || !lastStartedAttempt || !mayStartAgain
-        || !earlierCommandsUntil)
+        || !earlierCommandsUntil || !lapsesBy)
         return malformedTask();
     if (*phase > static_cast<int>(TaskProgress::Phase::Done))
         return makeError(ErrorKind::MalformedBody, "the phase of a task is unknown");
@@ -217,6 +219,7 @@
     task.lastStartedAttempt = static_cast<std::int32_t>(*lastStartedAttempt);
     task.mayStartAgain = *mayStartAgain != 0;
     task.earlierCommandsUntilMs = *earlierCommandsUntil;
+    task.lapsesByMs = *lapsesBy;
     return absl::OkStatus();
 }
 
--- a/src/adapters/observe/decision_log_base.cpp
+++ b/src/adapters/observe/decision_log_base.cpp
@@ -30,8 +30,8 @@
     "jobGuaranteed", "reclaimDue", "choiceMade", "runPlaced", "runEnded", "runEvicted", "runStopped", "workerFound",
     "workerLost", "ownershipTaken", "ownershipLost", "manifestTaken", "storeLost", "storeRegained", "recordUnreadable",
     "startSent", "startUnanswered", "startBarred", "workerListOld", "workerListCurrent", "renewalUnanswered",
-    "recordRefused", "jobHeld", "guaranteeMet", "workerQuarantined",
-    "evacuationBegun", "evacuationEnded", "evacuationsOld", "evacuationsCurrent" };
+    "recordRefused", "jobHeld", "guaranteeMet", "workerQuarantined", "evacuationBegun", "evacuationEnded",
+    "evacuationsOld", "evacuationsCurrent", "runUnsettled" };
 
 // Whether the decision is about a single run or request, of which a busy node handles hundreds a second.
 bool isFrequent(DecisionEffect::Kind kind)
--- a/src/batch/job/job_progress_base.cpp
+++ b/src/batch/job/job_progress_base.cpp
@@ -139,6 +139,7 @@
     found->worker = worker;
     found->workerProcessStartMs = process.startMs;
     found->earlierCommandsUntilMs = process.earlierCommandsUntilMs;
+    found->lapsesByMs = 0;
     if (m_record.phase == JobPhase::Pending)
         m_record.phase = JobPhase::Active;
 }
@@ -166,6 +167,15 @@
     return isNew || isSettledAnew;
 }
 
+bool JobProgress::recordLapse(
+    const TaskRef& task, std::int32_t attempt, const WorkerName& worker, std::int64_t lapsesByMs)
+{
+    if (!isCurrentRun(task, attempt, worker))
+        return false;
+    findTask(task)->lapsesByMs = lapsesByMs;
+    return true;
+}
+
 bool JobProgress::haveFirstTasksBegun() const
 {
     if (m_record.occurrences.empty())
@@ -213,6 +223,7 @@
 {
     const auto finish = [this](TaskProgress& finished) {
         finished.phase = TaskProgress::Phase::Done;
+        finished.lapsesByMs = 0;
         replaceCheckpoint(finished, "");
     };
     if (!stepSpec(task.step).isGang) {
@@ -231,6 +242,7 @@
     released.worker = WorkerName();
     released.workerProcessStartMs = 0;
     released.earlierCommandsUntilMs = 0;
+    released.lapsesByMs = 0;
     if (!checkpoint.empty())
         setCheckpoint(task, checkpoint);
     if (end == RunEnd::Failed && !stepSpec(task.step).isLongRunning)
--- a/src/batch/job/job_progress_base.h
+++ b/src/batch/job/job_progress_base.h
@@ -72,6 +72,9 @@
     std::vector<TaskRef> startableDoneTasks() const;
     // Whether a worker has shown the last attempt of the task as started.
     bool isLastAttemptStarted(const TaskRef& task) const;
+    // Records by when the run has ended if its worker stays silent, in Unix milliseconds, or 0 that this is unknown.
+    // Does nothing and returns false if the job does not need this attempt of the task on this worker.
+    bool recordLapse(const TaskRef& task, std::int32_t attempt, const WorkerName& worker, std::int64_t lapsesByMs);
     // Whether a task of the job has started, as far as a worker has shown it.
     bool hasBegun() const { return m_hasBegun; }
     // Whether every task that depends on no other has been started at least once, as far as a worker has shown it.
--- a/src/batch/job/progress_record_type.h
+++ b/src/batch/job/progress_record_type.h
@@ -45,6 +45,9 @@
     std::int64_t workerProcessStartMs = 0;
     // Until when a command to an earlier process of the worker may be executed by that one, as in `WorkerProcess`.
     std::int64_t earlierCommandsUntilMs = 0;
+    // By when the placed run has ended if its worker stays silent, in Unix milliseconds by the clock of the owner that
+    // writes the record; 0 if that is unknown. While it stands, no owner sends the worker a start or a renewal.
+    std::int64_t lapsesByMs = 0;
     // The checkpoint to resume from; empty if there is none.
     std::string checkpoint;
 
--- a/src/batch/job/record_limits_type.h
+++ b/src/batch/job/record_limits_type.h
@@ -13,7 +13,7 @@
     static constexpr std::int64_t stepBytes = 3;
     static constexpr std::int64_t occurrenceBytes = 3;
     // The size of an open task without its checkpoint, in bytes.
-    static constexpr std::int64_t openTaskBytes = 160;
+    static constexpr std::int64_t openTaskBytes = 176;
 
     // The largest record that the store takes, in bytes.
     std::int64_t maxRecordBytes = std::int64_t { 1 } << 20U;
--- a/src/batch/node/event_type.h
+++ b/src/batch/node/event_type.h
@@ -220,6 +220,8 @@
         // The evacuations were not confirmed for so long that no run is started, or are confirmed again.
         EvacuationsOld,
         EvacuationsCurrent,
+        // A job waits for the end of a run on a silent worker of which a start may still be executed.
+        RunUnsettled,
     };
     Kind kind = Kind::Submitted;
     std::string job;
--- a/src/batch/owner/job_registry_base.h
+++ b/src/batch/owner/job_registry_base.h
@@ -19,7 +19,7 @@
 
 namespace mangohall::batch {
 
-// A run whose start may be sent to its worker once the placement is durable.
+// A run and the worker that it is placed on.
 struct PlacedRun {
     RunKey run;
     WorkerName worker;
@@ -36,8 +36,11 @@
 
 // The actions that wait until the next write of a job's progress is durable.
 struct PendingWork {
+    // Runs whose start may be sent to their worker.
     std::vector<PlacedRun> placed;
     std::vector<ListedEnd> ends;
+    // Runs whose recorded lapse is withdrawn by the write, so that their worker may get starts and renewals again.
+    std::vector<PlacedRun> withdrawnLapses;
 };
 
 // One job of the registry, with the state of its writes.
@@ -63,6 +66,8 @@
     bool isGuaranteeLogged = false;
     bool isReclaimLogged = false;
     bool isGuaranteeMetLogged = false;
+    // Whether it has been logged that the job waits for the end of a run on a silent worker.
+    bool isUnsettledRunLogged = false;
     JobWait wait;
     // The time since when each ready step has been ready, by occurrence and step.
     absl::btree_map<std::pair<std::int32_t, std::int32_t>, absl::Time> readySince;
--- a/src/batch/owner/owner_load_cmd.cpp
+++ b/src/batch/owner/owner_load_cmd.cpp
@@ -105,7 +105,7 @@
         WorkerSession& session = m_workers.findOrAdd(placed.worker, placed.workerProcessStartMs);
         session.adopt(run, countedDemand(entry.progress.stepSpec(task.step)),
             { placed.workerProcessStartMs, placed.earlierCommandsUntilMs }, entry.progress.isLastAttemptStarted(task),
-            now);
+            now, placed.lapsesByMs);
     }
     for (const TaskRef& task : entry.progress.startableDoneTasks()) {
         const TaskProgress& done = *entry.progress.find(task);
--- a/src/batch/owner/owner_log_cmd.cpp
+++ b/src/batch/owner/owner_log_cmd.cpp
@@ -3,6 +3,7 @@
 
 #include <utility>
 
+#include "absl/strings/str_cat.h"
 #include "batch/job/phase_name_func.h"
 #include "batch/owner/run_name_func.h"
 
@@ -134,6 +135,16 @@
         logRun(DecisionEffect::Kind::StartBarred, *update.session.barredStart, update.worker);
 }
 
+void OwnerPart::logUnsettledRun(
+    JobEntry& entry, const RunKey& run, const WorkerName& worker, absl::Time lapsesAt, absl::Time now)
+{
+    if (std::exchange(entry.isUnsettledRunLogged, true))
+        return;
+    const RunSlot& slot = m_workers.find(worker)->runs().at(run);
+    logRun(DecisionEffect::Kind::RunUnsettled, run, worker, runStageName(slot.stage),
+        absl::StrCat("ends within ", absl::ToInt64Milliseconds(lapsesAt - now), " ms"), now - slot.since);
+}
+
 void OwnerPart::logUnansweredRenewal(const WorkerUpdate& update)
 {
     DecisionEffect decision;
--- a/src/batch/owner/owner_part_base.h
+++ b/src/batch/owner/owner_part_base.h
@@ -74,6 +74,10 @@
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void handleRunningRow(const RunningRow& row, const WorkerName& worker, absl::Time now)
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    // Records by when the unsettled runs on a silent worker have ended, for the next owner; withdraws that before a
+    // worker that replies again gets anything that may put off their ends.
+    void recordLapses(const WorkerName& worker, absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    void withdrawLapses(const WorkerName& worker) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void recordHealth(const EndedRun& ended, const WorkerName& worker, absl::Time now)
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     // Records stalled runs against the worker, and stops the runs that are better started elsewhere.
@@ -115,6 +119,9 @@
     // Logs once that all first tasks of a job have started that a guarantee covers.
     void logGuaranteeMet(JobEntry& entry, absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void logQuarantine(const WorkerName& worker, absl::Duration duration) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    // Logs, once for each job, that it waits for the end of a run on a silent worker.
+    void logUnsettledRun(JobEntry& entry, const RunKey& run, const WorkerName& worker, absl::Time lapsesAt,
+        absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     // Logs what became of a start command.
     void logStart(const WorkerUpdate& update) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void logUnansweredRenewal(const WorkerUpdate& update) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
--- a/src/batch/owner/owner_run_cmd.cpp
+++ b/src/batch/owner/owner_run_cmd.cpp
@@ -98,6 +98,50 @@
         handleRunningRow(row, update.worker, now);
     if (!update.session.running.empty())
         reviewWorker(update.worker, now);
+    if (update.session.isFound)
+        withdrawLapses(update.worker);
+    else
+        recordLapses(update.worker, now);
+}
+
+void OwnerPart::recordLapses(const WorkerName& worker, absl::Time now)
+{
+    WorkerSession* session = m_workers.find(worker);
+    if (session == nullptr)
+        return;
+    for (const auto& [run, lapsesAt] : session->lapsesToRecord()) {
+        JobEntry* entry = m_jobs.find(run.task.job);
+        // Rounded up, so that the record promises nothing too early.
+        const std::int64_t lapsesByMs = absl::ToUnixMillis(lapsesAt) + 1;
+        if (entry == nullptr || !entry->progress.recordLapse(run.task.task, run.attempt, worker, lapsesByMs))
+            continue;
+        session->markLapseRecorded(run, lapsesAt);
+        m_jobs.markDirty(*entry);
+        logUnsettledRun(*entry, run, worker, lapsesAt, now);
+    }
+}
+
+// What the record says of a run that its job no longer needs does no harm: the run has ended, or its end is awaited
+// without the record.
+void OwnerPart::withdrawLapses(const WorkerName& worker)
+{
+    WorkerSession* session = m_workers.find(worker);
+    if (session == nullptr)
+        return;
+    std::vector<RunKey> recorded;
+    for (const auto& [run, slot] : session->runs()) {
+        if (slot.recordedLapse != absl::InfiniteFuture())
+            recorded.push_back(run);
+    }
+    for (const RunKey& run : recorded) {
+        JobEntry* entry = m_jobs.find(run.task.job);
+        if (entry == nullptr || !entry->progress.recordLapse(run.task.task, run.attempt, worker, 0)) {
+            session->markLapseWithdrawn(run);
+            continue;
+        }
+        entry->pending.withdrawnLapses.push_back({ run, worker });
+        m_jobs.markDirty(*entry);
+    }
 }
 
 void OwnerPart::reviewWorker(const WorkerName& worker, absl::Time now)
@@ -219,6 +263,10 @@
     }
     for (const PlacedRun& placed : update.placed)
         releaseRun(placed, now);
+    for (const PlacedRun& withdrawn : update.withdrawnLapses) {
+        if (WorkerSession* session = m_workers.find(withdrawn.worker))
+            session->markLapseWithdrawn(withdrawn.run);
+    }
 }
 
 // Gives back the capacity of placements that cannot become durable.
--- a/src/batch/owner/progress_writer_base.cpp
+++ b/src/batch/owner/progress_writer_base.cpp
@@ -135,8 +135,11 @@
             entry->isWriting = false;
             entry->isWrittenAlone = false;
         }
-        update.placed.insert(update.placed.end(), written.work.placed.begin(), written.work.placed.end());
-        update.ends.insert(update.ends.end(), written.work.ends.begin(), written.work.ends.end());
+        const PendingWork& work = written.work;
+        update.placed.insert(update.placed.end(), work.placed.begin(), work.placed.end());
+        update.ends.insert(update.ends.end(), work.ends.begin(), work.ends.end());
+        update.withdrawnLapses.insert(
+            update.withdrawnLapses.end(), work.withdrawnLapses.begin(), work.withdrawnLapses.end());
     }
     m_jobsPerCommit = std::min(maxJobsPerCommit, m_jobsPerCommit + std::max<std::size_t>(1, m_inFlight.size()));
     m_inFlight.clear();
@@ -192,6 +195,8 @@
         placed.insert(placed.begin(), unwritten.work.placed.begin(), unwritten.work.placed.end());
         std::vector<ListedEnd>& ends = entry->pending.ends;
         ends.insert(ends.begin(), unwritten.work.ends.begin(), unwritten.work.ends.end());
+        std::vector<PlacedRun>& lapses = entry->pending.withdrawnLapses;
+        lapses.insert(lapses.begin(), unwritten.work.withdrawnLapses.begin(), unwritten.work.withdrawnLapses.end());
         m_jobs.markDirty(*entry);
     }
     m_removals.clear();
--- a/src/batch/owner/progress_writer_base.h
+++ b/src/batch/owner/progress_writer_base.h
@@ -15,6 +15,7 @@
 struct WriteUpdate {
     std::vector<PlacedRun> placed;
     std::vector<ListedEnd> ends;
+    std::vector<PlacedRun> withdrawnLapses;
     // The commit failed because another owner has raised the epoch.
     bool isSuperseded = false;
     // The store gave no reply, or refused the commit. The work is queued again.
--- a/src/batch/owner/run_name_func.cpp
+++ b/src/batch/owner/run_name_func.cpp
@@ -54,6 +54,23 @@
     return "";
 }
 
+absl::string_view runStageName(RunSlot::Stage stage)
+{
+    switch (stage) {
+    case RunSlot::Stage::Reserved:
+        return "reserved";
+    case RunSlot::Stage::Adopted:
+        return "adopted";
+    case RunSlot::Stage::Starting:
+        return "starting";
+    case RunSlot::Stage::Running:
+        return "running";
+    case RunSlot::Stage::Ended:
+        break;
+    }
+    return "ended";
+}
+
 absl::string_view stopReasonName(StopReason reason)
 {
     switch (reason) {
--- a/src/batch/owner/run_name_func.h
+++ b/src/batch/owner/run_name_func.h
@@ -17,6 +17,8 @@
 absl::string_view runEndName(RunEnd end);
 // The name of the evidence for an end that the worker has not listed; empty for a listed end.
 absl::string_view endEvidenceName(EndEvidence evidence);
+// The name of the stage that a run on a worker is in.
+absl::string_view runStageName(RunSlot::Stage stage);
 // The name of the reason for a stop.
 absl::string_view stopReasonName(StopReason reason);
 // The name of the reason why a step is not placed.
--- a/src/batch/worker/outstanding_commands_base.cpp
+++ b/src/batch/worker/outstanding_commands_base.cpp
@@ -6,8 +6,6 @@
 
 namespace {
 
-// The times of day of two machines, as their processes have read them at their start, differ by less than this.
-constexpr absl::Duration maxTimeOfDayError = absl::Seconds(5);
 // A pending call ends within this time.
 constexpr absl::Duration longestCall = absl::Seconds(3);
 
@@ -82,14 +80,17 @@
     return true;
 }
 
-void OutstandingCommands::recordStartsOfEarlierOwner(const RunKey& run, absl::Time now)
+void OutstandingCommands::recordStartsOfEarlierOwner(const RunKey& run, absl::Time now, absl::Time until)
 {
     SessionCall call;
     call.kind = SessionCall::Kind::Start;
     call.run = run;
     call.sentAt = now;
-    m_commands.push_back(
-        { .call = call, .until = now + maxDelay, .isPending = false, .mayStart = true, .isOfEarlierOwner = true });
+    m_commands.push_back({ .call = call,
+        .until = std::min(now + maxDelay, until),
+        .isPending = false,
+        .mayStart = true,
+        .isOfEarlierOwner = true });
 }
 
 // Which start was executed is unknown if one is pending beside others, and its reply won't tell: a worker confirms a
@@ -142,6 +143,11 @@
         [&run](const Command& command) { return command.mayStart && command.call.run == run; });
 }
 
+bool OutstandingCommands::isAnyPending() const
+{
+    return std::any_of(m_commands.begin(), m_commands.end(), [](const Command& command) { return command.isPending; });
+}
+
 absl::Time OutstandingCommands::startsMayComeUntil(const RunKey& run) const
 {
     absl::Time until = absl::InfinitePast();
--- a/src/batch/worker/outstanding_commands_base.h
+++ b/src/batch/worker/outstanding_commands_base.h
@@ -19,6 +19,8 @@
 public:
     // A command without a reply is executed within this time after its call has failed, or never.
     static constexpr absl::Duration maxDelay = absl::Seconds(14);
+    // The times of day of two machines, as their processes have read them at their start, differ by less than this.
+    static constexpr absl::Duration maxTimeOfDayError = absl::Seconds(5);
 
     // `ownedSince` is when this node became the owner: what earlier owners had sent until then is unknown.
     // `longestLease` is the longest time for which a worker's lease lasts after a command, on the owner's clock.
@@ -32,8 +34,9 @@
     // command was executed.
     bool recordNotExecuted(const SessionCall& call);
     bool recordNoReply(const SessionCall& call, absl::Time now);
-    // Records that an earlier owner may have sent any number of starts of the run.
-    void recordStartsOfEarlierOwner(const RunKey& run, absl::Time now);
+    // Records that an earlier owner may have sent any number of starts of the run, none of which is executed after
+    // `until`.
+    void recordStartsOfEarlierOwner(const RunKey& run, absl::Time now, absl::Time until = absl::InfiniteFuture());
     // Records that an earlier owner has written that no command to an earlier process than this one, given by its
     // start, is executed by it after `until`, on the clock of that owner.
     void recordEarlierCommandsUntil(std::int64_t processStartMs, absl::Time until);
@@ -53,6 +56,8 @@
     absl::Time startsMayComeUntil(const RunKey& run) const;
     // Whether a start of any run may still be executed.
     bool mayStartAny() const;
+    // Whether a call is pending that starts a run, renews a lease or acknowledges ends.
+    bool isAnyPending() const;
     // Whether any command without a reply may still be executed, as of the last `expire`.
     bool mayAnyBeExecuted() const { return m_anyUntil != absl::InfinitePast(); }
 
--- a/src/batch/worker/run_slot_type.h
+++ b/src/batch/worker/run_slot_type.h
@@ -95,6 +95,9 @@
     // checkpoint, begins with any.
     std::int32_t firstPercent = 0;
     absl::Time firstPercentAt = absl::InfiniteFuture();
+    // By when the record of the task says that the run has ended if the worker stays silent; the infinite future if it
+    // says nothing. Until that is withdrawn, the worker gets nothing that could lengthen the run.
+    absl::Time recordedLapse = absl::InfiniteFuture();
     // When the session has sent the start; the infinite past for a run that it has not started.
     absl::Time begunAt = absl::InfinitePast();
 
--- a/src/batch/worker/worker_session_base.cpp
+++ b/src/batch/worker/worker_session_base.cpp
@@ -114,8 +114,8 @@
     found->second.begunAt = now;
 }
 
-void WorkerSession::adopt(
-    const RunKey& run, const Resources& demand, const WorkerProcess& placedOn, bool isStarted, absl::Time now)
+void WorkerSession::adopt(const RunKey& run, const Resources& demand, const WorkerProcess& placedOn, bool isStarted,
+    absl::Time now, std::int64_t lapsesByMs)
 {
     RunSlot slot;
     slot.stage = RunSlot::Stage::Adopted;
@@ -123,15 +123,18 @@
     slot.since = now;
     slot.startSentAt = now;
     slot.placedProcessStartMs = placedOn.startMs;
+    if (lapsesByMs != 0)
+        slot.recordedLapse = absl::FromUnixMillis(lapsesByMs) + OutstandingCommands::maxTimeOfDayError;
     if (placedOn.earlierCommandsUntilMs != 0)
         m_commands.recordEarlierCommandsUntil(placedOn.startMs, absl::FromUnixMillis(placedOn.earlierCommandsUntilMs));
     if (isStarted) {
         slot.confirmedAt = absl::InfinitePast();
         slot.likelyProcessStartMs = placedOn.startMs;
     } else {
-        m_commands.recordStartsOfEarlierOwner(run, now);
+        m_commands.recordStartsOfEarlierOwner(run, now, slot.recordedLapse - m_settings.longestLease());
     }
     m_runs[run] = slot;
+    m_hasRecordedLapse = m_hasRecordedLapse || lapsesByMs != 0;
     // An earlier owner may have granted the longest lease just before.
     m_leaseBound = std::max(m_leaseBound, now + m_settings.longestLease());
 }
--- a/src/batch/worker/worker_session_base.h
+++ b/src/batch/worker/worker_session_base.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "absl/container/btree_map.h"
@@ -130,9 +131,9 @@
     void release(const RunKey& run, absl::Time now);
     // Reserves capacity for a run that an earlier owner has placed on this process of the worker. If all its starts are
     // known to have been executed, a reply to a poll with this owner's epoch decides whether it still runs; otherwise
-    // one may still be executed for a while.
-    void adopt(
-        const RunKey& run, const Resources& demand, const WorkerProcess& placedOn, bool isStarted, absl::Time now);
+    // one may still be executed for a while. `lapsesByMs` is what the record says of its end, see `TaskProgress`.
+    void adopt(const RunKey& run, const Resources& demand, const WorkerProcess& placedOn, bool isStarted,
+        absl::Time now, std::int64_t lapsesByMs = 0);
     // The same for a run that was done while one of its starts might still be executed.
     void adoptDone(const RunKey& run, const Resources& demand, absl::Time now);
     // Requests the stop of a run. A run whose start was never sent is dropped at once and returned.
@@ -163,6 +164,14 @@
     // Applies the reply to a call, or its failure.
     SessionUpdate handleReply(const SessionCall& context, const WorkerReply& reply, absl::Time now);
 
+    // The runs on a silent worker of which a start may still be executed and whose end is certain by a known time, if
+    // that time is not recorded yet. It stays true until the worker replies.
+    std::vector<std::pair<RunKey, absl::Time>> lapsesToRecord() const;
+    // Records that the record of the run's task says by when it has ended: until that is withdrawn, the worker gets no
+    // start and no renewal.
+    void markLapseRecorded(const RunKey& run, absl::Time lapsesAt);
+    void markLapseWithdrawn(const RunKey& run);
+
     // Estimates the remaining time of a run from its progress so far; infinite if the progress is too small for an
     // estimate.
     static absl::Duration remainingTime(const RunSlot& slot, absl::Time now);
@@ -197,6 +206,11 @@
     void handlePollReply(const SessionCall& context, const WorkerReply& reply, absl::Time now, SessionUpdate& update);
     // Records a call without a usable reply.
     void recordFailedCall(const absl::Status& status, SessionUpdate& update);
+    // Whether the record of a task says by when its run on this worker has ended.
+    bool hasRecordedLapse() const { return m_hasRecordedLapse; }
+    void updateHasRecordedLapse();
+    // Stops the starts that the worker has not confirmed for so long that they are not repeated any more.
+    void giveUpStarts(absl::Time now);
     bool hasLeft() const;
     // Whether the address of the worker is known. It is not if only the progress of an earlier owner names the worker;
     // such a worker is not called until it is listed again.
@@ -302,6 +316,8 @@
     absl::Duration m_pollWait;
     bool m_mayStart = true;
     bool m_isEvacuated = false;
+    // Kept up to date by `updateHasRecordedLapse`, as looking at all runs for each of them would take too long.
+    bool m_hasRecordedLapse = false;
     bool m_isPollPending = false;
     // The number of starts whose calls have not ended.
     int m_pendingStarts = 0;
--- a/src/batch/worker/worker_session_call_cmd.cpp
+++ b/src/batch/worker/worker_session_call_cmd.cpp
@@ -10,6 +10,8 @@
 constexpr absl::Duration callTimeout = absl::Milliseconds(800);
 // Delay before a command that got no reply is sent again.
 constexpr absl::Duration commandRetryPeriod = absl::Milliseconds(250);
+// A start that is not confirmed within this time is stopped instead of being repeated.
+constexpr absl::Duration longestStart = absl::Seconds(8);
 // How often that delay doubles for stops: up to 4 s.
 constexpr int maxStopDoublings = 4;
 // A worker that gets more starts at the same time may not reply to all of them in time.
@@ -25,6 +27,8 @@
 constexpr absl::Duration startReplyTimeout = absl::Milliseconds(100);
 // Interval between polls while an end is not acknowledged since the outcome of a start is unknown, for the same reason.
 constexpr absl::Duration heldAcknowledgementPollPeriod = absl::Milliseconds(250);
+// Interval between polls while the record of a run keeps the lease from being renewed.
+constexpr absl::Duration recordedLapsePollPeriod = absl::Milliseconds(50);
 // How long the last acknowledgement of an idle worker waits for another reason to poll.
 constexpr absl::Duration idleAcknowledgementDelay = absl::Milliseconds(700);
 
@@ -51,6 +55,9 @@
         // A worker that does not reply, is no longer listed and runs nothing is not polled any more.
         return m_isListed || hasLiveRuns() ? m_polledAt + unreachablePollPeriod : absl::InfiniteFuture();
     }
+    // A lease that is not renewed yet is renewed soon, so the worker does not hold the poll open.
+    if (m_hasAnswered && hasRecordedLapse())
+        return m_polledAt + recordedLapsePollPeriod;
     if (!m_hasAnswered)
         return m_isListed || hasLiveRuns() ? m_polledAt : absl::InfiniteFuture();
     if (!m_listedEnds.empty())
@@ -75,7 +82,8 @@
 absl::Duration WorkerSession::nextPollWait() const
 {
     // Starts wait for the reply to an acknowledgement.
-    const bool mayWait = isProcessCertain() && m_listedEnds.empty() && hasLiveRuns() && nextAcknowledgement() == 0;
+    const bool mayWait = isProcessCertain() && !hasRecordedLapse() && m_listedEnds.empty() && hasLiveRuns()
+        && nextAcknowledgement() == 0;
     // After a stop that was confirmed since the last poll there may be no end to wait for.
     const bool isPollAwaited = std::any_of(m_runs.begin(), m_runs.end(),
         [this](const auto& entry) { return entry.second.isStopConfirmed && entry.second.confirmedAt >= m_polledAt; });
@@ -96,7 +104,7 @@
     }
     // A start renews the lease, so none is sent to a worker that does not reply: its lease has to expire.
     const bool mayStart = m_mayStart && isProcessCertain() && m_processEntry && !isAcknowledgementPending()
-        && m_pendingStarts < maxPendingStarts;
+        && m_pendingStarts < maxPendingStarts && !hasRecordedLapse();
     if (slot.stage != RunSlot::Stage::Starting || slot.isStartPending || !mayStart)
         return absl::InfiniteFuture();
     if (slot.isUnsent())
@@ -119,9 +127,25 @@
     }
 }
 
+// Each repetition may be executed for a while, so that a start which is repeated for ever would never be settled.
+void WorkerSession::giveUpStarts(absl::Time now)
+{
+    for (auto& [run, slot] : m_runs) {
+        const bool isUnconfirmed = slot.stage == RunSlot::Stage::Starting && !slot.isUnsent() && mayStillStart(run);
+        if (!isUnconfirmed || slot.isStopWanted || now - slot.since < longestStart)
+            continue;
+        slot.isStopWanted = true;
+        slot.since = now;
+    }
+}
+
 std::vector<DueCall> WorkerSession::takeDueCalls(absl::Time now)
 {
     barUnconfirmedStarts(now);
+    giveUpStarts(now);
+    // Runs may have ended since.
+    if (m_hasRecordedLapse)
+        updateHasRecordedLapse();
     m_commands.expire(now);
     std::vector<DueCall> calls;
     for (auto& [run, slot] : m_runs) {
@@ -213,7 +237,7 @@
     due.call.command = PollRuns { m_sentAcknowledgedEnd, wait };
     // The lease of a worker that does not reply is not renewed, so that it expires: the renewal might arrive even
     // though the reply does not.
-    if (m_failedCalls == 0)
+    if (m_failedCalls == 0 && !hasRecordedLapse())
         grantLease(due, now);
     due.context.acknowledgedEnd = m_sentAcknowledgedEnd;
     m_commands.recordSent(due.context);
--- a/src/batch/worker/worker_session_lease_cmd.cpp
+++ b/src/batch/worker/worker_session_lease_cmd.cpp
@@ -55,7 +55,39 @@
 {
     if (slot.stage == RunSlot::Stage::Reserved || slot.isStartPending)
         return absl::InfiniteFuture();
-    return std::max(m_leaseBound, m_commands.foreignLeaseEnd(run, processOf(run)));
+    return std::min(slot.recordedLapse, std::max(m_leaseBound, m_commands.foreignLeaseEnd(run, processOf(run))));
+}
+
+void WorkerSession::updateHasRecordedLapse()
+{
+    m_hasRecordedLapse = std::any_of(m_runs.begin(), m_runs.end(),
+        [](const auto& entry) { return entry.second.recordedLapse != absl::InfiniteFuture(); });
+}
+
+// A pending call may still put off the end, and nothing else is sent to a silent worker that does.
+std::vector<std::pair<RunKey, absl::Time>> WorkerSession::lapsesToRecord() const
+{
+    std::vector<std::pair<RunKey, absl::Time>> lapses;
+    if (isReachable() || m_commands.isAnyPending())
+        return lapses;
+    for (const auto& [run, slot] : m_runs) {
+        if (mayStillStart(run) && slot.recordedLapse == absl::InfiniteFuture())
+            lapses.emplace_back(run, lapsesAt(run, slot));
+    }
+    return lapses;
+}
+
+void WorkerSession::markLapseRecorded(const RunKey& run, absl::Time lapsesAt)
+{
+    const auto found = m_runs.find(run);
+    if (found != m_runs.end())
+        found->second.recordedLapse = lapsesAt;
+    updateHasRecordedLapse();
+}
+
+void WorkerSession::markLapseWithdrawn(const RunKey& run)
+{
+    markLapseRecorded(run, absl::InfiniteFuture());
 }
 
 // Without a word of the worker a run is over, and none of its starts can be executed any more,
--- a/tests/batch/worker_session_lease_test.cpp
+++ b/tests/batch/worker_session_lease_test.cpp
@@ -359,5 +359,83 @@
     EXPECT_GE(absl::FromUnixMillis(process.earlierCommandsUntilMs), until);
 }
 
+// A session with one unanswered start on a worker that has become silent.
+class RecordedLapseTest : public WorkerSessionTest {
+protected:
+    RecordedLapseTest()
+    {
+        settle();
+        const SessionCall call = startRun(runOf(0));
+        EXPECT_TRUE(m_session.lapsesToRecord().empty());
+        m_now += absl::Milliseconds(800);
+        m_session.handleReply(call, noAnswer(), m_now);
+        failPoll();
+    }
+
+    void failPoll()
+    {
+        if (isDue(SessionCall::Kind::Poll))
+            m_session.handleReply(due(SessionCall::Kind::Poll).context, noAnswer(), m_now);
+    }
+
+    // Records the only lapse, as its owner does.
+    absl::Time recordLapse()
+    {
+        const auto lapses = m_session.lapsesToRecord();
+        if (lapses.size() != 1)
+            return absl::InfiniteFuture();
+        m_session.markLapseRecorded(lapses.front().first, lapses.front().second);
+        return lapses.front().second;
+    }
+};
+
+TEST_F(RecordedLapseTest, IsWhenTheRunEndsForThisOwner)
+{
+    const absl::Time lapsesAt = recordLapse();
+    ASSERT_NE(lapsesAt, absl::InfiniteFuture());
+    EXPECT_TRUE(m_session.lapsesToRecord().empty());
+    m_now = lapsesAt - absl::Milliseconds(1);
+    failPoll();
+    EXPECT_TRUE(m_session.takeLapsedRuns(m_now).empty());
+    m_now = lapsesAt;
+    EXPECT_EQ(m_session.takeLapsedRuns(m_now).size(), 1U);
+}
+
+// Guards against a second run of a task: the next owner relies on the record, so a lease that is granted beside it
+// would keep the run going after its recorded end.
+TEST_F(RecordedLapseTest, KeepsAWorkerThatRepliesAgainFromRenewalsAndStarts)
+{
+    recordLapse();
+    m_now += absl::Milliseconds(600);
+    ASSERT_TRUE(answerPoll(answerOf(6500)).isFound);
+    for (int poll = 0; poll < 5; ++poll) {
+        m_now += absl::Milliseconds(300);
+        EXPECT_FALSE(isDue(SessionCall::Kind::Start));
+        const DueCall call = due(SessionCall::Kind::Poll);
+        EXPECT_EQ(call.call.leaseUntil, 0);
+        EXPECT_EQ(std::get<PollRuns>(call.call.command).wait, absl::ZeroDuration());
+        m_session.handleReply(call.context, answerOf(6500 + 300 * (poll + 1)), m_now);
+    }
+    m_session.markLapseWithdrawn(runOf(0));
+    m_now += absl::Milliseconds(300);
+    EXPECT_TRUE(isDue(SessionCall::Kind::Start));
+    EXPECT_NE(due(SessionCall::Kind::Poll).call.leaseUntil, 0);
+}
+
+// Guards against a wait that a change of owner begins anew.
+TEST_F(WorkerSessionTest, EndsAnAdoptedRunOnASilentWorkerAtItsRecordedLapse)
+{
+    settle();
+    const absl::Time recorded = m_now + absl::Seconds(2);
+    m_session.adopt(runOf(0), { 100, 100, 4 }, { processStartMs, 0 }, false, m_now, absl::ToUnixMillis(recorded));
+    m_now += absl::Milliseconds(300);
+    m_session.handleReply(due(SessionCall::Kind::Poll).context, noAnswer(), m_now);
+    // The clocks of the two owners may differ by 5 s.
+    m_now = recorded + absl::Seconds(5) - absl::Milliseconds(1);
+    EXPECT_TRUE(m_session.takeLapsedRuns(m_now).empty());
+    m_now = recorded + absl::Seconds(5);
+    EXPECT_EQ(m_session.takeLapsedRuns(m_now).size(), 1U);
+}
+
 } // namespace
 } // namespace mangohall::batch
--- a/tests/batch/worker_session_start_test.cpp
+++ b/tests/batch/worker_session_start_test.cpp
@@ -290,6 +290,33 @@
     }
 }
 
+// Guards against a wait without a bound: a worker that replies to polls and to no start would get the start for ever,
+// and each repetition may be executed for another 14 s.
+TEST_F(WorkerSessionTest, GivesUpAStartThatTheWorkerDoesNotConfirm)
+{
+    settle();
+    const absl::Time begun = m_now;
+    SessionCall call = startRun(runOf(0));
+    absl::Time lastFailure = m_now;
+    while (m_now - begun < absl::Seconds(12)) {
+        m_now += absl::Milliseconds(800);
+        lastFailure = m_now;
+        m_session.handleReply(call, noAnswer(), m_now);
+        answerPoll(answerOf(5000 + absl::ToInt64Milliseconds(m_now - begun)));
+        m_now += absl::Milliseconds(250);
+        if (!isDue(SessionCall::Kind::Start))
+            break;
+        call = due(SessionCall::Kind::Start).context;
+    }
+    EXPECT_LT(m_now - begun, absl::Seconds(10));
+    EXPECT_TRUE(isDue(SessionCall::Kind::Stop));
+    m_now = lastFailure + absl::Seconds(14);
+    // The pending poll was sent when the start might still be executed.
+    EXPECT_TRUE(answerPoll(answerOf(5000 + absl::ToInt64Milliseconds(m_now - begun))).ended.empty());
+    EXPECT_EQ(answerPoll(answerOf(5000 + absl::ToInt64Milliseconds(m_now - begun))).ended.size(), 1U);
+    EXPECT_TRUE(m_session.runs().empty());
+}
+
 // Usual work does not wait: the earlier owner has recorded that the run had started.
 TEST_F(WorkerSessionTest, EndsAnAdoptedRunThatHadStartedWithTheFirstListWithoutIt)
 {
--- a/tests/platform/record_json_test.cpp
+++ b/tests/platform/record_json_test.cpp
@@ -55,6 +55,7 @@
     TaskProgress started = task;
     started.lastStartedAttempt = 4;
     started.earlierCommandsUntilMs = 1770477838408;
+    started.lapsesByMs = 1770477862958;
     TaskProgress done = task;
     done.phase = TaskProgress::Phase::Done;
     done.mayStartAgain = true;
@@ -105,7 +106,9 @@
              R"({"phase":"active","occurrences":[[[[1,1,0,"","w",1,1,1,"x"]]]]})",
              R"({"phase":"active","occurrences":[[[[1,1,0,"","w",1,1,1,1,"x"]]]]})",
              R"({"phase":"active","occurrences":[[[[1,1,0,"","w",1,1,1,1,-1]]]]})",
-             R"({"phase":"active","occurrences":[[[[1,1,0,"","w",1,1,1,1,1,1]]]]})" })
+             R"({"phase":"active","occurrences":[[[[1,1,0,"","w",1,1,1,1,1,"x"]]]]})",
+             R"({"phase":"active","occurrences":[[[[1,1,0,"","w",1,1,1,1,1,-1]]]]})",
+             R"({"phase":"active","occurrences":[[[[1,1,0,"","w",1,1,1,1,1,1,1]]]]})" })
         EXPECT_FALSE(decodeRecord(Collection::Progress, text).ok()) << text;
     for (const char* text : { "{}", R"({"steps":[{"tasks":1,"after":[5]}]})", R"({"steps":[{"tasks":"x"}]})" })
         EXPECT_FALSE(decodeRecord(Collection::Jobs, text).ok()) << text;
