--- a/tests/batch/batch_fuzz_base.cpp
+++ b/tests/batch/batch_fuzz_base.cpp
@@ -27,12 +27,18 @@
 constexpr int longestTakeover = 3000;
 constexpr absl::Duration shortestReplacement = absl::Seconds(15);
 
+// How many workers lose and regain their connections by turns, and for how long each time.
+constexpr int flappingWorkers = 3;
+constexpr absl::Duration shortestFlap = absl::Milliseconds(200);
+constexpr absl::Duration longestFlap = absl::Seconds(4);
+
 } // namespace
 
 BatchFuzz::BatchFuzz(const FuzzOptions& options)
     : m_options(options)
     , m_random(options.seed)
     , m_cluster(options.nodes, options.seed)
+    , m_flapRandom(options.seed)
 {
     for (int worker = 0; worker < workerCount; ++worker)
         m_workerNames.push_back(absl::StrCat("w", worker / 4, worker % 4));
@@ -61,6 +67,8 @@
 
 std::vector<std::string> BatchFuzz::run()
 {
+    if (m_options.hasFlaps)
+        startFlaps();
     for (int i = 0; i < m_options.steps; ++i) {
         runStep();
         m_cluster.runFor(absl::Milliseconds(20 + randomBelow(900)));
@@ -68,7 +76,7 @@
     if (randomBelow(2) == 0)
         m_cluster.runFor(absl::Milliseconds(randomBelow(longestFaultTail)));
     clearFaults();
-    m_cluster.runFor(settleTime);
+    settle();
     for (const std::string& violation : m_cluster.workers().violations())
         m_violations.push_back(violation);
     for (const FuzzJob& job : m_jobs)
@@ -76,6 +84,37 @@
     return m_violations;
 }
 
+void BatchFuzz::startFlaps()
+{
+    m_isFlapping = true;
+    for (int worker = 0; worker < flappingWorkers; ++worker)
+        scheduleFlap(static_cast<int>(m_flapRandom.uniform() * workerCount) % workerCount, true);
+}
+
+void BatchFuzz::scheduleFlap(int worker, bool isCutOff)
+{
+    const absl::Duration after = shortestFlap + (longestFlap - shortestFlap) * m_flapRandom.uniform();
+    m_cluster.timeline().after(after, [this, worker, isCutOff] {
+        const std::string& name = m_workerNames[static_cast<std::size_t>(worker)];
+        m_cluster.workers().setCutOff(name, isCutOff && m_isFlapping);
+        if (m_isFlapping)
+            scheduleFlap(worker, !isCutOff);
+    });
+}
+
+void BatchFuzz::settle()
+{
+    UnsettledRunOracle oracle(m_cluster);
+    const absl::Time end = m_cluster.timeline().now() + settleTime;
+    const absl::Time flapsEnd = end - settleTime / 2;
+    while (m_cluster.timeline().now() < end) {
+        m_isFlapping = m_isFlapping && m_cluster.timeline().now() < flapsEnd;
+        m_cluster.runFor(absl::Seconds(1));
+        for (const std::string& violation : oracle.check())
+            m_violations.push_back(violation);
+    }
+}
+
 void BatchFuzz::runStep()
 {
     switch (randomBelow(9)) {
--- a/tests/batch/batch_fuzz_base.h
+++ b/tests/batch/batch_fuzz_base.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "batch/batch_cluster_base.h"
+#include "batch/unsettled_run_oracle_base.h"
 
 namespace mangohall::batch {
 
@@ -19,6 +20,8 @@
     int nodes = 3;
     // Workers are replaced by others at their addresses, and some return under their names later.
     bool hasTakeovers = false;
+    // Some workers lose and regain their connections all the time, also for a while after the other faults.
+    bool hasFlaps = false;
     // Writes every decision and every step to standard error.
     bool isTraced = false;
 };
@@ -69,6 +72,11 @@
     // Restarts the worker among late commands and cuts it off soon after, so that commands to its earlier process meet
     // a process that nobody reaches.
     void restartAndPartition(int worker);
+    // Lets some workers lose and regain their connections by turns.
+    void startFlaps();
+    void scheduleFlap(int worker, bool isCutOff);
+    // Waits for the jobs to end, and checks that no owner waits too long for runs that are over.
+    void settle();
     void clearFaults();
     // The check functions add a violation if the job's end contradicts the answers that its callers got.
     void checkJob(const FuzzJob& job);
@@ -91,6 +99,9 @@
     std::vector<std::string> m_workerNames;
     int m_replacements = 0;
     bool m_areFaultsCleared = false;
+    // Apart from the other random numbers, so that the histories without flaps are as they were.
+    SeededRandom m_flapRandom;
+    bool m_isFlapping = false;
     // The faults that are present, by node or by worker.
     std::map<int, bool> m_isKilled;
     std::map<int, bool> m_isSuspended;
--- a/tests/batch/batch_fuzz_test.cpp
+++ b/tests/batch/batch_fuzz_test.cpp
@@ -20,13 +20,14 @@
 }
 
 // Runs the histories of the seeds, and fails the test for each violation.
-void runHistories(bool hasTakeovers)
+void runHistories(bool hasTakeovers, bool hasFlaps = false)
 {
     const int first = environmentNumber("MANGOHALL_FUZZ_SEED", 1);
     const int runs = environmentNumber("MANGOHALL_FUZZ_RUNS", defaultRuns);
     for (int seed = first; seed < first + runs; ++seed) {
         FuzzOptions options;
         options.hasTakeovers = hasTakeovers;
+        options.hasFlaps = hasFlaps;
         options.isTraced = std::getenv("MANGOHALL_FUZZ_TRACE") != nullptr;
         options.seed = static_cast<std::uint64_t>(seed);
         const std::vector<std::string> violations = BatchFuzz(options).run();
@@ -44,6 +45,12 @@
     runHistories(true);
 }
 
+// Guards against waits without a bound: workers that come and go for ever must not hold up a job for ever.
+TEST(BatchFuzz, KeepsEveryPromiseWhileWorkersComeAndGo)
+{
+    runHistories(false, true);
+}
+
 // Whether one of the random histories reports a violation after a fault has been planted in the cluster.
 template <typename PlantFault> bool findsViolation(PlantFault plantFault, int maxRuns = 300, bool hasTakeovers = false)
 {
