--- a/src/batch/owner/owner_load_cmd.cpp
+++ b/src/batch/owner/owner_load_cmd.cpp
@@ -87,6 +87,12 @@
     m_loading.doneAt = now;
     for (auto& [id, entry] : m_jobs.entries())
         adoptRuns(entry, now);
+    // A worker without a row is never called, so this is the only occasion.
+    std::vector<WorkerName> workers;
+    for (const auto& [worker, session] : m_workers.sessions())
+        workers.push_back(worker);
+    for (const WorkerName& worker : workers)
+        recordLapses(worker, now);
     std::vector<JobId> cancelled;
     for (const auto& [id, entry] : m_jobs.entries()) {
         if (m_jobs.isCancelled(id))
--- a/src/batch/owner/owner_part_cmd.cpp
+++ b/src/batch/owner/owner_part_cmd.cpp
@@ -110,14 +110,18 @@
 
 bool OwnerPart::areEvacuationsCurrent(absl::Time now) const
 {
+    // Without a bound on their age, the evacuations count as current even before they were read.
     return m_settings.maxEvacuationAge == absl::InfiniteDuration()
         || now - m_routesConfirmedAt <= m_settings.maxEvacuationAge;
 }
 
 void OwnerPart::reviewStarts(absl::Time now)
 {
-    if (m_isDraining)
+    if (m_isDraining) {
+        // A claim that was pending when the drain began may have succeeded since.
+        m_workers.setMayStart(false);
         return;
+    }
     const bool isListCurrent = isWorkerListCurrent(now);
     const bool areRequestsCurrent = areEvacuationsCurrent(now);
     if (isListCurrent != std::exchange(m_wasWorkerListCurrent, isListCurrent))
@@ -132,7 +136,7 @@
 // Placements in an evacuated data centre that were not sent are made anew elsewhere; the rest of their gang is stopped.
 void OwnerPart::applyEvacuations(const RoutesEvent& event, absl::Time now)
 {
-    if (event.evacuations == nullptr)
+    if (event.evacuations == nullptr || event.evacuations == m_workers.evacuations())
         return;
     for (const WorkerUpdate& unsent : m_workers.setEvacuations(event.evacuations)) {
         for (const EndedRun& ended : unsent.session.ended)
@@ -226,6 +230,7 @@
         allocate(now);
     m_writer.advance(m_ownership.expectation(), m_outbox, now);
     m_workers.setOwnedUntil(m_ownership.leaseEnd());
+    m_workers.setStartsUntil(m_routesConfirmedAt + m_settings.maxEvacuationAge);
     m_workers.advance(*this, m_outbox, now);
 }
 
--- a/src/batch/owner/owner_run_cmd.cpp
+++ b/src/batch/owner/owner_run_cmd.cpp
@@ -121,21 +121,17 @@
     }
 }
 
-// What the record says of a run that its job no longer needs does no harm: the run has ended, or its end is awaited
-// without the record.
 void OwnerPart::withdrawLapses(const WorkerName& worker)
 {
     WorkerSession* session = m_workers.find(worker);
     if (session == nullptr)
         return;
-    std::vector<RunKey> recorded;
-    for (const auto& [run, slot] : session->runs()) {
-        if (slot.recordedLapse != absl::InfiniteFuture())
-            recorded.push_back(run);
-    }
-    for (const RunKey& run : recorded) {
+    for (const RunKey& run : session->takeLapsesToWithdraw()) {
         JobEntry* entry = m_jobs.find(run.task.job);
-        if (entry == nullptr || !entry->progress.recordLapse(run.task.task, run.attempt, worker, 0)) {
+        const bool isNeeded = entry != nullptr && entry->progress.recordLapse(run.task.task, run.attempt, worker, 0);
+        // The progress that no longer needs the run may not be written yet.
+        const bool isDurable = !isNeeded && (entry == nullptr || !(entry->isDirty || entry->isWriting));
+        if (isDurable) {
             session->markLapseWithdrawn(run);
             continue;
         }
--- a/src/batch/owner/run_name_func.cpp
+++ b/src/batch/owner/run_name_func.cpp
@@ -90,6 +90,8 @@
         return "stalled";
     case StopReason::Superseded:
         return "superseded";
+    case StopReason::StartUnconfirmed:
+        return "startUnconfirmed";
     case StopReason::OwnerStops:
         return "ownerStops";
     case StopReason::WorkerUnavailable:
--- a/src/batch/owner/stop_reason_type.h
+++ b/src/batch/owner/stop_reason_type.h
@@ -19,6 +19,8 @@
     Superseded,
     // The worker accepts no work any more now that the placement is durable.
     WorkerUnavailable,
+    // The worker has not confirmed the start in time.
+    StartUnconfirmed,
     // The node shuts down, and the next owner has to know of every start that was sent.
     OwnerStops,
 };
--- a/src/batch/owner/worker_registry_base.cpp
+++ b/src/batch/owner/worker_registry_base.cpp
@@ -64,7 +64,15 @@
         m_addresses.add(entry.address, entry.name);
     }
     session.update(entry, reportedAfter, now);
-    session.setEvacuated(m_evacuations != nullptr && m_evacuations->contains(entry.dataCentre));
+    session.setEvacuated(isEvacuated(session));
+}
+
+// A row may come from another writer, so both the last row and that of the present process count.
+bool WorkerRegistry::isEvacuated(const WorkerSession& session) const
+{
+    return m_evacuations != nullptr
+        && (m_evacuations->contains(session.entry().dataCentre)
+            || m_evacuations->contains(session.lastEntry().dataCentre));
 }
 
 void WorkerRegistry::applyMissingEntry(const Record& record, absl::Time now)
@@ -157,12 +165,12 @@
         return updates;
     m_evacuations = std::move(evacuations);
     for (auto& [worker, session] : m_sessions) {
-        const bool isEvacuated = m_evacuations->contains(session.entry().dataCentre);
-        if (isEvacuated == session.isEvacuated())
+        const bool wasEvacuated = session.isEvacuated();
+        session.setEvacuated(isEvacuated(session));
+        if (session.isEvacuated() == wasEvacuated)
             continue;
-        session.setEvacuated(isEvacuated);
         markChanged(worker);
-        if (isEvacuated)
+        if (session.isEvacuated())
             takeUnsentRunsOf(worker, session, updates);
     }
     return updates;
@@ -204,11 +212,14 @@
             due.call.command = source.describeStart(due.context.run);
             logStartSent(session, due.context, outbox);
         }
+        if (due.context.isGivenUp)
+            logStartGivenUp(session, due.context, outbox);
         if (due.context.kind == SessionCall::Kind::Poll)
             ++m_pendingPolls;
         if (due.context.kind == SessionCall::Kind::Poll && isInitial)
             m_initialPolls.recordPoll(worker);
-        due.call.sendUntil = m_ownedUntil;
+        const bool isStart = due.context.kind == SessionCall::Kind::Start;
+        due.call.sendUntil = isStart ? std::min(m_ownedUntil, m_startsUntil) : m_ownedUntil;
         std::string address = due.call.address;
         const CallId call = outbox.toWorker(std::move(due.call));
         m_calls.emplace(call, PendingCall { worker, std::move(address), due.context });
@@ -230,6 +241,18 @@
     outbox.log(std::move(decision));
 }
 
+void WorkerRegistry::logStartGivenUp(const WorkerSession& session, const SessionCall& context, Outbox& outbox) const
+{
+    DecisionEffect decision;
+    decision.kind = DecisionEffect::Kind::RunStopped;
+    decision.job = context.run.task.job.str();
+    decision.run = runName(context.run);
+    decision.worker = session.entry().name.str();
+    decision.reason = std::string(stopReasonName(StopReason::StartUnconfirmed));
+    decision.epoch = m_epoch;
+    outbox.log(std::move(decision));
+}
+
 WorkerUpdate WorkerRegistry::handleReply(CallId call, const WorkerReply& reply, absl::Time now)
 {
     const auto found = m_calls.find(call);
--- a/src/batch/owner/worker_registry_base.h
+++ b/src/batch/owner/worker_registry_base.h
@@ -63,6 +63,9 @@
     // Sets which data centres are being evacuated: their workers get no starts from now on. Drops and returns the runs
     // there whose start was not sent.
     std::vector<WorkerUpdate> setEvacuations(std::shared_ptr<const EvacuationSet> evacuations);
+    const std::shared_ptr<const EvacuationSet>& evacuations() const { return m_evacuations; }
+    // Sets until when the evacuations are known well enough to send starts.
+    void setStartsUntil(absl::Time startsUntil) { m_startsUntil = startsUntil; }
 
     // Drops and returns the runs whose start was not sent.
     std::vector<WorkerUpdate> takeUnsentRuns();
@@ -95,6 +98,8 @@
         SessionCall context;
     };
 
+    // Whether a row of the worker names a data centre that is being evacuated.
+    bool isEvacuated(const WorkerSession& session) const;
     // Drops the runs of the session whose start was not sent, and adds them to the updates if there are any.
     void takeUnsentRunsOf(const WorkerName& worker, WorkerSession& session, std::vector<WorkerUpdate>& updates);
     void applyEntry(const WorkerEntry& entry, absl::Time reportedAfter, absl::Time now);
@@ -107,6 +112,7 @@
     // How long a worker may hold the next poll open.
     absl::Duration nextPollWait() const;
     void logStartSent(const WorkerSession& session, const SessionCall& context, Outbox& outbox) const;
+    void logStartGivenUp(const WorkerSession& session, const SessionCall& context, Outbox& outbox) const;
     void makeCalls(
         const WorkerName& worker, WorkerSession& session, const StartSource& source, Outbox& outbox, absl::Time now);
 
@@ -114,6 +120,7 @@
     Epoch m_epoch = 0;
     absl::Time m_ownedSince = absl::InfinitePast();
     absl::Time m_ownedUntil = absl::InfinitePast();
+    absl::Time m_startsUntil = absl::InfiniteFuture();
     absl::btree_map<WorkerName, WorkerSession> m_sessions;
     // Null until the evacuations are known.
     std::shared_ptr<const EvacuationSet> m_evacuations;
--- a/src/batch/worker/run_slot_type.h
+++ b/src/batch/worker/run_slot_type.h
@@ -98,6 +98,10 @@
     // By when the record of the task says that the run has ended if the worker stays silent; the infinite future if it
     // says nothing. Until that is withdrawn, the worker gets nothing that could lengthen the run.
     absl::Time recordedLapse = absl::InfiniteFuture();
+    // The record without it is still to be written.
+    bool isLapseWithdrawalPending = false;
+    // The start is stopped since the worker has not confirmed it, and that is not logged yet.
+    bool isGivenUp = false;
     // When the session has sent the start; the infinite past for a run that it has not started.
     absl::Time begunAt = absl::InfinitePast();
 
--- a/src/batch/worker/session_call_type.h
+++ b/src/batch/worker/session_call_type.h
@@ -20,6 +20,8 @@
     absl::Time sentAt;
     // When the called process started, in Unix milliseconds, as far as its row or its replies had shown then.
     std::int64_t processStartMs = 0;
+    // The first stop of a start that the worker has not confirmed in time.
+    bool isGivenUp = false;
     // The same start was sent before.
     bool isRepeated = false;
     // The call renews the lease of everything that runs on the worker.
--- a/src/batch/worker/worker_session_base.h
+++ b/src/batch/worker/worker_session_base.h
@@ -77,6 +77,8 @@
 
     // The last row of the worker's present process; before there is one, the last row of any process.
     const WorkerEntry& entry() const { return m_processEntry ? *m_processEntry : m_entry; }
+    // The last row of any process.
+    const WorkerEntry& lastEntry() const { return m_entry; }
     // The address in the last row; empty if none was read.
     absl::string_view address() const { return m_entry.address; }
     // When the worker's process started, in Unix milliseconds, by its own replies; 0 if none has named it.
@@ -164,12 +166,15 @@
     // Applies the reply to a call, or its failure.
     SessionUpdate handleReply(const SessionCall& context, const WorkerReply& reply, absl::Time now);
 
-    // The runs on a silent worker of which a start may still be executed and whose end is certain by a known time, if
-    // that time is not recorded yet. It stays true until the worker replies.
+    // The runs on a silent worker of which a start may still be executed, with the time by which each has ended unless
+    // the worker replies before. Runs whose record says so already are left out, and all while a call is pending that
+    // may put off their ends.
     std::vector<std::pair<RunKey, absl::Time>> lapsesToRecord() const;
     // Records that the record of the run's task says by when it has ended: until that is withdrawn, the worker gets no
     // start and no renewal.
     void markLapseRecorded(const RunKey& run, absl::Time lapsesAt);
+    // The runs with such a record whose withdrawal was not begun; it counts as begun from now on.
+    std::vector<RunKey> takeLapsesToWithdraw();
     void markLapseWithdrawn(const RunKey& run);
 
     // Estimates the remaining time of a run from its progress so far; infinite if the progress is too small for an
--- a/src/batch/worker/worker_session_call_cmd.cpp
+++ b/src/batch/worker/worker_session_call_cmd.cpp
@@ -2,6 +2,7 @@
 #include "batch/worker/worker_session_base.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace mangohall::batch {
 
@@ -11,7 +12,7 @@
 // Delay before a command that got no reply is sent again.
 constexpr absl::Duration commandRetryPeriod = absl::Milliseconds(250);
 // A start that is not confirmed within this time is stopped instead of being repeated.
-constexpr absl::Duration longestStart = absl::Seconds(8);
+constexpr absl::Duration startConfirmationTimeout = absl::Seconds(8);
 // How often that delay doubles for stops: up to 4 s.
 constexpr int maxStopDoublings = 4;
 // A worker that gets more starts at the same time may not reply to all of them in time.
@@ -131,10 +132,12 @@
 void WorkerSession::giveUpStarts(absl::Time now)
 {
     for (auto& [run, slot] : m_runs) {
-        const bool isUnconfirmed = slot.stage == RunSlot::Stage::Starting && !slot.isUnsent() && mayStillStart(run);
-        if (!isUnconfirmed || slot.isStopWanted || now - slot.since < longestStart)
+        const bool isOverdue = slot.stage == RunSlot::Stage::Starting && !slot.isStopWanted && !slot.isUnsent()
+            && now - slot.since >= startConfirmationTimeout;
+        if (!isOverdue || !mayStillStart(run))
             continue;
         slot.isStopWanted = true;
+        slot.isGivenUp = true;
         slot.since = now;
     }
 }
@@ -159,6 +162,7 @@
             ++m_pendingStarts;
         calls.push_back(makeRunCall(kind, run, now));
         calls.back().context.isRepeated = isRepeated;
+        calls.back().context.isGivenUp = std::exchange(slot.isGivenUp, false);
     }
     if (isPollDue(now))
         calls.push_back(makePoll(now));
--- a/src/batch/worker/worker_session_lease_cmd.cpp
+++ b/src/batch/worker/worker_session_lease_cmd.cpp
@@ -2,6 +2,7 @@
 #include "batch/worker/worker_session_base.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace mangohall::batch {
 
@@ -71,7 +72,7 @@
     if (isReachable() || m_commands.isAnyPending())
         return lapses;
     for (const auto& [run, slot] : m_runs) {
-        if (mayStillStart(run) && slot.recordedLapse == absl::InfiniteFuture())
+        if (slot.recordedLapse == absl::InfiniteFuture() && mayStillStart(run))
             lapses.emplace_back(run, lapsesAt(run, slot));
     }
     return lapses;
@@ -85,9 +86,25 @@
     updateHasRecordedLapse();
 }
 
+// One withdrawal for each record: a second one that is written later would pass for that of the next record.
+std::vector<RunKey> WorkerSession::takeLapsesToWithdraw()
+{
+    std::vector<RunKey> runs;
+    for (auto& [run, slot] : m_runs) {
+        if (slot.recordedLapse != absl::InfiniteFuture() && !std::exchange(slot.isLapseWithdrawalPending, true))
+            runs.push_back(run);
+    }
+    return runs;
+}
+
 void WorkerSession::markLapseWithdrawn(const RunKey& run)
 {
-    markLapseRecorded(run, absl::InfiniteFuture());
+    const auto found = m_runs.find(run);
+    if (found == m_runs.end())
+        return;
+    found->second.recordedLapse = absl::InfiniteFuture();
+    found->second.isLapseWithdrawalPending = false;
+    updateHasRecordedLapse();
 }
 
 // Without a word of the worker a run is over, and none of its starts can be executed any more,
--- a/tests/batch/batch_unsettled_test.cpp
+++ b/tests/batch/batch_unsettled_test.cpp
@@ -77,6 +77,26 @@
     expectNoViolation();
 }
 
+// The same if the first owner had no time to record anything, and the second one never calls the workers, as their
+// entries are gone.
+TEST_F(BatchUnsettled, AnOwnerRecordsTheEndsOfRunsOnWorkersWithoutAnEntry)
+{
+    for (int worker = 0; worker < 4; ++worker)
+        m_cluster.workers().setPartitioned("w0" + std::to_string(worker), true);
+    m_cluster.submit(0, path, tasksOf("p", 8, 8));
+    m_cluster.runFor(absl::Milliseconds(300));
+    killAll();
+    m_cluster.runFor(absl::Seconds(6));
+    startAll();
+    m_cluster.runFor(absl::Seconds(20));
+    killAll();
+    m_cluster.runFor(longestUnsettled + clockAllowance - absl::Seconds(16));
+    startAll();
+    m_cluster.runFor(absl::Seconds(8));
+    EXPECT_EQ(m_cluster.phaseOf(path), JobPhase::Completed);
+    expectNoViolation();
+}
+
 // Guards against a second run of a task: the worker has executed the start, replies again after its end was recorded,
 // has its lease renewed, and is silent once more when the next owner reads the record.
 TEST_F(BatchUnsettled, ARecordedEndIsWithdrawnBeforeALeaseIsRenewed)
--- a/tests/batch/worker_session_lease_test.cpp
+++ b/tests/batch/worker_session_lease_test.cpp
@@ -422,6 +422,21 @@
     EXPECT_NE(due(SessionCall::Kind::Poll).call.leaseUntil, 0);
 }
 
+// Guards against a second run of a task: a withdrawal that is written late would pass for that of a later record.
+TEST_F(RecordedLapseTest, IsWithdrawnOnceForEachRecord)
+{
+    recordLapse();
+    EXPECT_EQ(m_session.takeLapsesToWithdraw().size(), 1U);
+    EXPECT_TRUE(m_session.takeLapsesToWithdraw().empty());
+    m_now += absl::Milliseconds(600);
+    failPoll();
+    EXPECT_TRUE(m_session.lapsesToRecord().empty());
+    m_session.markLapseWithdrawn(runOf(0));
+    EXPECT_EQ(m_session.lapsesToRecord().size(), 1U);
+    recordLapse();
+    EXPECT_EQ(m_session.takeLapsesToWithdraw().size(), 1U);
+}
+
 // Guards against a wait that a change of owner begins anew.
 TEST_F(WorkerSessionTest, EndsAnAdoptedRunOnASilentWorkerAtItsRecordedLapse)
 {
