Feature: the setting limits.memoryMb of an entry

The memory of the process, 256 by default. A quarter of the least value holds one body of the largest allowed size, so that a single body within the limit always has room.

--- a/src/adapters/settings/settings_func.cpp
+++ b/src/adapters/settings/settings_func.cpp
@@ -22,6 +22,8 @@
 constexpr IntegerRange threadCountRange { 1, 64 };
 constexpr IntegerRange bodyBytesRange { 1024, 16777216 };
 constexpr IntegerRange headerBytesRange { 1024, 1048576 };
+// A quarter of the least memory holds one body of the largest size that bodyBytesRange allows.
+constexpr IntegerRange memoryMbRange { 64, 1048576 };
 constexpr IntegerRange connectionCountRange { 1, 100000 };
 constexpr IntegerRange watchCountRange { 1, 100000 };
 constexpr IntegerRange waitingCallerCountRange { 1, 1000000 };
@@ -134,6 +136,7 @@
 {
     section.readNumber("bodyBytes", bodyBytesRange, limits.bodyBytes);
     section.readNumber("headerBytes", headerBytesRange, limits.headerBytes);
+    section.readNumber("memoryMb", memoryMbRange, limits.memoryMb);
     section.readNumber("connections", connectionCountRange, limits.connections);
     section.readNumber("connectionsPerClient", connectionCountRange, limits.connectionsPerClient);
     section.readNumber("watches", watchCountRange, limits.watches);
--- a/src/adapters/settings/settings_type.h
+++ b/src/adapters/settings/settings_type.h
@@ -24,7 +24,10 @@
     // The largest body and the largest header section of a request, in bytes.
     std::size_t bodyBytes = 1048576;
     std::size_t headerBytes = 16384;
-    // The most open connections, in total and from one client.
+    // The memory that the process may use, in units of 1,048,576 bytes. A quarter of it is for unfinished bodies, an
+    // eighth for connections.
+    std::size_t memoryMb = 256;
+    // The most open connections, in total and from one client. The memory bounds the total as well.
     std::size_t connections = 4096;
     std::size_t connectionsPerClient = 256;
     // The most open watches and the most callers that wait for an answer.
--- a/tests/adapters/settings/settings_test.cpp
+++ b/tests/adapters/settings/settings_test.cpp
@@ -16,7 +16,7 @@
         "api": { "listenIp": "127.0.0.1", "listenPort": 8001 },
         "store": { "endpoints": ["http://127.0.0.1:2379"] },
         "vmList": { "endpoint": "http://127.0.0.1:2380" },
-        "limits": { "bodyBytes": 4096, "waitCapMs": 1500 },
+        "limits": { "bodyBytes": 4096, "memoryMb": 120, "waitCapMs": 1500 },
         "tokens": { "operators": ["operator-secret-1"], "organisations": { "zagara": ["caller-secret-123"] } },
         "seed": 9
     })");
@@ -40,6 +40,7 @@
     EXPECT_EQ(result.settings.self.role, NodeRole::Entry);
     EXPECT_EQ(result.settings.apiListen.port, 8001);
     EXPECT_EQ(result.settings.limits.bodyBytes, 4096U);
+    EXPECT_EQ(result.settings.limits.memoryMb, 120U);
     EXPECT_EQ(result.settings.limits.waitCap, absl::Milliseconds(1500));
     EXPECT_EQ(result.settings.tokens.organisationTokens.at(0).organisation, OrganisationName("zagara"));
     EXPECT_EQ(result.settings.seed, 9U);
