Feature: an entry bounds unfinished bodies and connections by its memory

Refused at the head, without reading the body: an announced length over the limit, an unknown path, a token that is unknown or does not allow the request, and a connection over a limit. A body over the limit without announcement, over 30 s, or evicted has its connection closed. If no body can be evicted, the response is 503 with Retry-After, not run. The connections in total are bounded by an eighth of the memory. The metrics page shows the counts, the bytes held and the connections.

--- a/src/adapters/api/api_context_type.h
+++ b/src/adapters/api/api_context_type.h
@@ -11,8 +11,12 @@
 #include "adapters/api/call_table_base.h"
 #include "adapters/api/close_watcher_base.h"
 #include "adapters/api/connection_limiter_base.h"
+#include "adapters/api/limit_logger_base.h"
+#include "adapters/api/memory_share_func.h"
 #include "adapters/api/token_table_base.h"
+#include "adapters/api/unfinished_bodies_base.h"
 #include "adapters/observe/report_source_port.h"
+#include "ports/clock_port.h"
 #include "ports/event_sink_port.h"
 
 namespace mangohall {
@@ -26,17 +30,25 @@
 // Caller id of the front end's own readiness probe. The ids of real callers start at 1.
 constexpr CallerId readinessCaller = 0;
 
+// The library keeps the request head and its read buffer in a memory pool of this multiple of the header limit.
+constexpr std::size_t connectionMemoryFactor = 4;
+
 // Settings, ports and tables of one HTTP server. Every member is safe to use from several threads.
 struct ApiContext {
     ApiContext(const ApiSettings& givenSettings, EventSink& givenSink, const ReportSource& givenReports,
-        CloseListener& closeListener, std::string givenChangeIdPrefix)
+        CloseListener& closeListener, const Clock& clock, std::string givenChangeIdPrefix)
         : settings(givenSettings)
         , sink(givenSink)
         , reports(givenReports)
         , changeIdPrefix(std::move(givenChangeIdPrefix))
         , tokens(settings.tokens)
         , calls(settings.maxWatches, settings.maxWatchBacklogBytes)
-        , limiter(settings.maxConnections, settings.maxConnectionsPerClient)
+        , maxConnections(connectionsOf(
+              settings.memoryBytes, settings.maxHeaderBytes * connectionMemoryFactor, settings.maxConnections))
+        , limiter(maxConnections, settings.maxConnectionsPerClient)
+        , limits(clock)
+        , bodies(
+              { bodyBudgetBytesOf(settings.memoryBytes), settings.maxBodyBytes, settings.bodyTimeout }, clock, limits)
         , closeWatcher(closeListener)
     {
     }
@@ -51,7 +63,12 @@
     const TokenTable tokens;
     // Calls that wait for an answer of the node.
     CallTable calls;
+    // The limit of connections in total, bounded by the memory.
+    const std::size_t maxConnections;
     ConnectionLimiter limiter;
+    // Counts and logs what is refused or closed because of a limit.
+    LimitLogger limits;
+    UnfinishedBodies bodies;
     // Detects clients that disconnect while their connection is suspended.
     CloseWatcher closeWatcher;
     OpenRequestCount openRequests;
--- a/src/adapters/api/api_server_base.cpp
+++ b/src/adapters/api/api_server_base.cpp
@@ -18,8 +18,6 @@
 
 // Connections accepted beyond the limit for each thread, so that their requests get an error response.
 constexpr std::size_t refusalMargin = 64;
-// The library keeps the request head and its read buffer in a memory pool of this multiple of the header limit.
-constexpr std::size_t connectionMemoryFactor = 4;
 // Time for the last responses of a stop to reach their clients.
 constexpr absl::Duration lastAnswerTimeout = absl::Seconds(1);
 constexpr absl::string_view heartbeatLine = "{\"heartbeat\":true}\n";
@@ -78,7 +76,7 @@
 {
     const ApiSettings& settings = context.settings;
     const unsigned hardLimit
-        = static_cast<unsigned>(settings.maxConnections + (refusalMargin * static_cast<std::size_t>(settings.threads)));
+        = static_cast<unsigned>(context.maxConnections + (refusalMargin * static_cast<std::size_t>(settings.threads)));
     // With epoll, the library's own thread and MHD_quiesce_daemon both remove the listening socket from the epoll set,
     // and the second removal aborts the process; hence poll.
     return MHD_start_daemon(MHD_USE_POLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME, settings.port, nullptr, nullptr,
@@ -99,7 +97,7 @@
 
 ApiServer::ApiServer(const ApiSettings& settings, EventSink& sink, const ReportSource& reports, const Clock& clock)
     : m_context(std::make_unique<ApiContext>(
-        settings, sink, reports, static_cast<CloseListener&>(*this), makeChangeIdPrefix(settings, clock)))
+        settings, sink, reports, static_cast<CloseListener&>(*this), clock, makeChangeIdPrefix(settings, clock)))
 {
 }
 
@@ -181,6 +179,22 @@
 void ApiServer::onHeartbeat()
 {
     m_context->calls.sendHeartbeats(heartbeatLine);
+    m_context->bodies.abandonLate();
+}
+
+std::uint64_t ApiServer::limitCount(ClientLimit limit) const
+{
+    return m_context->limits.count(limit);
+}
+
+std::size_t ApiServer::heldBodyBytes() const
+{
+    return m_context->bodies.heldBytes();
+}
+
+std::size_t ApiServer::connectionCount() const
+{
+    return m_context->limiter.count();
 }
 
 } // namespace mangohall
--- a/src/adapters/api/api_server_base.h
+++ b/src/adapters/api/api_server_base.h
@@ -7,6 +7,7 @@
 #include "absl/time/time.h"
 #include "adapters/api/api_settings_type.h"
 #include "adapters/api/close_watcher_base.h"
+#include "adapters/api/limit_listener_port.h"
 #include "adapters/observe/report_source_port.h"
 #include "ports/caller_port.h"
 #include "ports/clock_port.h"
@@ -22,7 +23,7 @@
 // connection but no thread.
 class ApiServer : public CallerPort, private CloseListener {
 public:
-    // The sink and the reports must outlive the server; the clock is used in the constructor only.
+    // The sink, the reports and the clock must outlive the server.
     ApiServer(const ApiSettings& settings, EventSink& sink, const ReportSource& reports, const Clock& clock);
     ~ApiServer() override;
     ApiServer(const ApiServer&) = delete;
@@ -43,6 +44,13 @@
     // TCP port that the server listens on; 0 before the start.
     std::uint16_t port() const { return m_port; }
 
+    // Number of times that a client met the limit.
+    std::uint64_t limitCount(ClientLimit limit) const;
+    // Bytes that unfinished request bodies hold.
+    std::size_t heldBodyBytes() const;
+    // Number of open connections.
+    std::size_t connectionCount() const;
+
     // Delivers an answer of the node to the caller's connection. `isLast` is false for an answer that further ones of
     // the same watch follow.
     void answer(CallerId caller, const CallerAnswer& answer, bool isLast) override;
--- a/src/adapters/api/api_settings_type.h
+++ b/src/adapters/api/api_settings_type.h
@@ -37,7 +37,10 @@
     std::size_t maxBodyBytes = std::size_t { 1 } << 20U;
     // Maximum size of method, request target and headers together.
     std::size_t maxHeaderBytes = std::size_t { 8 } << 10U;
-    // Maximum number of open connections, in total and for each client address.
+    // Memory that the process may use. A quarter of it is for unfinished request bodies, an eighth for connections.
+    std::size_t memoryBytes = std::size_t { 256 } << 20U;
+    // Maximum number of open connections, in total and for each client address. The total is also bounded by the
+    // memory.
     std::size_t maxConnections = 4096;
     std::size_t maxConnectionsPerClient = 1024;
     // Maximum number of open watches.
@@ -49,7 +52,9 @@
     absl::Duration maxWait = absl::Minutes(10);
     // A connection without traffic for this long is closed, unless it waits for an answer.
     absl::Duration idleTimeout = absl::Seconds(60);
-    // Interval between two heartbeat lines of an idle watch.
+    // A body that is not complete this long after its request head is abandoned; longer than any caller's deadline.
+    absl::Duration bodyTimeout = absl::Seconds(30);
+    // Interval between two heartbeat lines of an idle watch, and between two checks for bodies over their time limit.
     absl::Duration watchHeartbeatPeriod = absl::Seconds(5);
 };
 
--- a/src/adapters/api/http_exchange_base.cpp
+++ b/src/adapters/api/http_exchange_base.cpp
@@ -3,6 +3,8 @@
 #include <utility>
 #include <variant>
 
+#include <sys/socket.h>
+
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "adapters/api/readiness_func.h"
@@ -23,9 +25,6 @@
 constexpr const char* retryAfterSeconds = "1";
 constexpr int httpOk = 200;
 constexpr int httpServiceUnavailable = 503;
-// A refused body is still read to its end, up to this multiple of the limit, so that the client can receive the
-// response.
-constexpr std::size_t discardFactor = 8;
 constexpr std::size_t streamBlockBytes = std::size_t { 16 } << 10U;
 
 MHD_Result collectHeader(void* target, MHD_ValueKind /*kind*/, const char* name, const char* value)
@@ -60,6 +59,8 @@
 
 HttpExchange::~HttpExchange()
 {
+    if (m_body != 0)
+        m_context.bodies.end(m_body);
     if (m_caller != 0) {
         m_context.closeWatcher.remove(socket());
         if (m_context.calls.close(m_caller))
@@ -93,27 +94,32 @@
     m_request.method = std::string(method);
     MHD_get_connection_values(m_connection, MHD_HEADER_KIND, &collectHeader, &m_request.headers);
     m_refusal = checkHead();
-    if (m_refusal.ok())
-        return MHD_YES;
-    // A client that expects a 100 Continue, or whose body is far too long, gets the response before it sends the body.
-    const bool isAnsweredWithoutBody = findHeader(m_request.headers, "Expect").has_value()
-        || declaredBodyBytes() > m_context.settings.maxBodyBytes * discardFactor;
-    return isAnsweredWithoutBody ? respondError(m_refusal) : MHD_YES;
+    if (!m_refusal.ok())
+        return respondError(m_refusal);
+    if (hasBody()) {
+        m_bodySocket = socket();
+        m_body = m_context.bodies.begin(*this);
+    }
+    return MHD_YES;
 }
 
 absl::Status HttpExchange::checkHead() const
 {
     const MHD_ConnectionInfo* info = MHD_get_connection_info(m_connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
     const auto* state = info == nullptr ? nullptr : static_cast<const ConnectionState*>(info->socket_context);
-    if (state != nullptr && !state->isWithinLimits)
+    if (state != nullptr && !state->isWithinLimits) {
+        m_context.limits.onLimit(ClientLimit::ConnectionRefused);
         return makeError(ErrorKind::TooManyConnections, "too many connections in total or from this address");
+    }
     const ApiSettings& settings = m_context.settings;
     if (headBytes(m_request) > settings.maxHeaderBytes)
         return makeError(
             ErrorKind::BodyTooLarge, absl::StrCat("headers: larger than ", settings.maxHeaderBytes, " bytes"));
-    if (declaredBodyBytes() > settings.maxBodyBytes)
+    if (declaredBodyBytes() > settings.maxBodyBytes) {
+        m_context.limits.onLimit(ClientLimit::BodyTooLarge);
         return makeError(ErrorKind::BodyTooLarge, absl::StrCat("body: larger than ", settings.maxBodyBytes, " bytes"));
-    return absl::OkStatus();
+    }
+    return hasBody() ? checkRouteOfHead(m_request, m_context.tokens, settings) : absl::OkStatus();
 }
 
 std::size_t HttpExchange::declaredBodyBytes() const
@@ -123,27 +129,41 @@
     return absl::SimpleAtoi(text, &length) ? length : 0;
 }
 
+bool HttpExchange::hasBody() const
+{
+    return declaredBodyBytes() > 0 || findHeader(m_request.headers, "Transfer-Encoding").has_value();
+}
+
 MHD_Result HttpExchange::handleBody(absl::string_view piece)
 {
-    const std::size_t maxBytes = m_context.settings.maxBodyBytes;
-    m_bodyBytes += piece.size();
-    if (m_bodyBytes > maxBytes * discardFactor)
-        return MHD_NO;
-    if (m_refusal.ok() && m_bodyBytes > maxBytes)
-        m_refusal = makeError(ErrorKind::BodyTooLarge, absl::StrCat("body: larger than ", maxBytes, " bytes"));
-    if (m_refusal.ok())
-        m_request.body.append(piece.data(), piece.size());
-    else
-        m_request.body.clear();
-    return MHD_YES;
+    switch (m_context.bodies.append(m_body, piece)) {
+    case BodyVerdict::Held:
+        return MHD_YES;
+    case BodyVerdict::Refused:
+        // The library takes no response in the middle of a body.
+        m_isBodyRefused = true;
+        return MHD_YES;
+    case BodyVerdict::Dropped:
+        break;
+    }
+    return MHD_NO;
 }
 
 MHD_Result HttpExchange::route()
 {
-    if (!m_refusal.ok())
-        return respondError(m_refusal);
+    if (m_body != 0) {
+        absl::optional<std::string> body = m_context.bodies.finish(m_body);
+        m_body = 0;
+        if (!body)
+            return MHD_NO;
+        if (m_isBodyRefused)
+            return respondBodyRefused();
+        m_request.body = *std::move(body);
+    }
     const std::string changeId = absl::StrCat(m_context.changeIdPrefix, "-", ++m_context.lastChangeNumber);
     const absl::StatusOr<Route> route = routeRequest(m_request, m_context.tokens, m_context.settings, changeId);
+    // A waiting caller holds no body.
+    std::string().swap(m_request.body);
     if (!route.ok())
         return respondError(route.status());
     if (const auto* page = std::get_if<LocalPage>(&*route))
@@ -212,6 +232,13 @@
     MHD_resume_connection(m_connection);
 }
 
+void HttpExchange::closeBodyConnection()
+{
+    // The thread of the library that serves the connection sees its end and closes it. The socket is still open: the
+    // body is removed before the library closes it.
+    ::shutdown(m_bodySocket, SHUT_RDWR);
+}
+
 MHD_Result HttpExchange::respondPage(LocalPage page)
 {
     const ReportSource& reports = m_context.reports;
@@ -252,6 +279,13 @@
     return queueResponse(answer.httpStatus, response, contentType);
 }
 
+MHD_Result HttpExchange::respondBodyRefused()
+{
+    EncodedAnswer answer = encodeError(makeError(ErrorKind::RateLimited, "no memory left for request bodies"));
+    answer.httpStatus = httpServiceUnavailable;
+    return respond(answer, jsonType);
+}
+
 MHD_Result HttpExchange::respondStream()
 {
     MHD_Response* response
@@ -267,7 +301,7 @@
     MHD_add_response_header(response, MHD_HTTP_HEADER_CONTENT_TYPE, contentType);
     if (httpStatus == MHD_HTTP_UNAUTHORIZED)
         MHD_add_response_header(response, MHD_HTTP_HEADER_WWW_AUTHENTICATE, "Bearer");
-    if (!m_refusal.ok() || m_context.isStopping)
+    if (!m_refusal.ok() || m_isBodyRefused || m_context.isStopping)
         MHD_add_response_header(response, MHD_HTTP_HEADER_CONNECTION, "close");
     const MHD_Result result = MHD_queue_response(m_connection, static_cast<unsigned>(httpStatus), response);
     MHD_destroy_response(response);
--- a/src/adapters/api/http_exchange_base.h
+++ b/src/adapters/api/http_exchange_base.h
@@ -9,6 +9,7 @@
 #include "absl/strings/string_view.h"
 #include "adapters/api/api_context_type.h"
 #include "adapters/api/api_request_type.h"
+#include "adapters/api/body_connection_port.h"
 #include "adapters/api/call_connection_port.h"
 #include "adapters/api/route_type.h"
 
@@ -23,7 +24,7 @@
 };
 
 // One request and its response on a connection of the HTTP library. The library calls it from one thread at a time.
-class HttpExchange : public CallConnection {
+class HttpExchange : public CallConnection, public BodyConnection {
 public:
     // The context must outlive the exchange.
     HttpExchange(ApiContext& context, absl::string_view target);
@@ -40,6 +41,7 @@
 
     void suspend() override;
     void resume() override;
+    void closeBodyConnection() override;
 
 private:
     enum class Stage {
@@ -53,9 +55,9 @@
         Responding,
     };
 
-    // Reads method and headers; refuses the request at once if its body need not be read.
+    // Reads method and headers; refuses the request without reading its body if the head allows it.
     MHD_Result handleHead(absl::string_view method);
-    // Appends a part of the body, or discards it if the request is refused.
+    // Hands a part of the body to the unfinished bodies.
     MHD_Result handleBody(absl::string_view piece);
     // Routes the complete request: answers it here or calls the node.
     MHD_Result route();
@@ -63,13 +65,18 @@
     MHD_Result callNode(const NodeRoute& route);
     // Continues a resumed call with what the call table says.
     MHD_Result continueCall();
-    // TooManyConnections or BodyTooLarge if the request exceeds a limit.
+    // TooManyConnections or BodyTooLarge if the request exceeds a limit; NotFound, Unauthenticated or PermissionDenied
+    // if its head decides that.
     absl::Status checkHead() const;
+    // True if the head announces a body.
+    bool hasBody() const;
     // Body size in bytes as declared by Content-Length; 0 if the header is missing or invalid.
     std::size_t declaredBodyBytes() const;
     MHD_Result respondPage(LocalPage page);
     MHD_Result respond(const EncodedAnswer& answer, const char* contentType);
     MHD_Result respondError(const absl::Status& status);
+    // Responds 503: the request was not run because the byte budget for bodies is used up.
+    MHD_Result respondBodyRefused();
     MHD_Result respondStream();
     MHD_Result queueResponse(int httpStatus, MHD_Response* response, const char* contentType);
     // Socket of the connection; -1 if the library does not know it.
@@ -79,10 +86,14 @@
     MHD_Connection* m_connection = nullptr;
     ApiRequest m_request;
     Stage m_stage = Stage::Head;
-    // Error that the request is refused with; the rest of its body is discarded. OK while the request is accepted.
+    // Error that the request is refused with. OK while the request is accepted.
     absl::Status m_refusal;
-    // Number of body bytes received, including discarded ones.
-    std::size_t m_bodyBytes = 0;
+    // True if there was no room for the body; the rest of it, at most up to the size limit, is discarded.
+    bool m_isBodyRefused = false;
+    // The body among the unfinished ones; 0 if the request has no body or has been routed.
+    BodyId m_body = 0;
+    // Socket of the connection while it receives a body.
+    int m_bodySocket = -1;
     // Caller id of the call to the node; 0 if the node has not been called.
     CallerId m_caller = 0;
 };
--- a/src/adapters/api/route_func.cpp
+++ b/src/adapters/api/route_func.cpp
@@ -139,4 +139,14 @@
     return routeResource(request, tokens, settings, *target, changeId);
 }
 
+absl::Status checkRouteOfHead(const ApiRequest& head, const TokenTable& tokens, const ApiSettings& settings)
+{
+    // These kinds of error do not depend on the body, which is empty here; other kinds may.
+    const absl::Status status = routeRequest(head, tokens, settings, "").status();
+    const ErrorKind kind = errorKindOf(status);
+    const bool isDecided
+        = kind == ErrorKind::NotFound || kind == ErrorKind::Unauthenticated || kind == ErrorKind::PermissionDenied;
+    return isDecided ? status : absl::OkStatus();
+}
+
 } // namespace mangohall
--- a/src/adapters/api/route_func.h
+++ b/src/adapters/api/route_func.h
@@ -1,6 +1,7 @@
 // Routing of HTTP requests. It uses neither sockets nor state.
 #pragma once
 
+#include "absl/status/status.h"
 #include "absl/status/statusor.h"
 #include "absl/strings/string_view.h"
 #include "adapters/api/api_request_type.h"
@@ -15,4 +16,9 @@
 absl::StatusOr<Route> routeRequest(
     const ApiRequest& request, const TokenTable& tokens, const ApiSettings& settings, absl::string_view changeId);
 
+// Checks what the request head alone decides, before the body is read: NotFound for an unknown path, Unauthenticated
+// for an unknown token, PermissionDenied for a token that does not allow the request, OK for everything that only the
+// complete request can decide.
+absl::Status checkRouteOfHead(const ApiRequest& head, const TokenTable& tokens, const ApiSettings& settings);
+
 } // namespace mangohall
--- a/src/programs/entry/entry_process_base.cpp
+++ b/src/programs/entry/entry_process_base.cpp
@@ -7,6 +7,22 @@
 // Time to finish sending answers after the node has drained.
 constexpr absl::Duration answerFlushTimeout = absl::Seconds(2);
 
+// Name and description of the metric of a limit.
+struct LimitGauge {
+    ClientLimit limit;
+    const char* name;
+    const char* help;
+};
+
+constexpr LimitGauge limitGauges[] = {
+    { ClientLimit::BodyTooLarge, "mangohall_api_bodies_too_large", "Request bodies over the size limit." },
+    { ClientLimit::BodyRefused, "mangohall_api_bodies_refused", "Request bodies refused for lack of memory." },
+    { ClientLimit::BodyAbandoned, "mangohall_api_bodies_abandoned", "Request bodies over the time limit." },
+    { ClientLimit::BodyEvicted, "mangohall_api_bodies_evicted", "Request bodies dropped in favour of others." },
+    { ClientLimit::ConnectionRefused, "mangohall_api_connections_refused",
+        "Requests refused on connections over a limit." },
+};
+
 // Lists the bearer tokens of operators and organisations.
 std::vector<TokenEntry> tokenEntriesOf(const TokenSettings& tokens)
 {
@@ -32,6 +48,7 @@
 
 absl::Status EntryProcess::start()
 {
+    addGauges();
     absl::Status status = m_process.start();
     if (status.ok())
         status = m_api.start();
@@ -40,6 +57,18 @@
     return status;
 }
 
+void EntryProcess::addGauges()
+{
+    for (const LimitGauge& row : limitGauges) {
+        m_metrics.addGauge(
+            { row.name, row.help, [this, limit = row.limit] { return static_cast<double>(m_api.limitCount(limit)); } });
+    }
+    m_metrics.addGauge({ "mangohall_api_body_bytes", "Bytes that unfinished request bodies hold.",
+        [this] { return static_cast<double>(m_api.heldBodyBytes()); } });
+    m_metrics.addGauge({ "mangohall_api_connections", "Open connections of callers and operators.",
+        [this] { return static_cast<double>(m_api.connectionCount()); } });
+}
+
 bool EntryProcess::drain(absl::Duration timeout)
 {
     m_api.setReady(false);
@@ -63,6 +92,7 @@
     api.tokens = tokenEntriesOf(settings.tokens);
     api.maxBodyBytes = settings.limits.bodyBytes;
     api.maxHeaderBytes = settings.limits.headerBytes;
+    api.memoryBytes = settings.limits.memoryMb << 20U;
     api.maxConnections = settings.limits.connections;
     api.maxConnectionsPerClient = settings.limits.connectionsPerClient;
     api.maxWatches = settings.limits.watches;
--- a/src/programs/entry/entry_process_base.h
+++ b/src/programs/entry/entry_process_base.h
@@ -23,6 +23,9 @@
     void stop() override;
 
 private:
+    // Adds the counters of the HTTP server to the metrics.
+    void addGauges();
+
     const SystemClock m_clock;
     Metrics m_metrics;
     // Forwards events of the HTTP server to the node, which is created after it.
