--- a/src/adapters/api/api_settings_type.h
+++ b/src/adapters/api/api_settings_type.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "absl/time/time.h"
+#include "absl/types/optional.h"
 #include "core/name_type.h"
 
 namespace mangohall {
@@ -38,9 +39,10 @@
     // Maximum size of method, request target and headers together.
     std::size_t maxHeaderBytes = std::size_t { 8 } << 10U;
     // Memory that the process may use. A quarter of it is for unfinished request bodies, an eighth for connections.
-    std::size_t memoryBytes = std::size_t { 256 } << 20U;
-    // Maximum number of open connections, in total and for each client address. The total is also bounded by the
-    // memory.
+    // Without it, the bodies have a quarter of 256 MiB, and the connections are not bounded by the memory.
+    absl::optional<std::size_t> memoryBytes;
+    // Maximum number of open connections, in total and for each client address. A memory that is set bounds the total
+    // as well.
     std::size_t maxConnections = 4096;
     std::size_t maxConnectionsPerClient = 1024;
     // Maximum number of open watches.
--- a/src/adapters/settings/settings_type.h
+++ b/src/adapters/settings/settings_type.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "absl/time/time.h"
+#include "absl/types/optional.h"
 #include "adapters/settings/settings_fault_func.h"
 #include "core/name_type.h"
 #include "membership/membership_type.h"
@@ -25,9 +26,9 @@
     std::size_t bodyBytes = 1048576;
     std::size_t headerBytes = 16384;
     // The memory that the process may use, in units of 1,048,576 bytes. A quarter of it is for unfinished bodies, an
-    // eighth for connections.
-    std::size_t memoryMb = 256;
-    // The most open connections, in total and from one client. The memory bounds the total as well.
+    // eighth for connections. Without it, 256 are reckoned for the bodies, and the connections are not bounded by it.
+    absl::optional<std::size_t> memoryMb;
+    // The most open connections, in total and from one client. A memory that is set bounds the total as well.
     std::size_t connections = 4096;
     std::size_t connectionsPerClient = 256;
     // The most open watches and the most callers that wait for an answer.
--- a/src/programs/entry/entry_process_base.cpp
+++ b/src/programs/entry/entry_process_base.cpp
@@ -92,7 +92,8 @@
     api.tokens = tokenEntriesOf(settings.tokens);
     api.maxBodyBytes = settings.limits.bodyBytes;
     api.maxHeaderBytes = settings.limits.headerBytes;
-    api.memoryBytes = settings.limits.memoryMb << 20U;
+    if (settings.limits.memoryMb)
+        api.memoryBytes = *settings.limits.memoryMb << 20U;
     api.maxConnections = settings.limits.connections;
     api.maxConnectionsPerClient = settings.limits.connectionsPerClient;
     api.maxWatches = settings.limits.watches;
--- a/tests/adapters/api/client_limits_test.cpp
+++ b/tests/adapters/api/client_limits_test.cpp
@@ -29,6 +29,7 @@
     constexpr std::size_t memoryBytes = std::size_t { 64 } << 20U;
     EXPECT_EQ(bodyBudgetBytesOf(memoryBytes), std::size_t { 16 } << 20U);
     EXPECT_EQ(connectionsOf(memoryBytes, 65536, 4096), 128U);
+    EXPECT_EQ(connectionsOf(absl::nullopt, 65536, 4096), 4096U);
     EXPECT_EQ(connectionsOf(memoryBytes, 65536, 100), 100U);
     EXPECT_EQ(connectionsOf(memoryBytes, memoryBytes, 100), 1U);
 }
