Fix: unfinished and oversized request bodies of a node's callers are bounded

A body that exceeds the limit without having announced it, that is not complete within 30 s, or that is dropped for another body ends with its connection. The library takes no response while a body arrives, so a body that exceeds the whole budget is read to its end without being kept, and then refused with 503 without having been posted.

--- a/tests/platform/caller_server_test.cpp
+++ b/tests/platform/caller_server_test.cpp
@@ -2,6 +2,7 @@
 #include "platform/caller_server_base.h"
 
 #include <atomic>
+#include <memory>
 #include <string>
 
 #include <arpa/inet.h>
@@ -24,6 +25,9 @@
 // Each test has an address of its own, which no other test uses, since tests run at the same time.
 const char* const idleAddress = "127.0.0.1:18720";
 const char* const stopAddress = "127.0.0.1:18721";
+const char* const bodyAddress = "127.0.0.1:18722";
+const char* const refusedBodyAddress = "127.0.0.1:18724";
+const char* const lateBodyAddress = "127.0.0.1:18723";
 
 // Answers every request at once with the state of a job, until it falls silent like a node whose store is silent.
 class AnsweringSink : public batch::CallerSink {
@@ -32,8 +36,10 @@
     void fallSilent() { m_isSilent = true; }
     // Waits until a request has come that is not answered.
     void waitForUnanswered() { m_hasUnanswered.WaitForNotification(); }
+    int posts() const { return m_posts; }
     void post(batch::CallerEvent event) override
     {
+        ++m_posts;
         if (!m_isSilent)
             m_server->answer(event.caller, batch::JobStateAnswer());
         else if (!m_hasUnanswered.HasBeenNotified())
@@ -43,6 +49,7 @@
 private:
     CallerServer* m_server = nullptr;
     std::atomic<bool> m_isSilent { false };
+    std::atomic<int> m_posts { 0 };
     absl::Notification m_hasUnanswered;
 };
 
@@ -70,12 +77,16 @@
         return receive();
     }
 
-    void send()
+    void send() { sendText(absl::StrCat("GET /queue/1 HTTP/1.1\r\nHost: ", m_address, "\r\n\r\n")); }
+
+    // Sends the head of a submission with the header line, and the part of its body.
+    void sendSubmission(absl::string_view header, absl::string_view body)
     {
-        const std::string request = absl::StrCat("GET /queue/1 HTTP/1.1\r\nHost: ", m_address, "\r\n\r\n");
-        ::send(m_socket, request.data(), request.size(), MSG_NOSIGNAL);
+        sendText(absl::StrCat("POST /queue/1 HTTP/1.1\r\nHost: ", m_address, "\r\n", header, "\r\n\r\n", body));
     }
 
+    void sendText(const std::string& text) { ::send(m_socket, text.data(), text.size(), MSG_NOSIGNAL); }
+
     std::string receive()
     {
         std::string answer(4096, '\0');
@@ -130,5 +141,113 @@
     EXPECT_TRUE(absl::StartsWith(late.call(), "HTTP/1.1 503"));
 }
 
+// A server whose budget and size limit are small.
+class BodyLimitsOfCallerServer : public testing::Test {
+protected:
+    void startServer(const char* address, std::size_t budgetBytes, absl::Duration completionTime)
+    {
+        CallerServerSettings settings;
+        settings.address = address;
+        settings.maxBodyBytes = 20000;
+        settings.bodies = { budgetBytes, completionTime };
+        m_server = std::make_unique<CallerServer>(settings, m_sink, m_clock);
+        m_sink.setServer(*m_server);
+        ASSERT_TRUE(m_server->start().ok());
+    }
+
+    // Waits until the server holds the number of unfinished bodies.
+    void waitForBodies(std::size_t count)
+    {
+        for (int tries = 0; tries < 500 && m_server->bodies().size() != count; ++tries)
+            absl::SleepFor(absl::Milliseconds(20));
+        EXPECT_EQ(m_server->bodies().size(), count);
+    }
+
+    // Waits until the unfinished bodies hold at least the number of bytes.
+    void waitForBytes(std::size_t bytes)
+    {
+        for (int tries = 0; tries < 500 && m_server->bodies().heldBytes() < bytes; ++tries)
+            absl::SleepFor(absl::Milliseconds(20));
+        EXPECT_GE(m_server->bodies().heldBytes(), bytes);
+    }
+
+    RealClock m_clock;
+    AnsweringSink m_sink;
+    std::unique_ptr<CallerServer> m_server;
+};
+
+// Guards against a budget that leaks until everything is refused.
+TEST_F(BodyLimitsOfCallerServer, HoldNothingAfterEachKindOfEnd)
+{
+    startServer(bodyAddress, 25000, absl::Seconds(30));
+    KeptConnection complete(bodyAddress);
+    complete.sendSubmission("Content-Length: 5000", std::string(5000, ' '));
+    EXPECT_TRUE(absl::StartsWith(complete.receive(), "HTTP/1.1 200"));
+    EXPECT_EQ(m_server->bodies().heldBytes(), 0U);
+    EXPECT_EQ(m_sink.posts(), 1);
+
+    {
+        KeptConnection leaving(bodyAddress);
+        leaving.sendSubmission("Content-Length: 5000", std::string(4999, ' '));
+        waitForBodies(1);
+        waitForBytes(4999);
+    }
+    waitForBodies(0);
+
+    KeptConnection announced(bodyAddress);
+    announced.sendSubmission("Content-Length: 20001", "");
+    const std::string tooLarge = announced.receive();
+    EXPECT_TRUE(absl::StartsWith(tooLarge, "HTTP/1.1 413"));
+    EXPECT_TRUE(absl::StrContains(tooLarge, "Connection: close"));
+
+    KeptConnection unannounced(bodyAddress);
+    unannounced.sendSubmission("Transfer-Encoding: chunked", absl::StrCat("7530\r\n", std::string(30000, ' ')));
+    EXPECT_EQ(unannounced.receive(), "");
+    waitForBodies(0);
+
+    KeptConnection dropped(bodyAddress);
+    dropped.sendSubmission("Content-Length: 19000", std::string(18999, ' '));
+    waitForBytes(18999);
+    complete.sendSubmission("Content-Length: 10000", std::string(10000, ' '));
+    EXPECT_TRUE(absl::StartsWith(complete.receive(), "HTTP/1.1 200"));
+    EXPECT_EQ(dropped.receive(), "");
+    waitForBodies(0);
+
+    EXPECT_EQ(m_server->bodies().heldBytes(), 0U);
+    EXPECT_EQ(m_server->bodies().endCount(BodyEnd::TooLarge), 2U);
+    EXPECT_EQ(m_server->bodies().endCount(BodyEnd::Dropped), 1U);
+    EXPECT_EQ(m_sink.posts(), 2);
+}
+
+// Guards against a refusal of a request that was posted, and of the next request on the connection.
+TEST_F(BodyLimitsOfCallerServer, RefuseABodyThatExceedsTheBudget)
+{
+    startServer(refusedBodyAddress, 10000, absl::Seconds(30));
+    KeptConnection refused(refusedBodyAddress);
+    refused.sendSubmission("Content-Length: 15000", std::string(15000, ' '));
+    const std::string refusal = refused.receive();
+    EXPECT_TRUE(absl::StartsWith(refusal, "HTTP/1.1 503"));
+    EXPECT_TRUE(absl::StrContains(refusal, "Retry-After: 1"));
+    EXPECT_EQ(m_server->bodies().endCount(BodyEnd::Refused), 1U);
+    EXPECT_EQ(m_server->bodies().size(), 0U);
+    EXPECT_EQ(m_sink.posts(), 0);
+    EXPECT_TRUE(absl::StartsWith(refused.call(), "HTTP/1.1 200"));
+}
+
+// Guards against unfinished bodies that stay for the idle timeout, also if nothing else arrives at the server, and
+// against that shorter time being applied to the connection after a complete body.
+TEST_F(BodyLimitsOfCallerServer, CloseTheConnectionOfAnUnfinishedBody)
+{
+    startServer(lateBodyAddress, 25000, absl::Seconds(1));
+    KeptConnection kept(lateBodyAddress);
+    kept.sendSubmission("Content-Length: 5", "     ");
+    EXPECT_TRUE(absl::StartsWith(kept.receive(), "HTTP/1.1 200"));
+    KeptConnection late(lateBodyAddress);
+    late.sendSubmission("Content-Length: 5000", "   ");
+    EXPECT_EQ(late.receive(), "");
+    waitForBodies(0);
+    EXPECT_TRUE(absl::StartsWith(kept.call(), "HTTP/1.1 200"));
+}
+
 } // namespace
 } // namespace mangohall::platform
