--- a/tests/platform/message_test.cpp
+++ b/tests/platform/message_test.cpp
@@ -332,8 +332,9 @@
 TEST(StoreMessage, RecordKeysSurviveRoundTrip)
 {
     for (const batch::RecordKey& key : { batch::RecordKey { Collection::Manifest, "" },
-             { Collection::Evacuations, "ct-a" }, { Collection::Workers, "i-1" }, { Collection::Jobs, "00a1" }, { Collection::Cancellations, "00a1" }, { Collection::Progress, "00a1" },
-             { Collection::QueueCounts, "" }, { Collection::Holder, "" }, { Collection::Epoch, "" } })
+             { Collection::Evacuations, "ct-a" }, { Collection::Workers, "i-1" }, { Collection::Jobs, "00a1" },
+             { Collection::Cancellations, "00a1" }, { Collection::Progress, "00a1" }, { Collection::QueueCounts, "" },
+             { Collection::Holder, "" }, { Collection::Epoch, "" } })
         EXPECT_EQ(recordKeyOf(storeKeyOf(key)), key);
     EXPECT_FALSE(recordKeyOf("op/wave/1"));
 }
@@ -444,13 +445,14 @@
 {
     const NodeSettingsResult good = parseNodeSettings(R"({"node":"n","dataCentre":"z","callers":"1.2.3.4:1",
         "readiness":"1.2.3.4:2","store":"1.2.3.4:3","maxWorkerLeaseMs":6000,"guaranteeBoundMs":2700,"stopGraceMs":5000,
-        "processorShare":0.25,"openFiles":4100,"heartbeatMs":700})");
+        "processorShare":0.25,"openFiles":4100,"memoryMb":120,"heartbeatMs":700})");
     EXPECT_TRUE(good.faults.empty());
     EXPECT_EQ(good.settings.maxWorkerLease, absl::Seconds(6));
     EXPECT_EQ(good.settings.guaranteeBound, absl::Milliseconds(2700));
     EXPECT_EQ(good.settings.heartbeatPeriod, absl::Milliseconds(700));
     EXPECT_EQ(good.settings.processorShare, 0.25);
     EXPECT_EQ(good.settings.openFiles, 4100);
+    EXPECT_EQ(good.settings.memoryMb, 120);
     EXPECT_EQ(parseNodeSettings(R"({"processorShare":0})").faults.size(),
         parseNodeSettings(R"({"processorShare":1})").faults.size() + 1);
     const NodeSettingsResult bad = parseNodeSettings(R"({"node":"","callers":3,"unknown":1,"maxWorkerLeaseMs":1})");
