--- a/tests/platform/body_table_test.cpp
+++ b/tests/platform/body_table_test.cpp
@@ -69,6 +69,28 @@
     EXPECT_EQ(m_table.heldBytes(), 100U);
 }
 
+// Guards against clients that occupy every connection with bodies they never complete, with or without data.
+TEST_F(BodyTableTest, DropsTheLongestSilentBodyWhetherOrNotItHoldsAnything)
+{
+    const BodyId first = m_table.open(m_first);
+    m_clock.advance(absl::Seconds(1));
+    m_table.open(m_second);
+    m_clock.advance(absl::Seconds(1));
+    EXPECT_TRUE(m_table.grow(first, 10));
+    m_clock.advance(absl::Seconds(1));
+    m_table.open(m_third);
+    m_table.dropLongestSilent();
+    EXPECT_EQ(m_second.discards(), 1);
+    m_table.dropLongestSilent();
+    EXPECT_EQ(m_first.discards(), 1);
+    EXPECT_EQ(m_table.heldBytes(), 0U);
+    m_table.dropLongestSilent();
+    EXPECT_EQ(m_third.discards(), 1);
+    m_table.dropLongestSilent();
+    EXPECT_EQ(m_table.size(), 0U);
+    EXPECT_EQ(m_table.endCount(BodyEnd::Dropped), 3U);
+}
+
 // Guards against dropping others in vain for a body that cannot fit, and against a budget that it keeps.
 TEST_F(BodyTableTest, RefusesABodyThatExceedsTheWholeBudget)
 {
--- a/tests/platform/caller_server_test.cpp
+++ b/tests/platform/caller_server_test.cpp
@@ -4,6 +4,7 @@
 #include <atomic>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -27,6 +28,7 @@
 const char* const stopAddress = "127.0.0.1:18721";
 const char* const bodyAddress = "127.0.0.1:18722";
 const char* const refusedBodyAddress = "127.0.0.1:18724";
+const char* const fullAddress = "127.0.0.1:18725";
 const char* const lateBodyAddress = "127.0.0.1:18723";
 
 // Answers every request at once with the state of a job, until it falls silent like a node whose store is silent.
@@ -144,9 +146,11 @@
 // A server whose budget and size limit are small.
 class BodyLimitsOfCallerServer : public testing::Test {
 protected:
-    void startServer(const char* address, std::size_t budgetBytes, absl::Duration completionTime)
+    void startServer(const char* address, std::size_t budgetBytes, absl::Duration completionTime,
+        unsigned maxConnections = CallerServerSettings().maxConnections)
     {
         CallerServerSettings settings;
+        settings.maxConnections = maxConnections;
         settings.address = address;
         settings.maxBodyBytes = 20000;
         settings.bodies = { budgetBytes, completionTime };
@@ -234,6 +238,22 @@
     EXPECT_TRUE(absl::StartsWith(refused.call(), "HTTP/1.1 200"));
 }
 
+// Guards against clients that occupy every connection with bodies they never complete.
+TEST_F(BodyLimitsOfCallerServer, LeaveAConnectionForTheNextCaller)
+{
+    startServer(fullAddress, 25000, absl::Minutes(5), 4);
+    std::vector<std::unique_ptr<KeptConnection>> crowd;
+    for (int client = 0; client < 10; ++client) {
+        crowd.push_back(std::make_unique<KeptConnection>(fullAddress));
+        crowd.back()->sendSubmission("Content-Length: 10", client % 2 == 0 ? "" : "   ");
+    }
+    KeptConnection ordinary(fullAddress);
+    EXPECT_TRUE(absl::StartsWith(ordinary.call(), "HTTP/1.1 200"));
+    crowd.clear();
+    waitForBodies(0);
+    EXPECT_EQ(m_server->bodies().heldBytes(), 0U);
+}
+
 // Guards against unfinished bodies that stay for the idle timeout, also if nothing else arrives at the server, and
 // against that shorter time being applied to the connection after a complete body.
 TEST_F(BodyLimitsOfCallerServer, CloseTheConnectionOfAnUnfinishedBody)
