--- a/tests/platform/node_loopback_test.cpp
+++ b/tests/platform/node_loopback_test.cpp
@@ -40,10 +40,13 @@
     readiness.url = absl::StrCat("http://", addressOf(0, 1), "/v1/readyz");
     EXPECT_EQ(send(readiness).status, 200);
     call(0, "GET", "/urgent/00000000000000b1");
+    EXPECT_EQ(call(0, "POST", "/urgent/00000000000000b1", std::string(300000, ' ')).status, 413);
     HttpRequest metrics;
     metrics.url = absl::StrCat("http://", addressOf(0, 2), "/metrics");
-    EXPECT_NE(
-        send(metrics).body.find("mangohall_decisions{kind=\"refused\",outcome=\"noSuchJob\"} 1"), std::string::npos);
+    const std::string text = send(metrics).body;
+    EXPECT_NE(text.find("mangohall_decisions{kind=\"refused\",outcome=\"noSuchJob\"} 1"), std::string::npos);
+    EXPECT_NE(text.find("mangohall_caller_bodies_not_served{outcome=\"tooLarge\"} 1"), std::string::npos);
+    EXPECT_NE(text.find("mangohall_caller_body_bytes_held 0"), std::string::npos);
 }
 
 TEST_F(NodeLoopback, ServesOpenConnectionsAndHandsJobsOverDuringStop)
