--- a/tests/platform/crowd_test.py
+++ b/tests/platform/crowd_test.py
@@ -24,8 +24,7 @@
 BODY_CLIENTS = 300
 # More than the process may have files open.
 IDLE_CLIENTS = 800
-# A body in chunks of 8 bytes is large enough that those of all clients together exceed the memory (60 MB and the rest of
-# the process).
+# The bodies in chunks of 8 bytes of all clients together exceed the memory (60 MB and the rest of the process).
 SMALL_CHUNK_BODY_BYTES = 200000
 # The states of sockets in /proc/net/tcp.
 ESTABLISHED, LISTENING = "01", "0A"
