--- a/tests/platform/caller_server_test.cpp
+++ b/tests/platform/caller_server_test.cpp
@@ -266,6 +266,7 @@
     late.sendSubmission("Content-Length: 5000", "   ");
     EXPECT_EQ(late.receive(), "");
     waitForBodies(0);
+    EXPECT_EQ(m_server->bodies().endCount(BodyEnd::Abandoned), 1U);
     EXPECT_TRUE(absl::StartsWith(kept.call(), "HTTP/1.1 200"));
 }
 
