Test: the soak evacuates data centres

Half of the simulated workers stand in a second data centre. The oracle finds runs that begin in an evacuated data centre later than 5 s after the store's acknowledgement; a start without a response that is executed late is judged by when it was sent.

--- a/tests/batch/simulated_workers_base.h
+++ b/tests/batch/simulated_workers_base.h
@@ -24,6 +24,8 @@
     absl::Time begin;
     absl::Time end = absl::InfiniteFuture();
     RunEnd endKind = RunEnd::Done;
+    // When the start was sent, if it got no response and was executed late; otherwise InfinitePast.
+    absl::Time delayedSince = absl::InfinitePast();
     // The end was acknowledged to the worker while its lease had not expired since the end.
     bool isAcknowledged = false;
     // The worker's lease expired before the end was acknowledged.
--- a/tests/batch/simulated_workers_fault_cmd.cpp
+++ b/tests/batch/simulated_workers_fault_cmd.cpp
@@ -36,10 +36,14 @@
 void SimulatedWorkers::delay(const WorkerCall& call)
 {
     const absl::Duration lateness = minLateness + (m_longestDelay - minLateness) * m_random.uniform();
-    m_timeline.after(lateness, [this, call] {
+    m_timeline.after(lateness, [this, call, sentAt = m_timeline.now()] {
         Worker& worker = m_workers.at(call.worker.str());
-        if (!worker.isGone && !worker.isDown)
-            executeLate(worker, call);
+        if (worker.isGone || worker.isDown)
+            return;
+        const std::size_t earlierRuns = m_recordedRuns.size();
+        executeLate(worker, call);
+        if (m_recordedRuns.size() > earlierRuns)
+            m_recordedRuns.back().delayedSince = sentAt;
     });
 }
 
--- a/tests/platform/standin_command_func.cpp
+++ b/tests/platform/standin_command_func.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "absl/time/clock.h"
 #include "nlohmann/json.hpp"
 
 namespace mangohall::platform {
@@ -25,6 +26,11 @@
     return command.at("worker").get<std::string>();
 }
 
+std::string dataCentreOf(const Json& command)
+{
+    return command.at("dataCentre").get<std::string>();
+}
+
 // The fault injection commands for the store, by name.
 const std::map<std::string, std::function<void(BatchStore&, const Json&)>> storeCommands = {
     { "storeOut",
@@ -51,10 +57,22 @@
             manifest.organisations.front().apiKeys = command.at("keys").get<std::vector<std::string>>();
             store.put({ batch::Collection::Manifest, "" }, manifest);
         } },
+    { "evacuate",
+        [](BatchStore& store, const Json& command) {
+            store.put({ batch::Collection::Evacuations, dataCentreOf(command) }, batch::Evacuation());
+        } },
+    { "withdrawEvacuation",
+        [](BatchStore& store, const Json& command) {
+            store.remove({ batch::Collection::Evacuations, dataCentreOf(command) });
+        } },
 };
 
 // The fault injection commands for the workers, by name.
 const std::map<std::string, std::function<void(SimulatedWorkers&, const Json&)>> workerCommands = {
+    { "workerDataCentre",
+        [](SimulatedWorkers& workers, const Json& command) {
+            workers.setDataCentre(workerOf(command), dataCentreOf(command));
+        } },
     { "workerCrash",
         [](SimulatedWorkers& workers, const Json& command) { workers.crash(workerOf(command), millisOf(command)); } },
     { "workerRestart", [](SimulatedWorkers& workers, const Json& command) { workers.restart(workerOf(command)); } },
@@ -91,6 +109,8 @@
         Json run = { { "job", recorded.run.task.job.str() },
             { "task", absl::StrCat(task.occurrence, ".", task.step, ".", task.index) },
             { "attempt", recorded.run.attempt }, { "worker", recorded.worker }, { "beganMs", millis(recorded.begin) } };
+        if (recorded.delayedSince != absl::InfinitePast())
+            run["delayedSinceMs"] = millis(recorded.delayedSince);
         if (recorded.end != absl::InfiniteFuture()) {
             run["endedMs"] = millis(recorded.end);
             run["isDone"] = recorded.endKind == batch::RunEnd::Done;
@@ -100,6 +120,15 @@
     return { { "runs", std::move(runs) }, { "violations", workers.violations() } };
 }
 
+// The node that owns the jobs and workers by the store; empty if there is none.
+Json owner(const BatchStore& store)
+{
+    const batch::Record* record = store.find({ batch::Collection::Holder, "" });
+    const auto* holder = record == nullptr ? nullptr : std::get_if<batch::HolderRecord>(&record->value);
+    return { { "owner", holder == nullptr ? "" : holder->node.str() } };
+}
+
+// The reply contains the time at which the command had been carried out, by the clock of the report.
 Json carryOutParsed(PlatformStandin& platform, const Json& command)
 {
     const auto name = command.at("do").get<std::string>();
@@ -107,15 +136,19 @@
     const auto storeCommand = storeCommands.find(name);
     const auto workerCommand = workerCommands.find(name);
     const bool isReport = name == "report";
-    if (storeCommand == storeCommands.end() && workerCommand == workerCommands.end() && !isReport)
+    const bool isOwner = name == "owner";
+    if (storeCommand == storeCommands.end() && workerCommand == workerCommands.end() && !isReport && !isOwner)
         return { { "error", absl::StrCat("unknown command ", name) } };
     platform.change([&](BatchStore& store, SimulatedWorkers& workers) {
         if (isReport)
             reply = report(platform, workers);
+        else if (isOwner)
+            reply = owner(store);
         else if (storeCommand != storeCommands.end())
             storeCommand->second(store, command);
         else
             workerCommand->second(workers, command);
+        reply["atMs"] = absl::ToUnixMillis(absl::Now());
     });
     return reply;
 }
--- a/tools/soak_faults.py
+++ b/tools/soak_faults.py
@@ -106,9 +106,9 @@
 
 
 class Schedule:
-    """The faults of a run, in order of their times, and what was done when."""
+    """The faults of a run, those drawn here and further ones, in order of their times, and what was done when."""
 
-    def __init__(self, world, source, seconds, revoke):
+    def __init__(self, world, source, seconds, revoke, further_faults):
         self.lines = []
         self.began = 0.0
         self.errors = []
@@ -123,6 +123,7 @@
                 start = min(seconds, at + repetition * source.uniform(0.3, 1.2))
                 faults.append(Fault(start, min(source.uniform(0.5, 5), seconds + SETTLE_S - start), text, begin, end))
         faults.append(Fault(seconds * 0.5, 0, f"{KEYS[1]} is revoked", revoke))
+        faults += further_faults
         self.faults = sorted(faults, key=lambda fault: fault.at)
         steps = [(fault.at, fault.text, fault.begin) for fault in self.faults]
         steps += [(fault.at + fault.lasts, f"end of: {fault.text}", fault.end) for fault in self.faults if fault.end]
--- a/tools/soak_oracle.py
+++ b/tools/soak_oracle.py
@@ -2,6 +2,8 @@
 import collections
 import time
 
+from soak_world import EVACUATION_BOUND_MS
+
 # A start in doubt may bind its task for 14 s after the last fault, and the tasks run for a second.
 LAST_END_S = 30
 # Usual work is served again by then.
@@ -51,3 +53,20 @@
         if one.states and one.states[-1] == "completed" and len(done) < needed:
             broken.append(f"MIXED: {one.path} is completed, and {len(done)} of {one.tasks} tasks have been done")
     return broken
+
+
+def check_evacuations(periods, data_centres, runs):
+    """Compares the periods of evacuation with the runs that the workers have seen. `data_centres` maps each worker to
+    its data centre. A run that its worker began late, from a start without a response, is judged by the time at which
+    the start was sent, because no node can call it back."""
+    broken = []
+    for period in periods:
+        bound_ms = period.acknowledged_ms + EVACUATION_BOUND_MS
+        for run in runs:
+            sent_ms = run.get("delayedSinceMs", run["beganMs"])
+            is_there = data_centres[run["worker"]] == period.data_centre
+            if is_there and sent_ms > bound_ms and run["beganMs"] < period.withdrawn_ms:
+                late_s = (sent_ms - period.acknowledged_ms) / 1000
+                broken.append(f"EVACUATED: task {run['task']} of {run['job']}, attempt {run['attempt']}, was started on "
+                              f"{run['worker']} {late_s:.3f} s after the request to evacuate {period.data_centre}")
+    return broken
--- a/tools/soak_world.py
+++ b/tools/soak_world.py
@@ -21,6 +21,9 @@
 READY_TIMEOUT_S = 30
 GRACE_S = 5
 KEYS = ("key-large", "key-spare")
+# The first half of the workers stands in the first data centre, like all nodes; the rest in the second one.
+DATA_CENTRES = ("here", "there")
+EVACUATION_BOUND_MS = 5000
 
 
 class PortBlock:
@@ -176,9 +179,9 @@
         first = ports.of_node(number)
         self.callers = f"{HOST}:{first}"
         self.readiness = f"{HOST}:{first + 1}"
-        settings = {"node": f"node-{number}", "dataCentre": "here", "callers": self.callers,
+        settings = {"node": f"node-{number}", "dataCentre": DATA_CENTRES[0], "callers": self.callers,
                     "readiness": self.readiness, "metrics": f"{HOST}:{first + 2}", "store": f"{HOST}:{link.port}",
-                    "stopGraceMs": GRACE_S * 1000}
+                    "stopGraceMs": GRACE_S * 1000, "evacuationBoundMs": EVACUATION_BOUND_MS}
         path = folder / f"node-{number}.json"
         path.write_text(json.dumps(settings, indent=4) + "\n")
         log = folder / f"node-{number}.log"
@@ -245,6 +248,10 @@
     def __init__(self, folder, nodes, workers):
         self.platform = Platform(folder, workers)
         self.workers = [f"worker-{number}" for number in range(workers)]
+        # The data centre of each worker.
+        self.data_centres = {worker: DATA_CENTRES[number * 2 // workers] for number, worker in enumerate(self.workers)}
+        for worker, data_centre in self.data_centres.items():
+            self.platform.send("workerDataCentre", worker=worker, dataCentre=data_centre)
         self.links = Links()
         self.ports = PortBlock()
         self.nodes = [Node(number, folder, self.links.add(self.platform.store_port), self.ports)
