--- a/src/adapters/api/http_exchange_base.cpp
+++ b/src/adapters/api/http_exchange_base.cpp
@@ -101,9 +101,10 @@
     m_refusal = checkHead();
     // A response that closes the connection while a body is arriving resets it, so that the client may never read the
     // response. A body within the limits is therefore read to its end, unless the client waits for a response before it
-    // sends the body.
+    // sends the body, or its connection is over a limit and must not stay.
     const bool isBodyRead = hasBody() && declaredBodyBytes() <= m_context.settings.maxBodyBytes
-        && !findHeader(m_request.headers, "Expect").has_value();
+        && !findHeader(m_request.headers, "Expect").has_value()
+        && errorKindOf(m_refusal) != ErrorKind::TooManyConnections;
     if (!m_refusal.ok() && !isBodyRead)
         return respondError(m_refusal);
     if (hasBody()) {
--- a/src/batch/owner/owner_log_cmd.cpp
+++ b/src/batch/owner/owner_log_cmd.cpp
@@ -179,7 +179,7 @@
     DecisionEffect decision;
     decision.kind = isCurrent ? DecisionEffect::Kind::EvacuationsCurrent : DecisionEffect::Kind::EvacuationsOld;
     decision.epoch = m_ownership.epoch();
-    decision.age = now - m_routesConfirmedAt;
+    decision.age = now - m_directoryConfirmedAt;
     m_outbox.log(std::move(decision));
 }
 
--- a/src/batch/owner/owner_part_base.h
+++ b/src/batch/owner/owner_part_base.h
@@ -146,7 +146,7 @@
     ProgressWriter m_writer ABSL_GUARDED_BY(m_mutex);
     std::shared_ptr<const RouteTable> m_routes ABSL_GUARDED_BY(m_mutex);
     // The routes and the evacuations were known to be the latest at this time.
-    absl::Time m_routesConfirmedAt ABSL_GUARDED_BY(m_mutex) = absl::InfinitePast();
+    absl::Time m_directoryConfirmedAt ABSL_GUARDED_BY(m_mutex) = absl::InfinitePast();
     // What was logged last of the age of the list of workers and of the evacuations.
     bool m_wasWorkerListCurrent ABSL_GUARDED_BY(m_mutex) = true;
     bool m_wereEvacuationsCurrent ABSL_GUARDED_BY(m_mutex) = true;
--- a/src/batch/owner/owner_part_cmd.cpp
+++ b/src/batch/owner/owner_part_cmd.cpp
@@ -75,7 +75,7 @@
             applyWorkerUpdate(m_workers.handleReply(worker->call, worker->reply, now), now);
     } else if (const auto* routes = std::get_if<RoutesEvent>(&event)) {
         m_routes = routes->routes;
-        m_routesConfirmedAt = routes->confirmedAt;
+        m_directoryConfirmedAt = routes->confirmedAt;
         applyEvacuations(*routes, now);
     } else if (std::holds_alternative<DrainEvent>(event)) {
         m_isDraining = true;
@@ -112,7 +112,7 @@
 {
     // Without a bound on their age, the evacuations count as current even before they were read.
     return m_settings.maxEvacuationAge == absl::InfiniteDuration()
-        || now - m_routesConfirmedAt <= m_settings.maxEvacuationAge;
+        || now - m_directoryConfirmedAt <= m_settings.maxEvacuationAge;
 }
 
 void OwnerPart::reviewStarts(absl::Time now)
@@ -230,7 +230,7 @@
         allocate(now);
     m_writer.advance(m_ownership.expectation(), m_outbox, now);
     m_workers.setOwnedUntil(m_ownership.leaseEnd());
-    m_workers.setStartsUntil(m_routesConfirmedAt + m_settings.maxEvacuationAge);
+    m_workers.setStartsUntil(m_directoryConfirmedAt + m_settings.maxEvacuationAge);
     m_workers.advance(*this, m_outbox, now);
 }
 
--- a/tests/platform/body_table_test.cpp
+++ b/tests/platform/body_table_test.cpp
@@ -38,7 +38,7 @@
 };
 
 // Guards against clients that hold the whole budget with bodies they never complete.
-TEST_F(BodyTableTest, DropsTheBodyThatHasGoneLongestWithoutData)
+TEST_F(BodyTableTest, EvictsTheBodyThatHasGoneLongestWithoutData)
 {
     const BodyId first = m_table.open(m_first);
     const BodyId second = m_table.open(m_second);
@@ -51,12 +51,12 @@
     EXPECT_EQ(m_first.discards(), 0);
     EXPECT_EQ(m_second.discards(), 1);
     EXPECT_EQ(m_table.heldBytes(), 60U);
-    EXPECT_EQ(m_observer.ends(), std::vector<BodyEnd> { BodyEnd::Dropped });
+    EXPECT_EQ(m_observer.ends(), std::vector<BodyEnd> { BodyEnd::Evicted });
     EXPECT_FALSE(m_table.grow(second, 1));
 }
 
-// Guards against dropping bodies that hold nothing, or more bodies than needed.
-TEST_F(BodyTableTest, DropsOnlyAsManyAsNeededAndNoneThatHoldsNothing)
+// Guards against evicting bodies that hold nothing, or more bodies than needed.
+TEST_F(BodyTableTest, EvictsOnlyAsManyAsNeededAndNoneThatHoldsNothing)
 {
     m_table.open(m_first);
     const BodyId second = m_table.open(m_second);
@@ -70,7 +70,7 @@
 }
 
 // Guards against clients that occupy every connection with bodies they never complete, with or without data.
-TEST_F(BodyTableTest, DropsTheLongestSilentBodyWhetherOrNotItHoldsAnything)
+TEST_F(BodyTableTest, EvictsTheLongestSilentBodyWhetherOrNotItHoldsAnything)
 {
     const BodyId first = m_table.open(m_first);
     m_clock.advance(absl::Seconds(1));
@@ -79,19 +79,19 @@
     EXPECT_TRUE(m_table.grow(first, 10));
     m_clock.advance(absl::Seconds(1));
     m_table.open(m_third);
-    m_table.dropLongestSilent();
+    m_table.evictLongestSilent();
     EXPECT_EQ(m_second.discards(), 1);
-    m_table.dropLongestSilent();
+    m_table.evictLongestSilent();
     EXPECT_EQ(m_first.discards(), 1);
     EXPECT_EQ(m_table.heldBytes(), 0U);
-    m_table.dropLongestSilent();
+    m_table.evictLongestSilent();
     EXPECT_EQ(m_third.discards(), 1);
-    m_table.dropLongestSilent();
+    m_table.evictLongestSilent();
     EXPECT_EQ(m_table.size(), 0U);
-    EXPECT_EQ(m_table.endCount(BodyEnd::Dropped), 3U);
+    EXPECT_EQ(m_table.endCount(BodyEnd::Evicted), 3U);
 }
 
-// Guards against dropping others in vain for a body that cannot fit, and against a budget that it keeps.
+// Guards against evicting others in vain for a body that cannot fit, and against a budget that it keeps.
 TEST_F(BodyTableTest, RefusesABodyThatExceedsTheWholeBudget)
 {
     const BodyId first = m_table.open(m_first);
@@ -135,8 +135,8 @@
     m_table.close(completed);
     EXPECT_EQ(m_table.heldBytes(), 0U);
 
-    const BodyId dropped = m_table.open(m_first);
-    EXPECT_TRUE(m_table.grow(dropped, 70));
+    const BodyId evicted = m_table.open(m_first);
+    EXPECT_TRUE(m_table.grow(evicted, 70));
     const BodyId abandoned = m_table.open(m_second);
     EXPECT_TRUE(m_table.grow(abandoned, 70));
     EXPECT_EQ(m_first.discards(), 1);
--- a/tests/platform/caller_server_test.cpp
+++ b/tests/platform/caller_server_test.cpp
@@ -209,17 +209,17 @@
     EXPECT_EQ(unannounced.receive(), "");
     waitForBodies(0);
 
-    KeptConnection dropped(bodyAddress);
-    dropped.sendSubmission("Content-Length: 19000", std::string(18999, ' '));
+    KeptConnection evicted(bodyAddress);
+    evicted.sendSubmission("Content-Length: 19000", std::string(18999, ' '));
     waitForBytes(18999);
     complete.sendSubmission("Content-Length: 10000", std::string(10000, ' '));
     EXPECT_TRUE(absl::StartsWith(complete.receive(), "HTTP/1.1 200"));
-    EXPECT_EQ(dropped.receive(), "");
+    EXPECT_EQ(evicted.receive(), "");
     waitForBodies(0);
 
     EXPECT_EQ(m_server->bodies().heldBytes(), 0U);
     EXPECT_EQ(m_server->bodies().endCount(BodyEnd::TooLarge), 2U);
-    EXPECT_EQ(m_server->bodies().endCount(BodyEnd::Dropped), 1U);
+    EXPECT_EQ(m_server->bodies().endCount(BodyEnd::Evicted), 1U);
     EXPECT_EQ(m_sink.posts(), 2);
 }
 
