--- a/tests/platform/platform_standin_base.cpp
+++ b/tests/platform/platform_standin_base.cpp
@@ -145,10 +145,15 @@
         exchange->answer(malformedResponse(decoded.status()));
         return;
     }
+    const bool isPage = std::holds_alternative<batch::ReadCollection>(*decoded);
+    const std::string after(request.argument("after"));
     absl::MutexLock lock(&m_mutex);
     advanceTimeline();
-    m_store.request("", *decoded, storeRequestTimeout,
-        [decoded, exchange](const batch::StoreReply& reply) { exchange->answer(storeResponseOf(*decoded, reply)); });
+    m_store.request(
+        "", *decoded, storeRequestTimeout, [decoded, exchange, isPage, after](const batch::StoreReply& reply) {
+            exchange->answer(
+                isPage && reply.status.ok() ? storePageOf(reply, after) : storeResponseOf(*decoded, reply));
+        });
     m_changed.Signal();
 }
 
--- a/tests/platform/standin_json_func.cpp
+++ b/tests/platform/standin_json_func.cpp
@@ -1,5 +1,6 @@
 #include "platform/standin_json_func.h"
 
+#include <map>
 #include <utility>
 
 #include "absl/strings/escaping.h"
@@ -19,6 +20,10 @@
 
 using nlohmann::json;
 
+// The largest page of a range.
+constexpr std::size_t maxPageItems = 500;
+constexpr std::size_t maxPageBytes = std::size_t { 1 } << 20U;
+
 json toJson(const batch::Manifest& manifest)
 {
     json target = { { "version", manifest.version }, { "routes", json::array() }, { "tenants", json::array() },
@@ -219,6 +224,32 @@
     return batch::StoreRequest(batch::GrantLease { FieldReader(*body).milliseconds("ttlMs") });
 }
 
+HttpResponse storePageOf(const batch::StoreReply& reply, const std::string& afterKey)
+{
+    std::map<std::string, const batch::Record*> rest;
+    for (const batch::Record& record : reply.records) {
+        const std::string key = storeKeyOf(record.key);
+        if (key > afterKey)
+            rest.emplace(key, &record);
+    }
+    json body = { { "atRev", reply.revision }, { "items", json::array() } };
+    std::size_t bytes = 0;
+    std::size_t count = 0;
+    for (const auto& [key, record] : rest) {
+        if (count == maxPageItems || (count > 0 && bytes >= maxPageBytes))
+            break;
+        json item = itemOf(*record);
+        bytes += item.value("value", std::string()).size();
+        body["items"].push_back(std::move(item));
+        ++count;
+    }
+    body["hasMore"] = count < rest.size();
+    HttpResponse response;
+    response.status = statusOf(reply.status);
+    response.body = toJsonText(body);
+    return response;
+}
+
 HttpResponse storeResponseOf(const batch::StoreRequest& request, const batch::StoreReply& reply)
 {
     HttpResponse response;
--- a/tests/platform/standin_json_func.h
+++ b/tests/platform/standin_json_func.h
@@ -15,6 +15,8 @@
 absl::StatusOr<batch::StoreRequest> storeRequestOf(const ServedRequest& request);
 // Encodes the store's reply to the request.
 HttpResponse storeResponseOf(const batch::StoreRequest& request, const batch::StoreReply& reply);
+// Encodes a page of a collection: what comes after the key, at most about 500 items or 1 MB.
+HttpResponse storePageOf(const batch::StoreReply& reply, const std::string& afterKey);
 
 // Decodes a node's call to the named worker. MalformedBody if the body or the task's name is not valid.
 absl::StatusOr<batch::WorkerCall> workerCallOf(const std::string& worker, const ServedRequest& request);
