Fix: an accepted job takes many times the memory of its body at the owner

Callers saw a node end: 60 jobs of 98,000 tasks, 150 bytes each, took 351 MB on a machine of 120 MB (node_withstands_job_crowd_wide_jobs), 300 jobs of 2,500 steps 291 MB. Cause: the progress of each task took 112 bytes from the moment its occurrence was due, whether it had been placed or not; a step took 208 bytes, with three texts that are mostly empty; each copy of a job copied its steps, with the unused rest of a list that had grown; and an allocation round described every ready step of every job (168 bytes and its texts), some 750,000 here. Besides, the longest chain of a job's estimates was worked out anew for each of its ready steps, in each round: with 2,500 steps that held up the node's thread (manifestStale).

Now the progress of a step keeps entries only for tasks that were placed; a step takes 136 bytes; copies of a job share its steps; a round describes at most 256 ready steps of a job, which takes turns among them, so that none that could start waits behind others for good; the longest chain is worked out once. sizeof: StepSpec 208 to 136, StepProgress of a waiting task 152 to 16.

--- a/src/adapters/json/batch_record_json_func.cpp
+++ b/src/adapters/json/batch_record_json_func.cpp
@@ -57,10 +57,10 @@
     setIfTrue(target, "speculative", step.isSpeculative);
     setIfTrue(target, "lasting", step.isLongRunning);
     setIfTrue(target, "filling", step.usesSpareProcessor);
-    setUnlessEmpty(target, "label", step.requiredLabel.str());
-    setUnlessEmpty(target, "dataRack", step.dataRack.str());
+    setUnlessEmpty(target, "label", step.requiredLabel->str());
+    setUnlessEmpty(target, "dataRack", step.dataRack->str());
     setUnlessZero(target, "maxPerWorker", step.maxPerWorker);
-    setUnlessEmpty(target, "image", step.image);
+    setUnlessEmpty(target, "image", step.image.get());
     setUnlessZero(target, "tailTargetMs", absl::ToInt64Milliseconds(step.tailLatencyTarget));
     setUnlessZero(target, "allowedMissing", step.maxUnavailable);
     return target;
@@ -132,12 +132,16 @@
     if (reader.has("firstDueMs"))
         job.spec.firstDue = absl::FromUnixMillis(reader.integer("firstDueMs"));
     job.spec.period = reader.milliseconds("periodMs");
-    for (const json& element : reader.array("steps")) {
+    const json& elements = reader.array("steps");
+    std::vector<StepSpec> steps;
+    steps.reserve(elements.size());
+    for (const json& element : elements) {
         FieldReader stepReader(element);
-        job.spec.steps.push_back(stepFromJson(stepReader));
+        steps.push_back(stepFromJson(stepReader));
         if (!stepReader.status().ok())
             return stepReader.status();
     }
+    job.spec.steps = std::move(steps);
     absl::Status status = reader.status();
     if (status.ok())
         status = checkSpec(job.spec);
@@ -257,10 +261,11 @@
         for (const json& tasks : steps) {
             StepProgress step;
             for (const json& element : tasks) {
-                step.tasks.emplace_back();
-                const absl::Status status = taskFromJson(element, step.tasks.back());
+                TaskProgress task;
+                const absl::Status status = taskFromJson(element, task);
                 if (!status.ok())
                     return status;
+                step.tasks.push_back(task);
             }
             occurrence.steps.push_back(std::move(step));
         }
--- a/src/batch/job/job_check_func.cpp
+++ b/src/batch/job/job_check_func.cpp
@@ -31,8 +31,8 @@
 std::int64_t encodedBytes(const StepSpec& spec)
 {
     return stepRecordBytes + dependencyBytes * static_cast<std::int64_t>(spec.after.size())
-        + encodedTextBytes(spec.requiredLabel.text()) + encodedTextBytes(spec.dataRack.text())
-        + encodedTextBytes(spec.image);
+        + encodedTextBytes(spec.requiredLabel->text()) + encodedTextBytes(spec.dataRack->text())
+        + encodedTextBytes(spec.image.get());
 }
 
 absl::Status stepError(std::size_t step, absl::string_view rule)
--- a/src/batch/job/job_progress_base.cpp
+++ b/src/batch/job/job_progress_base.cpp
@@ -22,11 +22,29 @@
         [](const StepProgress& step) { return std::any_of(step.tasks.begin(), step.tasks.end(), hasStarted); });
 }
 
+// The estimated run time of the longest chain of dependent steps.
+absl::Duration longestChainOf(const JobSpec& spec)
+{
+    // The estimated end of each step, counted from the start of the job.
+    std::vector<absl::Duration> ends;
+    ends.reserve(spec.steps.size());
+    absl::Duration longest;
+    for (const StepSpec& step : spec.steps) {
+        absl::Duration begin;
+        for (const std::int32_t earlier : step.after)
+            begin = std::max(begin, ends[static_cast<std::size_t>(earlier)]);
+        ends.push_back(begin + step.estimate);
+        longest = std::max(longest, ends.back());
+    }
+    return longest;
+}
+
 } // namespace
 
 JobProgress::JobProgress(Job job, const RecordLimits& limits)
     : m_job(std::move(job))
     , m_limits(limits)
+    , m_longestChainEstimate(longestChainOf(m_job.spec))
 {
 }
 
@@ -35,6 +53,7 @@
     if (!matchesSpec(m_job.spec, record))
         return false;
     m_record = std::move(record);
+    m_hasEntries = true;
     m_hasBegun = std::any_of(m_record.occurrences.begin(), m_record.occurrences.end(), hasStartedTask);
     m_checkpointBytes = 0;
     for (const TaskRef& task : tasksWith([](const TaskProgress& found) { return !found.checkpoint.empty(); }))
@@ -80,18 +99,21 @@
     return const_cast<JobProgress*>(this)->findStep(task);
 }
 
-TaskProgress* JobProgress::findTask(const TaskRef& task)
+const TaskProgress* JobProgress::find(const TaskRef& task) const
 {
-    StepProgress* step = findStep(task);
+    const StepProgress* step = findStep(task);
     const auto index = static_cast<std::size_t>(task.index);
     if (step == nullptr || task.index < 0 || index >= step->tasks.size())
         return nullptr;
     return &step->tasks[index];
 }
 
-const TaskProgress* JobProgress::find(const TaskRef& task) const
+TaskProgress* JobProgress::editTask(const TaskRef& task)
 {
-    return const_cast<JobProgress*>(this)->findTask(task);
+    if (find(task) == nullptr)
+        return nullptr;
+    m_hasEntries = true;
+    return &findStep(task)->tasks.edit(static_cast<std::size_t>(task.index));
 }
 
 std::int32_t JobProgress::nextAttempt(const TaskRef& task) const
@@ -101,7 +123,7 @@
         return 1;
     std::int32_t last = found->attempt;
     if (stepSpec(task.step).isGang) {
-        for (const TaskProgress& member : findStep(task)->tasks)
+        for (const auto& [index, member] : findStep(task)->tasks.entries())
             last = std::max(last, member.attempt);
     }
     return last + 1;
@@ -115,13 +137,13 @@
 template <typename Condition> std::vector<TaskRef> JobProgress::tasksWith(Condition condition) const
 {
     std::vector<TaskRef> tasks;
+    if (!m_hasEntries)
+        return tasks;
     for (const OccurrenceProgress& occurrence : m_record.occurrences) {
         for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
-            const std::vector<TaskProgress>& all = occurrence.steps[step].tasks;
-            for (std::size_t index = 0; index < all.size(); ++index) {
-                if (condition(all[index]))
-                    tasks.push_back(
-                        { occurrence.number, static_cast<std::int32_t>(step), static_cast<std::int32_t>(index) });
+            for (const auto& [index, task] : occurrence.steps[step].tasks.entries()) {
+                if (condition(task))
+                    tasks.push_back({ occurrence.number, static_cast<std::int32_t>(step), index });
             }
         }
     }
@@ -131,7 +153,7 @@
 void JobProgress::place(
     const TaskRef& task, std::int32_t attempt, const WorkerName& worker, const WorkerProcess& process)
 {
-    TaskProgress* found = findTask(task);
+    TaskProgress* found = editTask(task);
     if (found == nullptr)
         return;
     found->phase = TaskProgress::Phase::Placed;
@@ -147,10 +169,15 @@
 bool JobProgress::recordStarted(
     const TaskRef& task, std::int32_t attempt, bool mayStartAgain, const WorkerProcess& process)
 {
-    TaskProgress* found = findTask(task);
-    if (found == nullptr)
+    const TaskProgress* known = find(task);
+    if (known == nullptr)
         return false;
     m_hasBegun = true;
+    const bool isSettled = known->phase == TaskProgress::Phase::Done && known->attempt == 0;
+    // Of a task that an earlier owner has recorded as done the record keeps no attempt.
+    if (isSettled && !mayStartAgain)
+        return false;
+    TaskProgress* found = editTask(task);
     const bool isDone = found->phase == TaskProgress::Phase::Done;
     const bool isPlaced = found->phase == TaskProgress::Phase::Placed && found->attempt == attempt;
     const bool isProcessKnown = !isPlaced || process.startMs != 0;
@@ -172,7 +199,7 @@
 {
     if (!isCurrentRun(task, attempt, worker))
         return false;
-    findTask(task)->lapsesByMs = lapsesByMs;
+    editTask(task)->lapsesByMs = lapsesByMs;
     return true;
 }
 
@@ -182,7 +209,7 @@
         return false;
     const OccurrenceProgress& first = m_record.occurrences.front();
     for (std::size_t step = 0; step < first.steps.size(); ++step) {
-        const std::vector<TaskProgress>& tasks = first.steps[step].tasks;
+        const TaskList& tasks = first.steps[step].tasks;
         const bool isFirst = m_job.spec.steps[step].after.empty();
         if (isFirst && !std::all_of(tasks.begin(), tasks.end(), hasStarted))
             return false;
@@ -204,7 +231,7 @@
 bool JobProgress::recordEnd(
     const TaskRef& task, std::int32_t attempt, RunEnd end, absl::string_view checkpoint, absl::Time now)
 {
-    TaskProgress* found = findTask(task);
+    const TaskProgress* found = find(task);
     if (found == nullptr || found->phase == TaskProgress::Phase::Done)
         return false;
     const bool isLongRunning = stepSpec(task.step).isLongRunning;
@@ -227,17 +254,17 @@
         replaceCheckpoint(finished, "");
     };
     if (!stepSpec(task.step).isGang) {
-        finish(*findTask(task));
+        finish(*editTask(task));
         return;
     }
     // If one member is done, the whole gang is done.
-    for (TaskProgress& member : findStep(task)->tasks)
-        finish(member);
+    for (std::int32_t index = 0; index < stepSpec(task.step).taskCount; ++index)
+        finish(*editTask({ task.occurrence, task.step, index }));
 }
 
 void JobProgress::releaseTask(const TaskRef& task, RunEnd end, absl::string_view checkpoint, absl::Time now)
 {
-    TaskProgress& released = *findTask(task);
+    TaskProgress& released = *editTask(task);
     released.phase = TaskProgress::Phase::Waiting;
     released.worker = WorkerName();
     released.workerProcessStartMs = 0;
@@ -254,41 +281,42 @@
 {
     const bool isGang = stepSpec(task.step).isGang;
     const std::size_t copies = isGang ? findStep(task)->tasks.size() : 1;
-    const auto replaced = static_cast<std::int64_t>(findTask(task)->checkpoint.size() * copies);
+    const auto replaced = static_cast<std::int64_t>(find(task)->checkpoint.size() * copies);
     const auto added = static_cast<std::int64_t>(checkpoint.size() * copies);
     if (added > replaced && m_checkpointBytes - replaced + added > m_limits.maxCheckpointBytes())
         return;
     if (!isGang) {
-        replaceCheckpoint(*findTask(task), checkpoint);
+        replaceCheckpoint(*editTask(task), checkpoint);
         return;
     }
-    for (TaskProgress& member : findStep(task)->tasks)
-        replaceCheckpoint(member, checkpoint);
+    for (std::int32_t index = 0; index < stepSpec(task.step).taskCount; ++index)
+        replaceCheckpoint(*editTask({ task.occurrence, task.step, index }), checkpoint);
 }
 
 std::int32_t JobProgress::countGangFailure(const TaskRef& member)
 {
-    const std::vector<TaskProgress>& members = findStep(member)->tasks;
-    TaskProgress& failed = *findTask(member);
+    TaskProgress& failed = *editTask(member);
+    // A member without an entry has not failed.
+    const TaskList::Entries& members = findStep(member)->tasks.entries();
     const bool isCounted = std::any_of(members.begin(), members.end(),
-        [&failed](const TaskProgress& other) { return other.lastFailedAttempt == failed.attempt; });
+        [&failed](const auto& other) { return other.second.lastFailedAttempt == failed.attempt; });
     failed.lastFailedAttempt = failed.attempt;
     if (!isCounted)
         ++failed.failures;
     return std::accumulate(members.begin(), members.end(), 0,
-        [](std::int32_t sum, const TaskProgress& other) { return sum + other.failures; });
+        [](std::int32_t sum, const auto& other) { return sum + other.second.failures; });
 }
 
 void JobProgress::recordFailure(const TaskRef& task, absl::Time now)
 {
-    const std::int32_t failures = stepSpec(task.step).isGang ? countGangFailure(task) : ++findTask(task)->failures;
+    const std::int32_t failures = stepSpec(task.step).isGang ? countGangFailure(task) : ++editTask(task)->failures;
     if (failures >= m_job.terms.maxAttempts && !isFinal())
         makeFinal(JobPhase::Failed, now);
 }
 
 void JobProgress::recordCheckpoint(const TaskRef& task, std::int32_t attempt, absl::string_view checkpoint)
 {
-    const TaskProgress* found = findTask(task);
+    const TaskProgress* found = find(task);
     if (found == nullptr || found->phase != TaskProgress::Phase::Placed || found->attempt != attempt)
         return;
     if (!checkpoint.empty() && found->checkpoint != checkpoint)
@@ -315,7 +343,8 @@
     if (isFinal() || static_cast<std::int32_t>(m_record.occurrences.size()) < occurrenceCount())
         return;
     for (const OccurrenceProgress& occurrence : m_record.occurrences) {
-        if (!std::all_of(occurrence.steps.begin(), occurrence.steps.end(), isStepDone))
+        if (!std::all_of(occurrence.steps.begin(), occurrence.steps.end(),
+                [](const StepProgress& step) { return step.tasks.isDone(); }))
             return;
     }
     makeFinal(JobPhase::Completed, now);
@@ -327,19 +356,4 @@
     m_record.endedAt = now;
 }
 
-absl::Duration JobProgress::longestChainEstimate() const
-{
-    // The estimated end of each step, counted from the start of the job.
-    std::vector<absl::Duration> ends;
-    absl::Duration longest;
-    for (const StepSpec& step : m_job.spec.steps) {
-        absl::Duration begin;
-        for (const std::int32_t earlier : step.after)
-            begin = std::max(begin, ends[static_cast<std::size_t>(earlier)]);
-        ends.push_back(begin + step.estimate);
-        longest = std::max(longest, ends.back());
-    }
-    return longest;
-}
-
 } // namespace mangohall::batch
--- a/src/batch/job/job_progress_base.h
+++ b/src/batch/job/job_progress_base.h
@@ -22,6 +22,12 @@
     std::vector<std::int32_t> indices;
 };
 
+// The step of an occurrence at which a search for ready steps goes on, by their positions.
+struct ReadyCursor {
+    std::size_t occurrence = 0;
+    std::size_t step = 0;
+};
+
 // Tracks which tasks of a job are waiting, placed and done, and the phase that is reported to the caller. Enforces the
 // order of steps, the limit of failures and the rules of gangs. A change has to be written to the store before it is
 // acted on. Not thread-safe.
@@ -49,6 +55,10 @@
     // The steps that have tasks which may start; none once the job is final. Of tasks that were never placed there are
     // only as many as may be open at a time, so that the record of a job with many tasks keeps its limits.
     std::vector<ReadyStep> readySteps() const;
+    // The same for at most `most` steps. The search begins at the cursor and goes round, and leaves the cursor where the
+    // next call has to go on: at the first step, unless there were more. Not all steps of a job with many are needed at
+    // a time, and each of them takes memory.
+    std::vector<ReadyStep> readySteps(ReadyCursor& cursor, std::size_t most) const;
 
     // The specification of the step, which has to exist.
     const StepSpec& stepSpec(std::int32_t step) const { return m_job.spec.steps[static_cast<std::size_t>(step)]; }
@@ -97,13 +107,14 @@
     bool isCurrentRun(const TaskRef& task, std::int32_t attempt, const WorkerName& worker) const;
 
     // The estimated run time of the longest chain of dependent steps.
-    absl::Duration longestChainEstimate() const;
+    absl::Duration longestChainEstimate() const { return m_longestChainEstimate; }
 
 private:
-    // The find functions return null if the job has no such item or the occurrence is not open yet.
+    // The find and edit functions return null if the job has no such item or the occurrence is not open yet.
     OccurrenceProgress* findOccurrence(std::int32_t number);
     const OccurrenceProgress* findOccurrence(std::int32_t number) const;
-    TaskProgress* findTask(const TaskRef& task);
+    // The task for a change. A change of another task of the step invalidates the pointer.
+    TaskProgress* editTask(const TaskRef& task);
     StepProgress* findStep(const TaskRef& task);
     const StepProgress* findStep(const TaskRef& task) const;
     // The tasks that meet the condition.
@@ -144,7 +155,10 @@
 
     const Job m_job;
     const RecordLimits m_limits;
+    const absl::Duration m_longestChainEstimate;
     ProgressRecord m_record;
+    // Whether the record says more of any task than that it was never placed.
+    bool m_hasEntries = false;
     // Follow from the record: whether a task has started, and the size of all checkpoints in bytes.
     bool m_hasBegun = false;
     std::int64_t m_checkpointBytes = 0;
--- a/src/batch/job/job_progress_ready_cmd.cpp
+++ b/src/batch/job/job_progress_ready_cmd.cpp
@@ -3,6 +3,7 @@
 #include "batch/job/job_progress_base.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace mangohall::batch {
@@ -14,8 +15,9 @@
 
 bool isAnyPlaced(const StepProgress& step)
 {
-    return std::any_of(step.tasks.begin(), step.tasks.end(),
-        [](const TaskProgress& task) { return task.phase == TaskProgress::Phase::Placed; });
+    const TaskList::Entries& entries = step.tasks.entries();
+    return std::any_of(entries.begin(), entries.end(),
+        [](const auto& entry) { return entry.second.phase == TaskProgress::Phase::Placed; });
 }
 
 } // namespace
@@ -54,29 +56,42 @@
 {
     OccurrenceProgress occurrence;
     occurrence.number = number;
-    for (const StepSpec& spec : m_job.spec.steps) {
-        StepProgress step;
-        step.tasks.resize(static_cast<std::size_t>(spec.taskCount));
-        occurrence.steps.push_back(std::move(step));
-    }
+    occurrence.steps.reserve(m_job.spec.steps.size());
+    for (const StepSpec& spec : m_job.spec.steps)
+        occurrence.steps.push_back(StepProgress { TaskList(static_cast<std::size_t>(spec.taskCount)) });
     m_record.occurrences.push_back(std::move(occurrence));
 }
 
 std::vector<ReadyStep> JobProgress::readySteps() const
+{
+    ReadyCursor first;
+    return readySteps(first, std::numeric_limits<std::size_t>::max());
+}
+
+std::vector<ReadyStep> JobProgress::readySteps(ReadyCursor& cursor, std::size_t most) const
 {
     std::vector<ReadyStep> ready;
-    if (isFinal())
+    const std::size_t stepCount = m_job.spec.steps.size();
+    const std::size_t positions = m_record.occurrences.size() * stepCount;
+    if (isFinal() || positions == 0)
         return ready;
     std::int64_t roomForTasks = std::max<std::int64_t>(0, m_limits.maxOpenTasks() - countOpenTasks());
-    for (const OccurrenceProgress& occurrence : m_record.occurrences) {
-        for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
-            if (!mayStart(occurrence, step))
-                continue;
-            std::vector<std::int32_t> indices = waitingTasks(occurrence, step, roomForTasks);
-            if (!indices.empty())
-                ready.push_back({ occurrence.number, static_cast<std::int32_t>(step), std::move(indices) });
+    const std::size_t begin = cursor.occurrence * stepCount + cursor.step;
+    for (std::size_t offset = 0; offset < positions; ++offset) {
+        const std::size_t position = (begin + offset) % positions;
+        const OccurrenceProgress& occurrence = m_record.occurrences[position / stepCount];
+        const std::size_t step = position % stepCount;
+        if (ready.size() == most) {
+            cursor = { position / stepCount, step };
+            return ready;
         }
+        if (!mayStart(occurrence, step))
+            continue;
+        std::vector<std::int32_t> indices = waitingTasks(occurrence, step, roomForTasks);
+        if (!indices.empty())
+            ready.push_back({ occurrence.number, static_cast<std::int32_t>(step), std::move(indices) });
     }
+    cursor = ReadyCursor();
     return ready;
 }
 
@@ -87,7 +102,7 @@
     if (spec.isGang && isAnyPlaced(occurrence.steps[step]))
         return false;
     return std::all_of(spec.after.begin(), spec.after.end(), [&occurrence](std::int32_t earlier) {
-        return isStepDone(occurrence.steps[static_cast<std::size_t>(earlier)]);
+        return occurrence.steps[static_cast<std::size_t>(earlier)].tasks.isDone();
     });
 }
 
@@ -95,7 +110,7 @@
     const OccurrenceProgress& occurrence, std::size_t step, std::int64_t& roomForTasks) const
 {
     std::vector<std::int32_t> indices;
-    const std::vector<TaskProgress>& tasks = occurrence.steps[step].tasks;
+    const TaskList& tasks = occurrence.steps[step].tasks;
     std::int64_t room = roomForTasks;
     for (std::size_t index = 0; index < tasks.size(); ++index) {
         if (tasks[index].phase != TaskProgress::Phase::Waiting)
@@ -117,9 +132,14 @@
 std::int64_t JobProgress::countOpenTasks() const
 {
     std::int64_t count = 0;
+    if (!m_hasEntries)
+        return count;
     for (const OccurrenceProgress& occurrence : m_record.occurrences) {
-        for (const StepProgress& step : occurrence.steps)
-            count += std::count_if(step.tasks.begin(), step.tasks.end(), isOpen);
+        for (const StepProgress& step : occurrence.steps) {
+            const TaskList::Entries& entries = step.tasks.entries();
+            count += std::count_if(
+                entries.begin(), entries.end(), [](const auto& entry) { return isOpen(entry.second); });
+        }
     }
     return count;
 }
--- a/src/batch/job/job_type.h
+++ b/src/batch/job/job_type.h
@@ -8,6 +8,8 @@
 #include <vector>
 
 #include "absl/time/time.h"
+#include "batch/job/rare_base.h"
+#include "batch/job/shared_list_base.h"
 #include "core/name_type.h"
 #include "core/resources_type.h"
 
@@ -42,13 +44,13 @@
     // The tasks use spare processor time. Their request for processor time is not counted against a worker's capacity.
     bool usesSpareProcessor = false;
     // The label that a worker must have; empty if any worker will do.
-    WorkerLabel requiredLabel;
+    Rare<WorkerLabel> requiredLabel;
     // The rack that holds the data; empty if there is none. Tasks run slower on other racks.
-    RackName dataRack;
+    Rare<RackName> dataRack;
     // The largest number of the step's tasks that one worker may run at a time; 0 for any number.
     std::int32_t maxPerWorker = 0;
     // The image that the tasks run. Tasks with the same image behave alike.
-    std::string image;
+    Rare<std::string> image;
     // The target tail latency of a task that serves requests; zero for other tasks.
     absl::Duration tailLatencyTarget;
     // The number of tasks of a long-running step that may be unavailable at the same time because of the system.
@@ -61,7 +63,8 @@
 struct JobSpec {
     // Passed to each task unchanged.
     std::string payload;
-    std::vector<StepSpec> steps;
+    // Copies of a job share their steps.
+    SharedList<StepSpec> steps;
     // The number of occurrences, each of which runs all steps; 0 means one.
     std::int32_t repeatCount = 0;
     // The time at which the first occurrence is due; the infinite past for a job without times.
--- a/src/batch/owner/allocation_input_func.cpp
+++ b/src/batch/owner/allocation_input_func.cpp
@@ -18,6 +18,8 @@
 // Time from the stop of a run until its capacity is free.
 constexpr absl::Duration stopTime = absl::Milliseconds(600);
 constexpr std::int32_t urgentPriority = 0;
+// The largest number of steps of one job in an allocation round. A job with more takes turns among them.
+constexpr std::size_t maxReadySteps = 256;
 // A guaranteed step may evict work as urgent as itself from this long before its latest start.
 constexpr absl::Duration reclaimLead = absl::Milliseconds(2500);
 
@@ -46,7 +48,7 @@
     if (entry == nullptr || entry->progress.find(run.task.task) == nullptr)
         return allocatedRun;
     const StepSpec& spec = entry->progress.stepSpec(run.task.task.step);
-    allocatedRun.requiredLabel = spec.requiredLabel;
+    allocatedRun.requiredLabel = spec.requiredLabel.get();
     allocatedRun.priority = entry->progress.job().terms.priority;
     allocatedRun.isEvictable = !spec.isLongRunning && !mayStillStart;
     allocatedRun.isGang = spec.isGang;
@@ -204,7 +206,7 @@
         // A placement would not become durable.
         if (entry->isWrittenAlone)
             continue;
-        std::vector<ReadyStep> ready = entry->progress.readySteps();
+        std::vector<ReadyStep> ready = entry->progress.readySteps(entry->readyCursor, maxReadySteps);
         if (ready.empty())
             continue;
         if (isAnyTaskRunning(entry->progress, workers))
--- a/src/batch/owner/job_registry_base.h
+++ b/src/batch/owner/job_registry_base.h
@@ -69,6 +69,8 @@
     // Whether it has been logged that the job waits for the end of a run on a silent worker.
     bool isUnsettledRunLogged = false;
     JobWait wait;
+    // Where the next allocation round goes on with the job's steps.
+    ReadyCursor readyCursor;
     // The time since when each ready step has been ready, by occurrence and step.
     absl::btree_map<std::pair<std::int32_t, std::int32_t>, absl::Time> readySince;
 };
--- a/src/batch/policy/capacity_index_base.cpp
+++ b/src/batch/policy/capacity_index_base.cpp
@@ -127,7 +127,7 @@
 
 bool CapacityIndex::isSuitable(const WorkerCapacity& capacity, const PendingStep& pending)
 {
-    return isOfKind(capacity, { pending.service, pending.spec->requiredLabel });
+    return isOfKind(capacity, { pending.service, pending.spec->requiredLabel.get() });
 }
 
 bool CapacityIndex::mayEverFit(const PendingStep& pending, std::size_t count, const RackName& rack) const
--- a/src/batch/policy/priority_policy_base.cpp
+++ b/src/batch/policy/priority_policy_base.cpp
@@ -149,8 +149,8 @@
     {
         const StepSpec& spec = *pending.spec;
         std::vector<RackName> candidates;
-        if (!spec.dataRack.empty() && mayHold(spec.dataRack, pending))
-            candidates.push_back(spec.dataRack);
+        if (!spec.dataRack->empty() && mayHold(spec.dataRack.get(), pending))
+            candidates.push_back(spec.dataRack.get());
         if (!candidates.empty() && isWaitingForRack(pending))
             return candidates;
         if (spec.isGang && spec.isRackLocal) {
--- a/src/batch/policy/task_placer_base.cpp
+++ b/src/batch/policy/task_placer_base.cpp
@@ -21,7 +21,7 @@
 {
     const Resources needed = countedDemand(*pending.spec);
     double penalty = capacity.failureSuspicion * suspicionPenalty;
-    if (!pending.spec->dataRack.empty() && capacity.rack != pending.spec->dataRack)
+    if (!pending.spec->dataRack->empty() && capacity.rack != pending.spec->dataRack.get())
         penalty += remoteDataPenalty;
     penalty += capacity.free.accelerators - needed.accelerators;
     penalty += static_cast<double>(capacity.free.cpuMillis - needed.cpuMillis) / cpuMillisPerAccelerator;
--- a/tests/batch/record_limits_test.cpp
+++ b/tests/batch/record_limits_test.cpp
@@ -169,7 +169,7 @@
     lasting.repeatCount = 2;
     EXPECT_EQ(kindOf(lasting), ErrorKind::InvalidValue);
     JobSpec steps = specOf(1);
-    steps.steps.assign(5000, steps.steps.front());
+    steps.steps.edit().assign(5000, StepSpec(steps.steps.front()));
     EXPECT_EQ(kindOf(steps), ErrorKind::InvalidValue);
 }
 
@@ -191,7 +191,7 @@
     spec.payload = std::string(4000, '\x01');
     while (checkRecordSizes(spec, limits).ok())
         spec.steps.push_back(step);
-    spec.steps.pop_back();
+    spec.steps.edit().pop_back();
     EXPECT_GT(spec.steps.size(), 1000U);
     EXPECT_LE(encodeRecord(jobOf(spec)).size(), static_cast<std::size_t>(limits.maxRecordBytes));
 }
--- a/tests/batch/unsettled_run_oracle_base.cpp
+++ b/tests/batch/unsettled_run_oracle_base.cpp
@@ -53,7 +53,7 @@
             continue;
         for (const OccurrenceProgress& occurrence : progress->occurrences) {
             for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
-                const std::vector<TaskProgress>& tasks = occurrence.steps[step].tasks;
+                const TaskList& tasks = occurrence.steps[step].tasks;
                 for (std::size_t index = 0; index < tasks.size(); ++index) {
                     if (tasks[index].phase != TaskProgress::Phase::Placed)
                         continue;
