--- a/src/batch/job/job_progress_base.h
+++ b/src/batch/job/job_progress_base.h
@@ -55,9 +55,9 @@
     // The steps that have tasks which may start; none once the job is final. Of tasks that were never placed there are
     // only as many as may be open at a time, so that the record of a job with many tasks keeps its limits.
     std::vector<ReadyStep> readySteps() const;
-    // The same for at most `most` steps. The search begins at the cursor and goes round, and leaves the cursor where the
-    // next call has to go on: at the first step, unless there were more. Not all steps of a job with many are needed at
-    // a time, and each of them takes memory.
+    // The same for at most `most` steps. The search begins at the cursor and goes round, and leaves the cursor where
+    // the next call has to go on: at the first step, unless there were more. Not all steps of a job with many are
+    // needed at a time, and each of them takes memory.
     std::vector<ReadyStep> readySteps(ReadyCursor& cursor, std::size_t most) const;
 
     // The specification of the step, which has to exist.
