--- a/src/adapters/http/curl_transfer_base.cpp
+++ b/src/adapters/http/curl_transfer_base.cpp
@@ -12,8 +12,6 @@
 
 namespace {
 
-// Maximum size of a response body that is not streamed; a longer one ends the transfer.
-constexpr std::size_t maxResponseBytes = std::size_t { 64 } << 20U;
 constexpr absl::string_view schemeEnd = "://";
 
 // Returns the part "host:port" of a URL.
@@ -69,6 +67,8 @@
     // Closing a stream on request of its callback is not a failure.
     if (code == CURLE_OK || m_isClosedByReceiver)
         return absl::OkStatus();
+    if (m_isTooLarge)
+        return makeError(ErrorKind::BodyTooLarge, absl::StrCat(m_host, ": the response is too large"));
     // `onConnected` has ended the transfer.
     if (code == CURLE_ABORTED_BY_CALLBACK && m_mayHaveBeenSent)
         return makeError(
@@ -127,8 +127,10 @@
         m_isClosedByReceiver = !m_onBodyPart(data);
         return !m_isClosedByReceiver;
     }
-    if (m_response.body.size() + data.size() > maxResponseBytes)
+    if (m_response.body.size() + data.size() > m_request.maxResponseBytes) {
+        m_isTooLarge = true;
         return false;
+    }
     m_response.body.append(data.data(), data.size());
     return true;
 }
--- a/src/adapters/http/curl_transfer_base.h
+++ b/src/adapters/http/curl_transfer_base.h
@@ -80,6 +80,8 @@
     int m_openedSocket = -1;
     // The callback of a stream has asked to close it.
     bool m_isClosedByReceiver = false;
+    // The response exceeds its limit.
+    bool m_isTooLarge = false;
     // The request may have been sent, possibly on a connection that has been closed since.
     bool m_mayHaveBeenSent = false;
     HttpResponse m_response;
--- a/src/adapters/http/http_client_port.h
+++ b/src/adapters/http/http_client_port.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <functional>
 #include <string>
 #include <utility>
@@ -26,6 +27,8 @@
     std::string body;
     // Timeout of the whole exchange. For a stream, the longest time without received data.
     absl::Duration timeout = absl::Seconds(2);
+    // A response whose body is longer ends the request with BodyTooLarge, unless it is streamed.
+    std::size_t maxResponseBytes = std::size_t { 64 } << 20U;
     // The request is not sent later than this, though its timeout may pass later.
     absl::Time sendUntil = absl::InfiniteFuture();
 };
--- a/src/adapters/json/batch_record_json_func.cpp
+++ b/src/adapters/json/batch_record_json_func.cpp
@@ -299,6 +299,20 @@
     return RecordValue(std::move(counts));
 }
 
+json toJson(const AdmissionLimit& limit)
+{
+    return { { "maxJobBytes", limit.maxJobBytes }, { "maxGuaranteedJobBytes", limit.maxGuaranteedJobBytes } };
+}
+
+absl::StatusOr<RecordValue> admissionFromJson(const json& source)
+{
+    FieldReader reader(source);
+    const AdmissionLimit limit { reader.integer("maxJobBytes"), reader.integer("maxGuaranteedJobBytes") };
+    if (!reader.status().ok())
+        return reader.status();
+    return RecordValue(limit);
+}
+
 // Encodes a record by its type, for `std::visit`.
 class RecordEncoder {
 public:
@@ -309,6 +323,7 @@
     }
     json operator()(const ProgressRecord& record) const { return toJson(record); }
     json operator()(const QueueCounts& counts) const { return toJson(counts); }
+    json operator()(const AdmissionLimit& limit) const { return toJson(limit); }
     json operator()(const HolderRecord& holder) const
     {
         return { { "node", holder.node.str() }, { "epoch", holder.epoch } };
@@ -367,6 +382,8 @@
         return progressFromJson(*parsed);
     case Collection::QueueCounts:
         return countsFromJson(*parsed);
+    case Collection::Admission:
+        return admissionFromJson(*parsed);
     case Collection::Holder:
     case Collection::Epoch:
         return ownerFromJson(collection, *parsed);
--- a/src/adapters/observe/decision_log_base.cpp
+++ b/src/adapters/observe/decision_log_base.cpp
@@ -31,7 +31,7 @@
     "workerLost", "ownershipTaken", "ownershipLost", "manifestTaken", "storeLost", "storeRegained", "recordUnreadable",
     "startSent", "startUnanswered", "startBarred", "workerListOld", "workerListCurrent", "renewalUnanswered",
     "recordRefused", "jobHeld", "guaranteeMet", "workerQuarantined", "evacuationBegun", "evacuationEnded",
-    "evacuationsOld", "evacuationsCurrent", "runUnsettled" };
+    "evacuationsOld", "evacuationsCurrent", "runUnsettled", "jobDeferred" };
 
 // Whether the decision is about a single run or request, of which a busy node handles hundreds a second.
 bool isFrequent(DecisionEffect::Kind kind)
@@ -44,6 +44,7 @@
     case Kind::Refused:
     case Kind::JobAdded:
     case Kind::JobEnded:
+    case Kind::JobDeferred:
     case Kind::RunPlaced:
     case Kind::RunEnded:
     case Kind::RunEvicted:
--- a/src/batch/caller/caller_part_base.h
+++ b/src/batch/caller/caller_part_base.h
@@ -25,6 +25,8 @@
         enum class Stage {
             // The job is being written.
             Submitting,
+            // The owner has no room for the job, which is being read to find out whether it was accepted before.
+            ReadingRefusedJob,
             // The cancellation is being written.
             Cancelling,
             // The cancellation is written. The job is being read, to find out whether it exists.
@@ -62,6 +64,8 @@
     // Adds the job to the records to create, or refuses a job that could not be parsed.
     void submit(OpenCall call, const CallerRequest& request, const QueueSpec& queue, absl::Time now)
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    // Whether a submission of this job is being written.
+    bool isBeingWritten(const JobId& job) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     // Adds the cancellation to the records to create, whether or not the job exists.
     void cancel(OpenCall call, absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     // Starts the read that the stage of the call requires.
--- a/src/batch/caller/caller_part_cmd.cpp
+++ b/src/batch/caller/caller_part_cmd.cpp
@@ -6,6 +6,7 @@
 #include "absl/strings/ascii.h"
 #include "absl/strings/str_cat.h"
 #include "batch/job/job_check_func.h"
+#include "batch/job/job_footprint_func.h"
 #include "batch/job/phase_name_func.h"
 #include "core/error_func.h"
 
@@ -13,6 +14,7 @@
 
 namespace {
 
+constexpr std::int32_t urgentPriority = 0;
 // The number of hexadecimal digits of a job id.
 constexpr std::size_t jobIdLength = 16;
 // The part of a caller's time that is left for the answer to reach it.
@@ -36,6 +38,11 @@
     return makeError(ErrorKind::OutcomeUnknown, "the store has not answered in time");
 }
 
+absl::Status noRoomError()
+{
+    return makeError(ErrorKind::QueueFull, "too many jobs wait for a job of this size; it was not accepted");
+}
+
 DecisionEffect::Kind decisionKindOf(bool isRefused, CallerVerb verb)
 {
     if (isRefused)
@@ -178,11 +185,27 @@
     job.organisation = call.organisation;
     job.spec = *request.spec;
     job.acceptedAt = now;
-    CreateRecord record { call.caller, { Collection::Jobs, call.job.str() }, std::move(job), call.deadline };
+    const std::int64_t footprint = jobFootprint(job.spec);
+    const bool isGuaranteed
+        = queue.terms.priority == urgentPriority && m_routes->guaranteedAccelerators(call.organisation) > 0;
+    // A job that is being written may exist in a moment.
+    if (m_writer.isKnownToLackRoom(footprint, isGuaranteed, now) && !isBeingWritten(call.job)) {
+        call.stage = OpenCall::Stage::ReadingRefusedJob;
+        read(std::move(call));
+        return;
+    }
+    CreateRecord record { call.caller, { Collection::Jobs, call.job.str() }, std::move(job), call.deadline, footprint,
+        isGuaranteed };
     m_writer.add(std::move(record));
     m_openWrites.emplace(call.caller, std::move(call));
 }
 
+bool CallerPart::isBeingWritten(const JobId& job) const
+{
+    return std::any_of(
+        m_openWrites.begin(), m_openWrites.end(), [&job](const auto& open) { return open.second.job == job; });
+}
+
 void CallerPart::cancel(OpenCall call, absl::Time now)
 {
     CreateRecord record { call.caller, { Collection::Cancellations, call.job.str() }, Cancellation { now },
@@ -194,7 +217,9 @@
 void CallerPart::read(OpenCall call)
 {
     RecordKey key { Collection::Progress, call.job.str() };
-    if (call.stage == OpenCall::Stage::ReadingJob || call.stage == OpenCall::Stage::ReadingCancelledJob)
+    const bool readsJob = call.stage == OpenCall::Stage::ReadingJob
+        || call.stage == OpenCall::Stage::ReadingCancelledJob || call.stage == OpenCall::Stage::ReadingRefusedJob;
+    if (readsJob)
         key.collection = Collection::Jobs;
     else if (call.stage == OpenCall::Stage::ReadingCounts)
         key = { Collection::QueueCounts, "" };
@@ -243,6 +268,13 @@
         read(std::move(call));
         return;
     }
+    if (call.stage == OpenCall::Stage::ReadingRefusedJob) {
+        if (std::holds_alternative<Job>(value))
+            answer(call, DoneAnswer(), "known", now);
+        else
+            refuse(call, noRoomError(), now);
+        return;
+    }
     if (!std::holds_alternative<Job>(value)) {
         refuse(call, makeError(ErrorKind::NoSuchJob, "no job with this id has been accepted"), now);
         return;
@@ -285,6 +317,9 @@
     case CreateResult::Outcome::NotWritten:
         refuse(call, makeError(ErrorKind::StoreRefused, "the store takes nothing from this node now"), now);
         return;
+    case CreateResult::Outcome::NoRoom:
+        refuse(call, noRoomError(), now);
+        return;
     case CreateResult::Outcome::Unknown:
         refuse(call, storeTimeoutError(), now);
         return;
@@ -304,7 +339,9 @@
 void CallerPart::answer(const OpenCall& call, const CallerAnswer& answer, absl::string_view outcome, absl::Time now)
 {
     const auto* refusal = std::get_if<RefusalAnswer>(&answer);
-    const CallerVerb verb = call.stage == OpenCall::Stage::Submitting ? CallerVerb::Submit
+    const bool isSubmission
+        = call.stage == OpenCall::Stage::Submitting || call.stage == OpenCall::Stage::ReadingRefusedJob;
+    const CallerVerb verb = isSubmission ? CallerVerb::Submit
         : call.stage == OpenCall::Stage::Cancelling || call.stage == OpenCall::Stage::ReadingCancelledJob
         ? CallerVerb::Cancel
         : CallerVerb::Query;
--- a/src/batch/caller/record_writer_base.h
+++ b/src/batch/caller/record_writer_base.h
@@ -5,6 +5,8 @@
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/time/time.h"
+#include "absl/types/optional.h"
+#include "absl/types/span.h"
 #include "batch/node/outbox_base.h"
 #include "batch/store/record_type.h"
 
@@ -18,6 +20,10 @@
     RecordValue value;
     // The writer gives up at this time.
     absl::Time deadline;
+    // For a job: what it takes at the owner (`jobFootprint`), and whether it is urgent and of an organisation with a
+    // guarantee. 0 for a record that no limit on submissions applies to.
+    std::int64_t footprint = 0;
+    bool isGuaranteed = false;
 };
 
 // The result of creating a record.
@@ -28,6 +34,8 @@
         Existed,
         // The record has not been written and will not be.
         NotWritten,
+        // The same, because the owner has too little memory left for the job.
+        NoRoom,
         // The record may have been written, or may still be written.
         Unknown,
     };
@@ -47,6 +55,9 @@
     // The time at which `advance` has to be called next; the infinite future if no record is pending.
     absl::Time nextDue() const;
 
+    // Whether the store has said within a second that a job like this would not be admitted.
+    bool isKnownToLackRoom(std::int64_t footprint, bool isGuaranteed, absl::Time now) const;
+
     // Whether the call is one of this writer's open commits.
     bool ownsCall(CallId call) const { return m_openCommits.contains(call); }
     // Handles the store's reply to an open commit. Returns the results that it settles; the other records of the commit
@@ -69,10 +80,14 @@
     std::vector<CreateResult> removeExpired(absl::Time now);
     // Removes the records of the next commit from the pending records. A batch has each key at most once.
     std::vector<PendingRecord> takeBatch(absl::Time now);
+    // Whether the job is admitted by the limit that is known.
+    bool isAdmitted(const CreateRecord& record) const;
     // Starts a commit of the records.
     void commit(std::vector<PendingRecord>&& batch, Outbox& outbox);
+    // Learns the limit on submissions from a reply that contains it.
+    void learnAdmission(absl::Span<const Record> records, absl::Time now);
     // The handle functions return the results that are settled, and make the other records of the batch pending again.
-    std::vector<CreateResult> handleConflict(std::vector<PendingRecord> batch, const StoreReply& reply);
+    std::vector<CreateResult> handleConflict(std::vector<PendingRecord> batch, const StoreReply& reply, absl::Time now);
     std::vector<CreateResult> handleRefusal(std::vector<PendingRecord> batch, absl::Time now);
     void handleLostReply(std::vector<PendingRecord> batch, absl::Time now);
 
@@ -80,6 +95,10 @@
     std::vector<PendingRecord> m_pending;
     // The records of each open commit, by its call to the store.
     absl::flat_hash_map<CallId, std::vector<PendingRecord>> m_openCommits;
+    // The limit on submissions as it was last read, with its revision, and when.
+    absl::optional<AdmissionLimit> m_admission;
+    Revision m_admissionRevision = 0;
+    absl::Time m_admissionReadAt = absl::InfinitePast();
 };
 
 } // namespace mangohall::batch
--- a/src/batch/job/job_progress_base.cpp
+++ b/src/batch/job/job_progress_base.cpp
@@ -53,7 +53,11 @@
     if (!matchesSpec(m_job.spec, record))
         return false;
     m_record = std::move(record);
-    m_hasEntries = true;
+    m_entryCount = 0;
+    for (const OccurrenceProgress& occurrence : m_record.occurrences) {
+        for (const StepProgress& step : occurrence.steps)
+            m_entryCount += static_cast<std::int64_t>(step.tasks.entries().size());
+    }
     m_hasBegun = std::any_of(m_record.occurrences.begin(), m_record.occurrences.end(), hasStartedTask);
     m_checkpointBytes = 0;
     for (const TaskRef& task : tasksWith([](const TaskProgress& found) { return !found.checkpoint.empty(); }))
@@ -61,9 +65,29 @@
     return true;
 }
 
+std::int64_t JobProgress::recordBytes() const
+{
+    std::int64_t bytes = m_entryCount * RecordLimits::openTaskBytes + m_checkpointBytes;
+    for (const OccurrenceProgress& occurrence : m_record.occurrences) {
+        bytes += RecordLimits::occurrenceBytes;
+        for (const StepProgress& step : occurrence.steps)
+            bytes += RecordLimits::stepBytes
+                + RecordLimits::closedTaskBytes * static_cast<std::int64_t>(step.tasks.size());
+    }
+    return bytes;
+}
+
+void JobProgress::releaseDetails()
+{
+    m_job.spec = JobSpec();
+    m_record.occurrences = {};
+    m_entryCount = 0;
+    m_checkpointBytes = 0;
+}
+
 bool JobProgress::isFinal() const
 {
-    return m_record.phase != JobPhase::Pending && m_record.phase != JobPhase::Active;
+    return batch::isFinal(m_record.phase);
 }
 
 void JobProgress::replaceCheckpoint(TaskProgress& task, absl::string_view checkpoint)
@@ -112,8 +136,11 @@
 {
     if (find(task) == nullptr)
         return nullptr;
-    m_hasEntries = true;
-    return &findStep(task)->tasks.edit(static_cast<std::size_t>(task.index));
+    TaskList& tasks = findStep(task)->tasks;
+    const std::size_t former = tasks.entries().size();
+    TaskProgress& edited = tasks.edit(static_cast<std::size_t>(task.index));
+    m_entryCount += static_cast<std::int64_t>(tasks.entries().size() - former);
+    return &edited;
 }
 
 std::int32_t JobProgress::nextAttempt(const TaskRef& task) const
@@ -137,7 +164,7 @@
 template <typename Condition> std::vector<TaskRef> JobProgress::tasksWith(Condition condition) const
 {
     std::vector<TaskRef> tasks;
-    if (!m_hasEntries)
+    if (m_entryCount == 0)
         return tasks;
     for (const OccurrenceProgress& occurrence : m_record.occurrences) {
         for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
--- a/src/batch/job/job_progress_base.h
+++ b/src/batch/job/job_progress_base.h
@@ -60,6 +60,15 @@
     // needed at a time, and each of them takes memory.
     std::vector<ReadyStep> readySteps(ReadyCursor& cursor, std::size_t most) const;
 
+    // The number of tasks that have an entry in the record, as they were placed.
+    std::int64_t entryCount() const { return m_entryCount; }
+    // The size of the record as it is written, at most, in bytes.
+    std::int64_t recordBytes() const;
+    // Whether the job is final and nothing in its record is needed any more but the phase.
+    bool isSettled() const { return batch::isSettled(m_record); }
+    // Frees the specification and the progress of a job that is settled.
+    void releaseDetails();
+
     // The specification of the step, which has to exist.
     const StepSpec& stepSpec(std::int32_t step) const { return m_job.spec.steps[static_cast<std::size_t>(step)]; }
     // The progress of the task; null if the job has no such task or its occurrence is not open yet.
@@ -153,12 +162,12 @@
     // Replaces the checkpoint of one task, and counts its size.
     void replaceCheckpoint(TaskProgress& task, absl::string_view checkpoint);
 
-    const Job m_job;
+    Job m_job;
     const RecordLimits m_limits;
     const absl::Duration m_longestChainEstimate;
     ProgressRecord m_record;
-    // Whether the record says more of any task than that it was never placed.
-    bool m_hasEntries = false;
+    // The number of tasks with an entry in the record.
+    std::int64_t m_entryCount = 0;
     // Follow from the record: whether a task has started, and the size of all checkpoints in bytes.
     bool m_hasBegun = false;
     std::int64_t m_checkpointBytes = 0;
--- a/src/batch/job/job_progress_ready_cmd.cpp
+++ b/src/batch/job/job_progress_ready_cmd.cpp
@@ -132,7 +132,7 @@
 std::int64_t JobProgress::countOpenTasks() const
 {
     std::int64_t count = 0;
-    if (!m_hasEntries)
+    if (m_entryCount == 0)
         return count;
     for (const OccurrenceProgress& occurrence : m_record.occurrences) {
         for (const StepProgress& step : occurrence.steps) {
--- a/src/batch/job/progress_record_type.h
+++ b/src/batch/job/progress_record_type.h
@@ -1,6 +1,7 @@
 // The progress of a job as it is kept in the store.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <vector>
 
@@ -37,4 +38,27 @@
     friend bool operator==(const ProgressRecord&, const ProgressRecord&) = default;
 };
 
+// Whether the phase is final: completed, failed or aborted.
+inline bool isFinal(JobPhase phase)
+{
+    return phase != JobPhase::Pending && phase != JobPhase::Active;
+}
+
+// Whether the job is final and nothing in its record is needed any more but the phase: no task may be running or may
+// still be started.
+inline bool isSettled(const ProgressRecord& record)
+{
+    const auto isOver = [](const auto& entry) {
+        return entry.second.phase != TaskProgress::Phase::Placed && !entry.second.mayStartAgain;
+    };
+    const auto isStepOver = [&isOver](const StepProgress& step) {
+        return std::all_of(step.tasks.entries().begin(), step.tasks.entries().end(), isOver);
+    };
+    return isFinal(record.phase)
+        && std::all_of(
+            record.occurrences.begin(), record.occurrences.end(), [&isStepOver](const OccurrenceProgress& occurrence) {
+                return std::all_of(occurrence.steps.begin(), occurrence.steps.end(), isStepOver);
+            });
+}
+
 } // namespace mangohall::batch
--- a/src/batch/node/event_type.h
+++ b/src/batch/node/event_type.h
@@ -222,6 +222,8 @@
         EvacuationsCurrent,
         // A job waits for the end of a run on a silent worker of which a start may still be executed.
         RunUnsettled,
+        // The owner has too little memory left for a job, which stays in the store until there is room.
+        JobDeferred,
     };
     Kind kind = Kind::Submitted;
     std::string job;
--- a/src/batch/node/node_base.h
+++ b/src/batch/node/node_base.h
@@ -8,6 +8,7 @@
 
 #include "absl/strings/string_view.h"
 #include "absl/time/time.h"
+#include "batch/job/job_footprint_func.h"
 #include "batch/job/record_limits_type.h"
 #include "batch/node/node_part_base.h"
 #include "batch/policy/allocation_policy_base.h"
@@ -30,6 +31,9 @@
     absl::Duration maxEvacuationAge = absl::InfiniteDuration();
     SessionSettings session;
     RecordLimits recordLimits;
+    // The memory that jobs may take at the owner, in bytes. All nodes should have the same, as any of them may become
+    // the owner.
+    std::int64_t jobMemoryBytes = defaultJobMemoryBytes;
     // The longest time from the acceptance of an urgent job that a guarantee covers to its start.
     absl::Duration guaranteeBound = absl::Milliseconds(3400);
     // The share of a processor that the node may use; 1 is a whole processor. Nodes with a larger share acquire the
--- a/src/batch/owner/allocation_input_func.cpp
+++ b/src/batch/owner/allocation_input_func.cpp
@@ -198,8 +198,19 @@
     pending.mayReclaim = now >= pending.startBy - reclaimLead;
 }
 
+// Removes the tasks from the step for which there is no memory left, and returns whether any is left; a gang is placed
+// as a whole or not at all.
+bool limitTasks(ReadyStep& step, bool isGang, std::int64_t& room)
+{
+    const auto count = static_cast<std::int64_t>(step.indices.size());
+    if (count > room)
+        step.indices.resize(isGang ? 0 : static_cast<std::size_t>(room));
+    room -= static_cast<std::int64_t>(step.indices.size());
+    return !step.indices.empty();
+}
+
 std::vector<PendingStep> describeSteps(absl::Span<JobEntry* const> entries, const WorkerRegistry& workers,
-    const JobNames& guaranteed, absl::Duration guaranteeBound, absl::Time now)
+    const JobNames& guaranteed, absl::Duration guaranteeBound, std::int64_t roomForTasks, absl::Time now)
 {
     std::vector<PendingStep> steps;
     for (JobEntry* entry : entries) {
@@ -214,6 +225,8 @@
         else
             entry->wait.recordIdle(now);
         for (ReadyStep& step : ready) {
+            if (!limitTasks(step, entry->progress.stepSpec(step.step).isGang, roomForTasks))
+                continue;
             steps.push_back(describeStep(*entry, std::move(step), now));
             PendingStep& pending = steps.back();
             if (guaranteed.contains(entry->progress.job().id.text()))
@@ -232,7 +245,7 @@
     const std::vector<JobEntry*> entries = unfinishedEntries(jobs);
     const JobNames guaranteed = guaranteedJobs(entries, routes);
     AllocationInput input;
-    input.pendingSteps = describeSteps(entries, workers, guaranteed, guaranteeBound, now);
+    input.pendingSteps = describeSteps(entries, workers, guaranteed, guaranteeBound, jobs.roomForTasks(), now);
     if (!input.pendingSteps.empty())
         input.workers = describeWorkers(workers, jobs, guaranteed, now);
     return input;
--- a/src/batch/owner/job_registry_base.h
+++ b/src/batch/owner/job_registry_base.h
@@ -11,7 +11,9 @@
 #include "absl/container/flat_hash_map.h"
 #include "absl/strings/string_view.h"
 #include "absl/time/time.h"
+#include "absl/types/optional.h"
 #include "absl/types/span.h"
+#include "batch/job/job_footprint_func.h"
 #include "batch/job/job_progress_base.h"
 #include "batch/owner/due_index_base.h"
 #include "batch/owner/job_wait_base.h"
@@ -68,6 +70,8 @@
     bool isGuaranteeMetLogged = false;
     // Whether it has been logged that the job waits for the end of a run on a silent worker.
     bool isUnsettledRunLogged = false;
+    // What the job takes without its placed tasks (`jobFootprint`).
+    std::int64_t footprint = 0;
     JobWait wait;
     // Where the next allocation round goes on with the job's steps.
     ReadyCursor readyCursor;
@@ -75,11 +79,20 @@
     absl::btree_map<std::pair<std::int32_t, std::int32_t>, absl::Time> readySince;
 };
 
+// A job that is not held, as the owner has too little memory left: its record is read again later.
+struct DeferredJob {
+    QueueName queue;
+    absl::Time acceptedAt;
+    std::int64_t footprint = 0;
+    bool hasTimes = false;
+};
+
 // The registry of all jobs that the owner holds. Not safe to call from several threads.
 class JobRegistry {
 public:
-    explicit JobRegistry(const RecordLimits& limits = {})
+    explicit JobRegistry(const RecordLimits& limits = {}, std::int64_t budgetBytes = defaultJobMemoryBytes)
         : m_limits(limits)
+        , m_budgetBytes(budgetBytes)
     {
     }
 
@@ -88,6 +101,27 @@
     // Adds an accepted job by its record of this revision. Returns false and changes nothing if the registry has the
     // job already, or has removed it later: a read that began before the removal may still show it.
     bool add(const Job& job, Revision revision = unknownRevision);
+    // Whether the budget has room for the job, or it has to be held all the same, as an earlier owner has begun it.
+    bool hasRoomFor(const Job& job) const;
+    // Remembers a job that is not held for now. Does nothing if the registry holds it, or has removed it later.
+    void defer(const Job& job, Revision revision);
+    bool isDeferred(const JobId& job) const { return m_deferred.contains(job); }
+    const absl::btree_map<JobId, DeferredJob>& deferred() const { return m_deferred; }
+    // The deferred job that was accepted first, if the budget has room for it now.
+    absl::optional<JobId> nextDeferred() const;
+    // Forgets a deferred job, which is held from now on or has been removed.
+    void removeDeferred(const JobId& job) { m_deferred.erase(job); }
+    // Holds a deferred job without its specification, so that it can be cancelled.
+    JobEntry& addDeferredForCancellation(const JobId& job);
+
+    // The memory that the jobs take and may take, in bytes.
+    std::int64_t heldBytes() const { return m_footprints + m_placedTaskBytes; }
+    std::int64_t budgetBytes() const { return m_budgetBytes; }
+    // How many more tasks may be placed.
+    std::int64_t roomForTasks() const;
+    // Counts anew what placed tasks take, and frees the details of jobs that were settled before the time.
+    void reviewMemory(absl::Time settledBefore);
+
     // Applies a progress record that an earlier owner has written. It may be read before or after its job.
     void addProgress(const JobId& job, ProgressRecord record, Revision revision);
     // Records the request to cancel a job, which may be read before the job.
@@ -139,12 +173,23 @@
         Revision revision = 0;
     };
 
+    // The most that records take that are written together, in bytes, unless a single one takes more.
+    static constexpr std::int64_t maxBytesTogether = std::int64_t { 1 } << 20U;
+
     // How many jobs at the front of the queue are written together, at most `count`.
     std::size_t writtenTogether(std::size_t count) const;
     static void markWriting(JobEntry& entry);
+    // Frees what is not needed any more of a job that is settled.
+    void releaseDetails(JobEntry& entry);
+    bool wasRemovedSince(const JobId& job, Revision revision) const;
     void updateDueTime(const JobEntry& entry);
 
     const RecordLimits m_limits;
+    const std::int64_t m_budgetBytes;
+    // The sum of the jobs' footprints, and what their placed tasks took at the last review.
+    std::int64_t m_footprints = 0;
+    std::int64_t m_placedTaskBytes = 0;
+    absl::btree_map<JobId, DeferredJob> m_deferred;
     absl::btree_map<JobId, JobEntry> m_entries;
     // When each refused job is queued again.
     DueIndex<JobId> m_postponed;
--- a/src/batch/owner/owner_load_cmd.cpp
+++ b/src/batch/owner/owner_load_cmd.cpp
@@ -11,6 +11,9 @@
 namespace {
 
 constexpr absl::Duration listTimeout = absl::Seconds(2);
+constexpr absl::Duration memoryReviewPeriod = absl::Milliseconds(500);
+// How long the details of an ended job are kept, for what its workers still list of it.
+constexpr absl::Duration settledJobPeriod = absl::Seconds(10);
 
 } // namespace
 
@@ -29,6 +32,8 @@
     m_jobFollower.stop();
     m_workerFollower.stop();
     m_loading = Loading();
+    m_deferredCall = 0;
+    m_deferredRetryAt = absl::InfinitePast();
     m_allocatedAt = now;
     m_wasWorkerListCurrent = true;
     m_wereEvacuationsCurrent = true;
@@ -39,10 +44,14 @@
     if (now < m_loading.retryAt)
         return;
     if (!m_loading.hasProgress && m_loading.progressCall == 0)
-        m_loading.progressCall = m_outbox.toStore(ReadCollection { Collection::Progress }, listTimeout);
+        m_loading.progressCall
+            = m_outbox.toStore(ReadPage { Collection::Progress, m_loading.nextProgressPage }, listTimeout);
     if (!m_loading.hasCounts && m_loading.countsCall == 0)
         m_loading.countsCall = m_outbox.toStore(ReadRecord { { Collection::QueueCounts, "" } }, listTimeout);
-    const bool isRead = m_loading.hasProgress && m_loading.hasCounts && m_loading.hasJobs && m_loading.hasWorkers;
+    if (!m_loading.hasAdmission && m_loading.admissionCall == 0)
+        m_loading.admissionCall = m_outbox.toStore(ReadRecord { { Collection::Admission, "" } }, listTimeout);
+    const bool isRead = m_loading.hasProgress && m_loading.hasCounts && m_loading.hasAdmission && m_loading.hasJobs
+        && m_loading.hasWorkers;
     if (isRead && !m_loading.isDone)
         finishLoading(now);
 }
@@ -54,7 +63,8 @@
         m_loading.retryAt = now + loadRetryPeriod;
         return;
     }
-    m_loading.hasProgress = true;
+    m_loading.nextProgressPage = reply.nextPage;
+    m_loading.hasProgress = reply.nextPage.empty();
     for (const Record& record : reply.records) {
         if (const auto* progress = std::get_if<ProgressRecord>(&record.value))
             m_jobs.addProgress(JobId(record.key.name), *progress, record.revision);
@@ -79,6 +89,22 @@
     m_writer.setWrittenCounts(counts == nullptr ? QueueCounts() : *counts, record.revision);
 }
 
+void OwnerPart::applyAdmission(const StoreReply& reply, absl::Time now)
+{
+    m_loading.admissionCall = 0;
+    const bool isAbsent = errorKindOf(reply.status) == ErrorKind::NotFound;
+    if (!reply.status.ok() && !isAbsent) {
+        m_loading.retryAt = now + loadRetryPeriod;
+        return;
+    }
+    m_loading.hasAdmission = true;
+    if (isAbsent || reply.records.empty())
+        return;
+    const Record& record = reply.records.front();
+    const auto* limit = std::get_if<AdmissionLimit>(&record.value);
+    m_writer.setWrittenAdmission(limit == nullptr ? AdmissionLimit() : *limit, record.revision);
+}
+
 // Called once everything has been read. Runs that the store lists as placed use capacity until their workers have
 // replied to a poll.
 void OwnerPart::finishLoading(absl::Time now)
@@ -98,11 +124,51 @@
         if (m_jobs.isCancelled(id))
             cancelled.push_back(id);
     }
+    for (const auto& [id, job] : m_jobs.deferred()) {
+        if (m_jobs.isCancelled(id))
+            cancelled.push_back(id);
+    }
     for (const JobId& job : cancelled)
         cancelJob(job, now);
     m_isAllocationDue = true;
 }
 
+void OwnerPart::reviewMemory(absl::Time now)
+{
+    if (now < m_memoryReviewedAt + memoryReviewPeriod)
+        return;
+    m_memoryReviewedAt = now;
+    m_jobs.reviewMemory(now - settledJobPeriod);
+}
+
+void OwnerPart::loadDeferred(absl::Time now)
+{
+    if (m_deferredCall != 0 || now < m_deferredRetryAt)
+        return;
+    const absl::optional<JobId> next = m_jobs.nextDeferred();
+    if (!next)
+        return;
+    m_deferredJob = *next;
+    m_deferredCall = m_outbox.toStore(ReadRecord { { Collection::Jobs, next->str() } }, listTimeout);
+}
+
+void OwnerPart::applyDeferred(const StoreReply& reply, absl::Time now)
+{
+    m_deferredCall = 0;
+    const bool isAbsent = errorKindOf(reply.status) == ErrorKind::NotFound;
+    if (!reply.status.ok() && !isAbsent) {
+        m_deferredRetryAt = now + loadRetryPeriod;
+        return;
+    }
+    // It may have been cancelled meanwhile.
+    if (!m_jobs.isDeferred(m_deferredJob))
+        return;
+    m_jobs.removeDeferred(m_deferredJob);
+    const auto* job = isAbsent || reply.records.empty() ? nullptr : std::get_if<Job>(&reply.records.front().value);
+    if (job != nullptr)
+        addJob(*job, reply.records.front().revision, now);
+}
+
 void OwnerPart::adoptRuns(JobEntry& entry, absl::Time now)
 {
     for (const TaskRef& task : entry.progress.placedTasks()) {
@@ -142,6 +208,10 @@
 
 void OwnerPart::addJob(const Job& job, Revision revision, absl::Time now)
 {
+    if (!m_jobs.hasRoomFor(job)) {
+        deferJob(job, revision, now);
+        return;
+    }
     if (!m_jobs.add(job, revision) || !m_loading.isDone)
         return;
     DecisionEffect decision;
@@ -157,9 +227,25 @@
         cancelJob(job.id, now);
 }
 
+void OwnerPart::deferJob(const Job& job, Revision revision, absl::Time now)
+{
+    m_jobs.defer(job, revision);
+    if (!m_jobs.isDeferred(job.id))
+        return;
+    DecisionEffect decision;
+    decision.kind = DecisionEffect::Kind::JobDeferred;
+    decision.job = job.id.str();
+    decision.queue = job.queue.str();
+    decision.organisation = job.organisation.str();
+    decision.age = now - job.acceptedAt;
+    m_outbox.log(std::move(decision));
+    if (m_loading.isDone && m_jobs.isCancelled(job.id))
+        cancelJob(job.id, now);
+}
+
 void OwnerPart::cancelJob(const JobId& job, absl::Time now)
 {
-    JobEntry* entry = m_jobs.find(job);
+    JobEntry* entry = m_jobs.isDeferred(job) ? &m_jobs.addDeferredForCancellation(job) : m_jobs.find(job);
     if (entry == nullptr || !entry->progress.cancel(now))
         return;
     m_jobs.markDirty(*entry);
--- a/src/batch/owner/owner_part_base.h
+++ b/src/batch/owner/owner_part_base.h
@@ -39,8 +39,12 @@
         bool hasWorkers = false;
         bool hasProgress = false;
         bool hasCounts = false;
+        bool hasAdmission = false;
         CallId progressCall = 0;
         CallId countsCall = 0;
+        CallId admissionCall = 0;
+        // Where the next page of the progress begins.
+        std::string nextProgressPage;
         // When a failed read may be repeated.
         absl::Time retryAt = absl::InfinitePast();
         // Everything has been read and the runs in the store are adopted.
@@ -57,9 +61,17 @@
     void adoptRuns(JobEntry& entry, absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void applyProgress(const StoreReply& reply, absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void applyCounts(const StoreReply& reply, absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    void applyAdmission(const StoreReply& reply, absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    // Reads the job again that was deferred first, once there is room for it.
+    void loadDeferred(absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    void applyDeferred(const StoreReply& reply, absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    // Counts the memory of the jobs anew, at intervals.
+    void reviewMemory(absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void applyJobs(const CollectionUpdate& update, absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void applyWorkers(const CollectionUpdate& update, absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void addJob(const Job& job, Revision revision, absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    // Keeps a job in the store only, until there is room for it.
+    void deferJob(const Job& job, Revision revision, absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void cancelJob(const JobId& job, absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void stopRunsOf(JobEntry& entry, absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void stopGangOf(JobEntry& entry, const RunKey& run, absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
@@ -150,6 +162,11 @@
     // What was logged last of the age of the list of workers and of the evacuations.
     bool m_wasWorkerListCurrent ABSL_GUARDED_BY(m_mutex) = true;
     bool m_wereEvacuationsCurrent ABSL_GUARDED_BY(m_mutex) = true;
+    // The read of a deferred job, and when the next one may begin; 0 if none is pending.
+    CallId m_deferredCall ABSL_GUARDED_BY(m_mutex) = 0;
+    JobId m_deferredJob ABSL_GUARDED_BY(m_mutex);
+    absl::Time m_deferredRetryAt ABSL_GUARDED_BY(m_mutex) = absl::InfinitePast();
+    absl::Time m_memoryReviewedAt ABSL_GUARDED_BY(m_mutex) = absl::InfinitePast();
     // Something has changed that may let a task start.
     bool m_isAllocationDue ABSL_GUARDED_BY(m_mutex) = false;
     // When the last allocation round began.
--- a/src/batch/owner/owner_part_cmd.cpp
+++ b/src/batch/owner/owner_part_cmd.cpp
@@ -43,9 +43,9 @@
     , m_policy(std::move(policy))
     , m_random(settings.seed)
     , m_ownership(settings.self, claimDelayOf(settings.processorShare), m_random)
-    , m_jobFollower(Collection::Jobs, jobWatchWait)
+    , m_jobFollower(Collection::Jobs, jobWatchWait, absl::ZeroDuration(), CollectionFollower::ReadMode::Pages)
     , m_workerFollower(Collection::Workers, workerWatchWait, workerWatchPause)
-    , m_jobs(settings.recordLimits)
+    , m_jobs(settings.recordLimits, settings.jobMemoryBytes)
     , m_workers(settings.session)
     , m_writer(m_jobs)
     , m_allocationPacer(shortestAllocationPause)
@@ -101,6 +101,10 @@
         applyProgress(event.reply, now);
     else if (event.call == m_loading.countsCall)
         applyCounts(event.reply, now);
+    else if (event.call == m_loading.admissionCall)
+        applyAdmission(event.reply, now);
+    else if (event.call == m_deferredCall)
+        applyDeferred(event.reply, now);
 }
 
 bool OwnerPart::isWorkerListCurrent(absl::Time now) const
@@ -216,11 +220,15 @@
 
 void OwnerPart::advance(absl::Time now)
 {
-    m_jobFollower.advance(m_outbox, now);
+    // Jobs are read after their progress, which shows the ones that an earlier owner has begun.
+    if (m_loading.hasProgress)
+        m_jobFollower.advance(m_outbox, now);
     m_workerFollower.advance(m_outbox, now);
     advanceLoading(now);
     if (!m_loading.isDone)
         return;
+    reviewMemory(now);
+    loadDeferred(now);
     for (const WorkerUpdate& lapsed : m_workers.takeLapsedRuns(now))
         applyWorkerUpdate(lapsed, now);
     if (m_jobs.openDueOccurrences(now))
@@ -239,7 +247,9 @@
     absl::Time due = m_ownership.nextDue();
     if (!m_ownership.isOwner())
         return std::max(due, now);
-    due = std::min({ due, m_jobFollower.nextDue(), m_workerFollower.nextDue() });
+    due = std::min(due, m_workerFollower.nextDue());
+    if (m_loading.hasProgress)
+        due = std::min(due, m_jobFollower.nextDue());
     if (!m_loading.isDone)
         return std::max(std::min(due, std::max(m_loading.retryAt, now + loadRetryPeriod)), now);
     due = std::min({ due, m_writer.nextDue(), m_workers.nextDue(), m_jobs.nextDue() });
--- a/src/batch/owner/progress_writer_base.cpp
+++ b/src/batch/owner/progress_writer_base.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "batch/owner/admission_func.h"
 #include "core/error_func.h"
 
 namespace mangohall::batch {
@@ -33,9 +34,19 @@
     m_jobsPerCommit = maxJobsPerCommit;
     m_countsRevision = 0;
     m_writtenCounts = QueueCounts();
+    m_admission.reset();
+    m_isWritingAdmission = false;
+    setWrittenAdmission(absl::nullopt, 0);
     m_retryAt = absl::InfinitePast();
 }
 
+void ProgressWriter::setWrittenAdmission(const absl::optional<AdmissionLimit>& limit, Revision revision)
+{
+    m_writtenAdmission = limit;
+    m_admissionRevision = revision;
+    m_isAdmissionKnown = true;
+}
+
 void ProgressWriter::setWrittenCounts(const QueueCounts& counts, Revision revision)
 {
     m_writtenCounts = counts;
@@ -52,6 +63,7 @@
     commit.expected.push_back(ownership);
     addJobs(commit, now);
     addCounts(commit, now);
+    addAdmission(commit);
     addRemovals(commit, now);
     if (commit.writes.empty() && commit.removals.empty())
         return;
@@ -85,9 +97,24 @@
     m_isWritingCounts = true;
 }
 
+void ProgressWriter::addAdmission(CommitRecords& commit)
+{
+    m_admission = admissionLimitFor(m_jobs.heldBytes(), m_jobs.budgetBytes(), m_admission);
+    if (m_isAdmissionKnown && m_admission == m_writtenAdmission)
+        return;
+    const RecordKey key { Collection::Admission, "" };
+    commit.expected.push_back({ key, m_admissionRevision });
+    if (m_admission)
+        commit.writes.push_back({ key, *m_admission, 0 });
+    else
+        commit.removals.push_back(key);
+    m_isWritingAdmission = true;
+}
+
 void ProgressWriter::addRemovals(CommitRecords& commit, absl::Time now)
 {
-    const std::size_t room = (maxCommitEntries - commit.expected.size() - commit.writes.size()) / entriesPerRemoval;
+    const std::size_t used = commit.expected.size() + commit.writes.size() + commit.removals.size();
+    const std::size_t room = (maxCommitEntries - used) / entriesPerRemoval;
     if (now < m_removalsDueAt || room == 0)
         return;
     m_removals = m_jobs.endedBefore(now - endedJobRetention, room);
@@ -103,7 +130,8 @@
 {
     if (m_call != 0)
         return absl::InfiniteFuture();
-    if (m_jobs.hasDirty() || (m_writesAll && m_jobs.hasDirtyLater()))
+    const bool isAdmissionDue = m_admission != admissionLimitFor(m_jobs.heldBytes(), m_jobs.budgetBytes(), m_admission);
+    if (isAdmissionDue || m_jobs.hasDirty() || (m_writesAll && m_jobs.hasDirtyLater()))
         return m_retryAt;
     const absl::Time periodic = std::min(m_countsCheckedAt + countsPeriod, m_removalsDueAt);
     return std::max(m_retryAt, std::min(periodic, m_jobs.nextPostponed()));
@@ -149,6 +177,8 @@
         m_writtenCounts = m_counts;
         m_countsRevision = revision;
     }
+    if (std::exchange(m_isWritingAdmission, false))
+        setWrittenAdmission(m_admission, m_admission ? revision : 0);
     return update;
 }
 
@@ -167,6 +197,11 @@
             entry->revision = record.revision;
     }
     requeue();
+    for (const Record& record : reply.records) {
+        const auto* limit = std::get_if<AdmissionLimit>(&record.value);
+        if (record.key.collection == Collection::Admission)
+            setWrittenAdmission(limit == nullptr ? absl::nullopt : absl::make_optional(*limit), record.revision);
+    }
     return update;
 }
 
@@ -203,6 +238,8 @@
     // The commit may have been executed, or another one that was sent before.
     if (std::exchange(m_isWritingCounts, false))
         m_writtenCounts.reset();
+    if (std::exchange(m_isWritingAdmission, false))
+        m_isAdmissionKnown = false;
 }
 
 } // namespace mangohall::batch
--- a/src/batch/owner/progress_writer_base.h
+++ b/src/batch/owner/progress_writer_base.h
@@ -39,6 +39,9 @@
     // Sets the queue counts as an earlier owner has written them.
     void setWrittenCounts(const QueueCounts& counts, Revision revision);
 
+    // Sets the limit on submissions as an earlier owner has written it.
+    void setWrittenAdmission(const absl::optional<AdmissionLimit>& limit, Revision revision);
+
     // Writes from now on also at once what need not be written soon.
     void setWritesAll() { m_writesAll = true; }
     // Whether no commit is pending and no progress is left to write.
@@ -56,8 +59,9 @@
     WriteUpdate handleReply(const StoreReply& reply, absl::Time now);
 
 private:
-    // Each job takes two entries, an expectation and a write; the epoch takes one and the queue counts take two.
-    static constexpr std::size_t maxJobsPerCommit = (maxCommitEntries - 3) / 2;
+    // Each job takes two entries, an expectation and a write; the epoch takes one, the queue counts take two and so
+    // does the limit on submissions.
+    static constexpr std::size_t maxJobsPerCommit = (maxCommitEntries - 5) / 2;
 
     // A job whose progress is in the pending commit, and the actions that wait for it.
     struct InFlight {
@@ -67,6 +71,8 @@
 
     void addJobs(CommitRecords& commit, absl::Time now);
     void addCounts(CommitRecords& commit, absl::Time now);
+    // Adds the limit on submissions if it has to change.
+    void addAdmission(CommitRecords& commit);
     void addRemovals(CommitRecords& commit, absl::Time now);
     WriteUpdate handleSuccess(Revision revision);
     WriteUpdate handleConflict(const StoreReply& reply, absl::Time now);
@@ -92,6 +98,13 @@
     QueueCounts m_counts;
     absl::optional<QueueCounts> m_writtenCounts;
     Revision m_countsRevision = 0;
+    // The limit on submissions that holds now, the one in the store, and whether that is known: a commit without a
+    // reply may have changed it.
+    absl::optional<AdmissionLimit> m_admission;
+    absl::optional<AdmissionLimit> m_writtenAdmission;
+    bool m_isAdmissionKnown = true;
+    Revision m_admissionRevision = 0;
+    bool m_isWritingAdmission = false;
     absl::Time m_countsCheckedAt = absl::InfinitePast();
     absl::Time m_removalsDueAt = absl::InfinitePast();
 };
--- a/src/batch/store/collection_follower_base.cpp
+++ b/src/batch/store/collection_follower_base.cpp
@@ -30,6 +30,7 @@
 {
     m_call = 0;
     m_hasRevision = false;
+    m_nextPage.clear();
     m_failures = 0;
     m_retryAt = absl::InfinitePast();
 }
@@ -40,7 +41,11 @@
         return;
     m_sentAt = now;
     m_isReadingAll = !m_hasRevision;
-    if (m_isReadingAll)
+    if (m_isReadingAll && m_nextPage.empty())
+        m_readSince = now;
+    if (m_isReadingAll && m_mode == ReadMode::Pages)
+        m_call = outbox.toStore(ReadPage { m_collection, m_nextPage }, listTimeout);
+    else if (m_isReadingAll)
         m_call = outbox.toStore(ReadCollection { m_collection }, listTimeout);
     else
         m_call = outbox.toStore(WatchCollection { m_collection, m_readRevision, m_wait }, m_wait + answerTimeout);
@@ -72,13 +77,18 @@
 
 CollectionUpdate CollectionFollower::applyFullRead(const StoreReply& reply)
 {
-    m_hasRevision = true;
-    m_readRevision = reply.revision;
-    m_confirmedAt = std::max(m_confirmedAt, m_sentAt);
+    // Later pages may contain changes since the first one. A watch after the revision of the first page reports those
+    // changes again, so none is missed.
+    if (m_nextPage.empty())
+        m_readRevision = reply.revision;
+    m_nextPage = reply.nextPage;
+    m_hasRevision = m_nextPage.empty();
     CollectionUpdate update;
-    update.isComplete = true;
-    update.isConfirmed = true;
+    update.isComplete = m_hasRevision;
+    update.isConfirmed = m_hasRevision;
     update.records = reply.records;
+    if (m_hasRevision)
+        m_confirmedAt = std::max(m_confirmedAt, m_readSince);
     return update;
 }
 
--- a/src/batch/store/collection_follower_base.h
+++ b/src/batch/store/collection_follower_base.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <string>
 #include <vector>
 
 #include "absl/time/time.h"
@@ -11,7 +12,7 @@
 
 // The result of one call to the store for a collection.
 struct CollectionUpdate {
-    // The records are the whole collection: a record that is not among them is absent.
+    // The records are the whole collection, or with those of the pages before: any other record is absent.
     bool isComplete = false;
     std::vector<Record> records;
     // Records that are changes were written after this time; the infinite past for a whole collection.
@@ -26,12 +27,21 @@
 // has the history. Not safe to call from several threads.
 class CollectionFollower {
 public:
+    // How the whole collection is read: by one call with one update, or page by page, with an update for each page. A
+    // collection that may exceed the node's memory has to be read in pages.
+    enum class ReadMode {
+        Whole,
+        Pages,
+    };
+
     // Each watch waits up to `wait` for changes. After a reply with changes the next watch begins `pause` later, so
     // that one call returns all changes made in the meantime.
-    CollectionFollower(Collection collection, absl::Duration wait, absl::Duration pause = absl::ZeroDuration())
+    CollectionFollower(Collection collection, absl::Duration wait, absl::Duration pause = absl::ZeroDuration(),
+        ReadMode mode = ReadMode::Whole)
         : m_collection(collection)
         , m_wait(wait)
         , m_pause(pause)
+        , m_mode(mode)
     {
     }
 
@@ -61,10 +71,15 @@
     const Collection m_collection;
     const absl::Duration m_wait;
     const absl::Duration m_pause;
+    const ReadMode m_mode;
     // The pending call; 0 if there is none.
     CallId m_call = 0;
     bool m_isReadingAll = false;
     bool m_hasRevision = false;
+    // Where the next page begins; empty for the first one.
+    std::string m_nextPage;
+    // When the first page was requested.
+    absl::Time m_readSince = absl::InfinitePast();
     // The revision after which the next watch begins, if `m_hasRevision`.
     Revision m_readRevision = 0;
     // When the last call was sent, and when the next one may be sent.
--- a/src/batch/store/record_type.h
+++ b/src/batch/store/record_type.h
@@ -31,6 +31,10 @@
     // The progress of each job, and the number of waiting jobs of each queue. Written by the owner alone.
     Progress,
     QueueCounts,
+    // The limit on jobs that are submitted while the owner has little memory left for them; absent otherwise. Written
+    // by
+    // the owner alone.
+    Admission,
     // The node that owns the jobs and workers, under the owner's lease. A read or watch of the holder includes the
     // epoch.
     Holder,
@@ -86,6 +90,17 @@
     friend bool operator==(const QueueCounts&, const QueueCounts&) = default;
 };
 
+// Limits the jobs that may be submitted, by the memory that they take at the owner (`jobFootprint`). Whoever submits a
+// job expects the revision of this record, so that none is created beside it.
+struct AdmissionLimit {
+    // The largest footprint of a job, in bytes; 0 for none at all.
+    std::int64_t maxJobBytes = 0;
+    // The same for an urgent job of an organisation with a guarantee.
+    std::int64_t maxGuaranteedJobBytes = 0;
+
+    friend bool operator==(const AdmissionLimit&, const AdmissionLimit&) = default;
+};
+
 // A record whose bytes could not be decoded.
 struct UnreadableRecord {
     std::string reason;
@@ -94,7 +109,7 @@
 };
 
 using RecordValue = std::variant<std::monostate, Manifest, Evacuation, WorkerEntry, Job, Cancellation, ProgressRecord,
-    QueueCounts, HolderRecord, EpochRecord, UnreadableRecord>;
+    QueueCounts, AdmissionLimit, HolderRecord, EpochRecord, UnreadableRecord>;
 
 // A record as the store holds it. Revision 0 without a value means that the record is absent.
 struct Record {
@@ -113,6 +128,13 @@
     Collection collection = Collection::Manifest;
 };
 
+// Reads a part of a collection that may be larger than the node's memory.
+struct ReadPage {
+    Collection collection = Collection::Manifest;
+    // Where the page begins: the `nextPage` of the reply for the page before; empty for the first page.
+    std::string begin;
+};
+
 // Waits up to `wait` for changes of the collection after the revision.
 struct WatchCollection {
     Collection collection = Collection::Manifest;
@@ -157,8 +179,8 @@
     std::int64_t lease = 0;
 };
 
-using StoreRequest
-    = std::variant<ReadRecord, ReadCollection, WatchCollection, CommitRecords, GrantLease, RenewLease, RevokeLease>;
+using StoreRequest = std::variant<ReadRecord, ReadCollection, ReadPage, WatchCollection, CommitRecords, GrantLease,
+    RenewLease, RevokeLease>;
 
 // The store's reply. The status has one of these kinds: None; StoreRefused if the request was not executed;
 // OutcomeUnknown if no reply came, so that the request may have been or may still be executed; RevisionConflict, with
@@ -171,6 +193,8 @@
     std::vector<Record> records;
     // The granted lease.
     std::int64_t lease = 0;
+    // For a page: where the next one begins; empty if this is the last one.
+    std::string nextPage;
 };
 
 // The largest total number of expectations, writes and removals in one commit.
--- a/tests/batch/batch_cluster_base.cpp
+++ b/tests/batch/batch_cluster_base.cpp
@@ -65,6 +65,7 @@
     settings.self = NodeName(nameOf(node));
     settings.seed = ++m_starts;
     settings.maxEvacuationAge = m_maxEvacuationAge;
+    settings.jobMemoryBytes = m_jobMemoryBytes;
     settings.processorShare = m_shares.try_emplace(node, 1).first->second;
     NodeSlot& slot = m_nodes[node];
     slot = NodeSlot();
--- a/tests/batch/batch_cluster_base.h
+++ b/tests/batch/batch_cluster_base.h
@@ -54,6 +54,8 @@
     void setProcessorCost(int node, ProcessorCost cost) { m_costs[node] = cost; }
     // Sets how old the evacuations may be for a node that starts runs, from its next start on.
     void setMaxEvacuationAge(absl::Duration age) { m_maxEvacuationAge = age; }
+    // Sets the memory for jobs at an owner, from its next start on.
+    void setJobMemory(std::int64_t bytes) { m_jobMemoryBytes = bytes; }
     // Suspends the node's process: events are held back until it is resumed.
     void suspend(int node, bool isSuspended);
     void drain(int node);
@@ -115,6 +117,7 @@
     std::map<int, double> m_shares;
     std::map<int, ProcessorCost> m_costs;
     absl::Duration m_maxEvacuationAge = absl::InfiniteDuration();
+    std::int64_t m_jobMemoryBytes = defaultJobMemoryBytes;
     std::map<int, NodeSlot> m_nodes;
     std::map<CallerId, CallerLog> m_logs;
     CallerId m_lastCaller = 0;
--- a/tests/batch/batch_store_base.cpp
+++ b/tests/batch/batch_store_base.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "absl/strings/str_cat.h"
 #include "adapters/json/batch_record_json_func.h"
 #include "core/error_func.h"
 
@@ -20,6 +21,8 @@
     return collection == Collection::Epoch ? Collection::Holder : collection;
 }
 
+// Small, so that collections of tests take several pages.
+constexpr std::size_t recordsPerPage = 20;
 constexpr absl::Duration minLateness = absl::Seconds(1);
 constexpr absl::Duration latenessSpread = absl::Seconds(5);
 
@@ -78,6 +81,8 @@
         reply.records.push_back(*found);
     } else if (const auto* whole = std::get_if<ReadCollection>(&request)) {
         reply.records = list(whole->collection);
+    } else if (const auto* page = std::get_if<ReadPage>(&request)) {
+        addPage(*page, reply);
     } else if (const auto* commitRequest = std::get_if<CommitRecords>(&request)) {
         return commit(*commitRequest);
     } else if (const auto* grant = std::get_if<GrantLease>(&request)) {
@@ -98,6 +103,24 @@
     return reply;
 }
 
+void BatchStore::addPage(const ReadPage& page, StoreReply& reply) const
+{
+    // Records are listed in the order of their positions.
+    const std::vector<Record> records = list(page.collection);
+    std::string last;
+    for (const Record& record : records) {
+        const std::string position = absl::StrCat(static_cast<int>(record.key.collection), "/", record.key.name);
+        if (position <= page.begin)
+            continue;
+        if (reply.records.size() == recordsPerPage) {
+            reply.nextPage = last;
+            return;
+        }
+        reply.records.push_back(record);
+        last = position;
+    }
+}
+
 bool BatchStore::hasOversizedValue(const CommitRecords& request) const
 {
     if (m_maxValueBytes == std::numeric_limits<std::size_t>::max())
--- a/tests/batch/batch_store_base.h
+++ b/tests/batch/batch_store_base.h
@@ -75,6 +75,7 @@
     };
 
     StoreReply serve(const StoreRequest& request);
+    void addPage(const ReadPage& page, StoreReply& reply) const;
     StoreReply commit(const CommitRecords& request);
     bool hasOversizedValue(const CommitRecords& request) const;
     void startWatch(const WatchCollection& request, const Reply& reply);
--- a/tests/batch/collection_follower_test.cpp
+++ b/tests/batch/collection_follower_test.cpp
@@ -53,5 +53,35 @@
     EXPECT_EQ(callsNow(), 1U);
 }
 
+// Guards against a collection that exceeds the memory of the node that reads it.
+TEST_F(CollectionFollowerTest, ReadsPagesOneByOneAndWatchesFromTheFirst)
+{
+    CollectionFollower follower(
+        Collection::Jobs, absl::Seconds(2), absl::ZeroDuration(), CollectionFollower::ReadMode::Pages);
+    follower.advance(m_outbox, m_now);
+    const Effects first = m_outbox.take();
+    EXPECT_EQ(std::get<ReadPage>(std::get<StoreEffect>(first.front()).request).begin, "");
+    StoreReply page = replyOf(10, 3);
+    page.nextPage = "x";
+    CollectionUpdate update = follower.handleReply(page, m_now);
+    EXPECT_FALSE(update.isComplete);
+    EXPECT_EQ(update.records.size(), 3U);
+    // A page that fails is read again.
+    for (int attempt = 0; attempt < 2; ++attempt) {
+        m_now += absl::Seconds(1);
+        follower.advance(m_outbox, m_now);
+        const Effects next = m_outbox.take();
+        EXPECT_EQ(std::get<ReadPage>(std::get<StoreEffect>(next.front()).request).begin, "x");
+        StoreReply reply = replyOf(12, 1);
+        if (attempt == 0)
+            reply.status = absl::UnavailableError("a fault of the test");
+        update = follower.handleReply(reply, m_now);
+    }
+    EXPECT_TRUE(update.isComplete);
+    follower.advance(m_outbox, m_now);
+    const Effects watch = m_outbox.take();
+    EXPECT_EQ(std::get<WatchCollection>(std::get<StoreEffect>(watch.front()).request).after, 10);
+}
+
 } // namespace
 } // namespace mangohall::batch
--- a/tests/batch/job_registry_test.cpp
+++ b/tests/batch/job_registry_test.cpp
@@ -112,5 +112,65 @@
     EXPECT_FALSE(jobs.hasDirty());
 }
 
+Job largeJobOf(const std::string& id, absl::Time acceptedAt)
+{
+    Job job = jobOf(id);
+    job.queue = QueueName("batch");
+    job.acceptedAt = acceptedAt;
+    job.spec.steps.edit().assign(1000, StepSpec(job.spec.steps.front()));
+    return job;
+}
+
+// Guards against a store that holds more jobs than the memory of its owner.
+TEST(JobRegistry, DefersWhatTheBudgetHasNoRoomForUntilItHas)
+{
+    const Job first = largeJobOf("a", absl::UnixEpoch());
+    JobRegistry jobs({}, jobFootprint(first.spec) * 3 / 2);
+    EXPECT_TRUE(jobs.hasRoomFor(first));
+    jobs.add(first, 1);
+    const Job later = largeJobOf("b", absl::UnixEpoch() + absl::Seconds(2));
+    const Job earlier = largeJobOf("c", absl::UnixEpoch() + absl::Seconds(1));
+    for (const Job& job : { later, earlier }) {
+        EXPECT_FALSE(jobs.hasRoomFor(job));
+        jobs.defer(job, 2);
+    }
+    // A small job is still held, and so is one that an earlier owner has begun.
+    EXPECT_TRUE(jobs.hasRoomFor(jobOf("d")));
+    jobs.addProgress(JobId("e"), doneRecord(), 1);
+    EXPECT_TRUE(jobs.hasRoomFor(largeJobOf("e", absl::UnixEpoch())));
+    EXPECT_EQ(jobs.countWaiting().waiting[QueueName("batch")], 3);
+    EXPECT_FALSE(jobs.nextDeferred());
+    jobs.remove(JobId("a"), 9);
+    EXPECT_EQ(jobs.nextDeferred(), JobId("c"));
+    jobs.removeDeferred(JobId("c"));
+    EXPECT_EQ(jobs.nextDeferred(), JobId("b"));
+    JobEntry& cancelled = jobs.addDeferredForCancellation(JobId("b"));
+    EXPECT_TRUE(cancelled.progress.cancel(absl::UnixEpoch()));
+    EXPECT_FALSE(jobs.nextDeferred());
+}
+
+// Guards against jobs that take their whole memory for as long as they are shown after their end.
+TEST(JobRegistry, FreesTheDetailsOfJobsThatEnded)
+{
+    JobRegistry jobs;
+    jobs.add(largeJobOf("a", absl::UnixEpoch()), 1);
+    JobEntry& entry = *jobs.find(JobId("a"));
+    entry.progress.openDueOccurrences(absl::UnixEpoch());
+    const std::int64_t held = jobs.heldBytes();
+    entry.progress.place({ 0, 0, 0 }, 1, WorkerName("w"), { 1, 1 });
+    entry.progress.cancel(absl::UnixEpoch());
+    const absl::Time later = absl::UnixEpoch() + absl::Seconds(1);
+    jobs.reviewMemory(later);
+    EXPECT_GT(jobs.heldBytes(), held);
+    entry.progress.recordEnd({ 0, 0, 0 }, 1, RunEnd::Stopped, "", later);
+    jobs.reviewMemory(absl::UnixEpoch());
+    EXPECT_GT(jobs.heldBytes(), held);
+    jobs.reviewMemory(later);
+    EXPECT_LT(jobs.heldBytes(), held / 10);
+    EXPECT_EQ(entry.progress.phase(), JobPhase::Aborted);
+    jobs.remove(JobId("a"), 9);
+    EXPECT_EQ(jobs.heldBytes(), 0);
+}
+
 } // namespace
 } // namespace mangohall::batch
--- a/tests/batch/simulated_workers_base.cpp
+++ b/tests/batch/simulated_workers_base.cpp
@@ -259,7 +259,8 @@
     const Job* job = jobOf(start.run.task);
     if (job == nullptr)
         return;
-    const WorkerLabel& required = job->spec.steps[static_cast<std::size_t>(start.run.task.task.step)].requiredLabel.get();
+    const WorkerLabel& required
+        = job->spec.steps[static_cast<std::size_t>(start.run.task.task.step)].requiredLabel.get();
     const std::vector<WorkerLabel>& labels = worker.entry.labels;
     if (!required.text().empty() && std::find(labels.begin(), labels.end(), required) == labels.end())
         m_violations.push_back(absl::StrCat("wrong label: ", nameOf(start.run), " on ", worker.entry.name.text()));
