Fix: whole submissions that wait for the store take as much memory as callers send

Callers saw the node end: 450 whole jobs of 162 KB, sent while the store is silent, took 513 MB on a machine of 64 MB. Cause: a complete body left the budget of bodies, and what became of it counted nowhere: its job, copies of it in the writer and in the call to the store, and the message; a caller could ask to wait for any time; connections took the receive buffers that the system gives them, also 1,024 that were not accepted; records for queries were read, and decoded, 128 at a time.

--- a/src/batch/caller/caller_part_base.h
+++ b/src/batch/caller/caller_part_base.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <deque>
 #include <memory>
 
 #include "absl/base/thread_annotations.h"
@@ -68,7 +69,7 @@
     bool isBeingWritten(const JobId& job) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     // Adds the cancellation to the records to create, whether or not the job exists.
     void cancel(OpenCall call, absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
-    // Starts the read that the stage of the call requires.
+    // Starts the read that the stage of the call requires, or lets it wait for another one to end.
     void read(OpenCall call) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void handleStoreReply(const StoreEvent& event, absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     // Answers the caller, or starts the next read if the record is absent.
@@ -80,6 +81,8 @@
     void handleCreateResult(const CreateResult& result, absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     // Starts the reads whose retry time has come.
     void retryReads(absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    // Starts reads that wait for others to end, and refuses those whose time is over.
+    void startWaitingReads(absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     // Logs the request as a decision and answers the caller.
     void answer(const OpenCall& call, const CallerAnswer& answer, absl::string_view outcome, absl::Time now)
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
@@ -101,6 +104,8 @@
     absl::flat_hash_map<CallerId, OpenCall> m_openWrites ABSL_GUARDED_BY(m_mutex);
     // Requests that wait for a read, by the read's call to the store.
     absl::flat_hash_map<CallId, OpenCall> m_openReads ABSL_GUARDED_BY(m_mutex);
+    // Requests whose read has not begun, as others are open; the one that waits longest first.
+    std::deque<OpenCall> m_waitingReads ABSL_GUARDED_BY(m_mutex);
     // Requests whose read has failed and will be repeated.
     std::vector<OpenCall> m_readsToRetry ABSL_GUARDED_BY(m_mutex);
 };
--- a/src/batch/caller/caller_part_cmd.cpp
+++ b/src/batch/caller/caller_part_cmd.cpp
@@ -21,6 +21,9 @@
 constexpr absl::Duration answerMargin = absl::Milliseconds(300);
 constexpr absl::Duration readTimeout = absl::Milliseconds(700);
 constexpr absl::Duration readRetryPeriod = absl::Milliseconds(80);
+// The largest number of open reads. A record takes up to the largest value of the store, and several times that while
+// it is decoded.
+constexpr std::size_t maxOpenReads = 8;
 // The largest number of attempts of a read that the store refuses. After that the caller may retry at another node,
 // which the store may still serve.
 constexpr int maxReadAttempts = 4;
@@ -87,6 +90,7 @@
         m_routesConfirmedAt = std::max(m_routesConfirmedAt, routes->confirmedAt);
     }
     retryReads(now);
+    startWaitingReads(now);
     for (const CreateResult& result : m_writer.advance(m_outbox, now))
         handleCreateResult(result, now);
     m_outbox.add(WakeAtEffect { nextDue(now) });
@@ -98,6 +102,8 @@
     absl::Time due = m_writer.nextDue();
     for (const OpenCall& call : m_readsToRetry)
         due = std::min(due, call.retryAt);
+    if (!m_waitingReads.empty())
+        due = std::min(due, m_waitingReads.front().deadline);
     return std::max(due, now);
 }
 
@@ -214,8 +220,27 @@
     m_openWrites.emplace(call.caller, std::move(call));
 }
 
+void CallerPart::startWaitingReads(absl::Time now)
+{
+    while (!m_waitingReads.empty()) {
+        OpenCall& first = m_waitingReads.front();
+        if (first.deadline > now && m_openReads.size() >= maxOpenReads)
+            return;
+        OpenCall call = std::move(first);
+        m_waitingReads.pop_front();
+        if (call.deadline > now)
+            read(std::move(call));
+        else
+            refuse(call, storeTimeoutError(), now);
+    }
+}
+
 void CallerPart::read(OpenCall call)
 {
+    if (m_openReads.size() >= maxOpenReads) {
+        m_waitingReads.push_back(std::move(call));
+        return;
+    }
     RecordKey key { Collection::Progress, call.job.str() };
     const bool readsJob = call.stage == OpenCall::Stage::ReadingJob
         || call.stage == OpenCall::Stage::ReadingCancelledJob || call.stage == OpenCall::Stage::ReadingRefusedJob;
--- a/tests/platform/body_table_test.cpp
+++ b/tests/platform/body_table_test.cpp
@@ -153,5 +153,40 @@
     EXPECT_EQ(m_table.size(), 0U);
 }
 
+// Guards against whole requests that wait for an answer and take as much memory as callers send.
+TEST_F(BodyTableTest, CountsARequestUntilItIsAnswered)
+{
+    const BodyId first = m_table.open(m_first);
+    const BodyId second = m_table.open(m_second);
+    EXPECT_TRUE(m_table.grow(first, 60));
+    EXPECT_TRUE(m_table.grow(second, 40));
+    std::unique_ptr<BodyReservation> request = m_table.complete(first, 80);
+    ASSERT_NE(request, nullptr);
+    EXPECT_EQ(m_second.discards(), 1);
+    EXPECT_EQ(m_table.size(), 0U);
+    EXPECT_EQ(m_table.heldBytes(), 80U);
+    // Nothing is left for another request, nor for a body: requests are not evicted.
+    EXPECT_EQ(m_table.complete(0, 21), nullptr);
+    const BodyId third = m_table.open(m_third);
+    EXPECT_FALSE(m_table.grow(third, 21));
+    EXPECT_TRUE(m_table.grow(third, 20));
+    EXPECT_EQ(m_table.endCount(BodyEnd::Refused), 2U);
+    request.reset();
+    EXPECT_EQ(m_table.heldBytes(), 20U);
+    m_table.close(third);
+    EXPECT_EQ(m_table.heldBytes(), 0U);
+}
+
+// Guards against large requests that leave no room for those of ordinary callers.
+TEST(BodyTable, LeavesAQuarterOfTheBudgetToSmallRequests)
+{
+    ManualClock clock;
+    BodyTable table({ 16 * smallRequestBytes, absl::Seconds(30) }, clock, nullptr);
+    const std::unique_ptr<BodyReservation> large = table.complete(0, 12 * smallRequestBytes);
+    ASSERT_NE(large, nullptr);
+    EXPECT_EQ(table.complete(0, smallRequestBytes + 1), nullptr);
+    EXPECT_NE(table.complete(0, smallRequestBytes), nullptr);
+}
+
 } // namespace
 } // namespace mangohall::platform
--- a/tests/platform/caller_server_test.cpp
+++ b/tests/platform/caller_server_test.cpp
@@ -30,6 +30,7 @@
 const char* const refusedBodyAddress = "127.0.0.1:18724";
 const char* const fullAddress = "127.0.0.1:18725";
 const char* const lateBodyAddress = "127.0.0.1:18723";
+const char* const waitingAddress = "127.0.0.1:18726";
 
 // Answers every request at once with the state of a job, until it falls silent like a node whose store is silent.
 class AnsweringSink : public batch::CallerSink {
@@ -270,5 +271,25 @@
     EXPECT_TRUE(absl::StartsWith(kept.call(), "HTTP/1.1 200"));
 }
 
+// Guards against waiting callers who take every connection while the store is silent.
+TEST_F(BodyLimitsOfCallerServer, RefuseACallWhileTooManyWait)
+{
+    startServer(waitingAddress, 25000, absl::Minutes(5), 8);
+    m_sink.fallSilent();
+    std::vector<std::unique_ptr<KeptConnection>> waiting;
+    for (int caller = 0; caller < 7; ++caller) {
+        waiting.push_back(std::make_unique<KeptConnection>(waitingAddress));
+        waiting.back()->send();
+    }
+    for (int tries = 0; tries < 500 && m_server->calls().size() < 7; ++tries)
+        absl::SleepFor(absl::Milliseconds(20));
+    KeptConnection refused(waitingAddress);
+    const std::string answer = refused.call();
+    EXPECT_TRUE(absl::StartsWith(answer, "HTTP/1.1 503"));
+    EXPECT_TRUE(absl::StrContains(answer, "Retry-After: 1"));
+    EXPECT_EQ(m_sink.posts(), 7);
+    m_server->calls().answerAll(batch::JobStateAnswer());
+}
+
 } // namespace
 } // namespace mangohall::platform
