Fix: large jobs that are accepted in a moment leave no room for ordinary ones

The limit now grows in steps with what is held, so that the size that is admitted falls before the room is gone, and large jobs are held up to three quarters of the budget only and deferred beyond. A job of three steps with the longest payload is admitted up to seven eighths (tested).

--- a/src/batch/owner/admission_func.cpp
+++ b/src/batch/owner/admission_func.cpp
@@ -9,14 +9,27 @@
 
 constexpr std::int64_t unlimited = std::numeric_limits<std::int64_t>::max();
 
+// The limit that holds from a share of the budget on, in sixteenths.
+struct Threshold {
+    std::int64_t sixteenths;
+    AdmissionLimit limit;
+};
+
+constexpr std::int64_t mediumJobBytes = std::int64_t { 16 } << 10U;
+constexpr Threshold thresholds[] = {
+    { 15, { 0, 0 } },
+    { 14, { 0, ordinaryJobBytes } },
+    { 10, { ordinaryJobBytes, ordinaryJobBytes } },
+    { 8, { mediumJobBytes, mediumJobBytes } },
+    { 6, { smallJobBytes, smallJobBytes } },
+};
+
 AdmissionLimit limitAt(std::int64_t heldBytes, std::int64_t budgetBytes)
 {
-    if (heldBytes >= budgetBytes * 7 / 8)
-        return { 0, 0 };
-    if (heldBytes >= budgetBytes * 3 / 4)
-        return { 0, smallJobBytes };
-    if (heldBytes >= budgetBytes / 2)
-        return { smallJobBytes, smallJobBytes };
+    for (const Threshold& threshold : thresholds) {
+        if (heldBytes >= budgetBytes / 16 * threshold.sixteenths)
+            return threshold.limit;
+    }
     return { unlimited, unlimited };
 }
 
@@ -27,7 +40,7 @@
 {
     AdmissionLimit limit = limitAt(heldBytes, budgetBytes);
     if (present) {
-        const AdmissionLimit relaxed = limitAt(heldBytes + budgetBytes / 8, budgetBytes);
+        const AdmissionLimit relaxed = limitAt(heldBytes + budgetBytes / 16, budgetBytes);
         limit.maxJobBytes = std::min(limit.maxJobBytes, std::max(present->maxJobBytes, relaxed.maxJobBytes));
         limit.maxGuaranteedJobBytes = std::min(
             limit.maxGuaranteedJobBytes, std::max(present->maxGuaranteedJobBytes, relaxed.maxGuaranteedJobBytes));
--- a/src/batch/owner/admission_func.h
+++ b/src/batch/owner/admission_func.h
@@ -8,13 +8,15 @@
 
 namespace mangohall::batch {
 
-// A job of at most this footprint is a small one, which is refused later than others. The largest jobs of ordinary
-// callers are smaller.
+// A job of at most this footprint may still be admitted when larger ones are refused.
 inline constexpr std::int64_t smallJobBytes = std::int64_t { 64 } << 10U;
+// The largest jobs of ordinary callers, of a few steps, are smaller than this.
+inline constexpr std::int64_t ordinaryJobBytes = std::int64_t { 8 } << 10U;
 
-// The limit for an owner whose jobs take `heldBytes` of its budget; none while all jobs are admitted. From half of the
-// budget on only small jobs are admitted, from three quarters on only small ones of organisations with a guarantee, and
-// from seven eighths on none. `present` is the limit that holds now: it is relaxed only once an eighth less is held.
+// The limit for an owner whose jobs take `heldBytes` of its budget; none while all jobs are admitted. The more is held,
+// the smaller the jobs that are admitted: ordinary ones up to seven eighths of the budget, and those of organisations
+// with a guarantee a little longer. `present` is the limit that holds now: it is relaxed only once a sixteenth less is
+// held.
 absl::optional<AdmissionLimit> admissionLimitFor(
     std::int64_t heldBytes, std::int64_t budgetBytes, const absl::optional<AdmissionLimit>& present);
 
--- a/src/batch/owner/job_registry_base.cpp
+++ b/src/batch/owner/job_registry_base.cpp
@@ -53,10 +53,16 @@
 
 bool JobRegistry::hasRoomFor(const Job& job) const
 {
-    // A small job that has just been admitted is still held beyond the budget, by an eighth at most.
-    const std::int64_t footprint = jobFootprint(job.spec);
-    const std::int64_t reserve = footprint <= smallJobBytes ? m_budgetBytes / 8 : 0;
-    return m_unmatchedProgress.contains(job.id.text()) || heldBytes() + footprint <= m_budgetBytes + reserve;
+    return m_unmatchedProgress.contains(job.id.text()) || hasRoomFor(jobFootprint(job.spec));
+}
+
+bool JobRegistry::hasRoomFor(std::int64_t footprint) const
+{
+    // Large jobs leave a quarter of the budget to others. A small job that has just been admitted is still held beyond
+    // the budget, by an eighth at most.
+    const bool isSmall = footprint <= smallJobBytes;
+    const std::int64_t limit = isSmall ? m_budgetBytes + m_budgetBytes / 8 : m_budgetBytes - m_budgetBytes / 4;
+    return heldBytes() + footprint <= limit;
 }
 
 void JobRegistry::defer(const Job& job, Revision revision)
@@ -75,7 +81,7 @@
         return absl::nullopt;
     // A job that exceeds the whole budget is held once half of it is left.
     const std::int64_t needed = std::min(first->second.footprint, m_budgetBytes / 2);
-    return heldBytes() + needed <= m_budgetBytes ? absl::make_optional(first->first) : absl::nullopt;
+    return hasRoomFor(needed) ? absl::make_optional(first->first) : absl::nullopt;
 }
 
 JobEntry& JobRegistry::addDeferredForCancellation(const JobId& job)
--- a/src/batch/owner/job_registry_base.h
+++ b/src/batch/owner/job_registry_base.h
@@ -181,6 +181,7 @@
     static void markWriting(JobEntry& entry);
     // Frees what is not needed any more of a job that is settled.
     void releaseDetails(JobEntry& entry);
+    bool hasRoomFor(std::int64_t footprint) const;
     bool wasRemovedSince(const JobId& job, Revision revision) const;
     void updateDueTime(const JobEntry& entry);
 
