Fix: heads that do not end keep ordinary callers out of an entry

Callers of an entry got no answer while 400 connections had sent a part of a head, or nothing: they took all places, those for refusals too, for the idle timeout. Cause: only unfinished bodies gave way, and only for their bytes.

The table of connections that the node's front end has moves to src/core and serves both: when all places are taken, the connection without a complete request that has gone longest without data gives way. The library notifies of the end of a connection before it closes the socket, and the socket is shut down under the lock of the table, so its number belongs to no other connection. Watches and waiting callers keep their connections; if none can give way, requests get 429 as before. New metric mangohall_api_connections_displaced.

EntryCrowdTest.AnswersOthersBesideHeadsThatDoNotEnd: on the code before the request is not answered within 60 s, now it is; AnswersOthersBesideConnectionsThatSendNothingMore: not even a probe is answered within 60 s there. Weighed and not done: reading a job before its cancellation is written, which would keep ids that callers make up out of the store; BatchPath.DoesNotRunAJobThatWasCancelledBeforeItCame rests on the present order.

--- a/src/adapters/api/api_context_type.h
+++ b/src/adapters/api/api_context_type.h
@@ -3,6 +3,7 @@
 
 #include <atomic>
 #include <cstdint>
+#include <limits>
 #include <string>
 
 #include "absl/base/thread_annotations.h"
@@ -16,6 +17,7 @@
 #include "adapters/api/token_table_base.h"
 #include "adapters/api/unfinished_bodies_base.h"
 #include "adapters/observe/report_source_port.h"
+#include "core/connection_table_base.h"
 #include "ports/clock_port.h"
 #include "ports/event_sink_port.h"
 
@@ -45,8 +47,9 @@
         , calls(settings.maxWatches, settings.maxWatchBacklogBytes)
         , maxConnections(connectionsOf(
               settings.memoryBytes, settings.maxHeaderBytes * connectionMemoryFactor, settings.maxConnections))
-        , limiter(maxConnections, settings.maxConnectionsPerClient)
+        , limiter(std::numeric_limits<std::size_t>::max(), settings.maxConnectionsPerClient)
         , limits(clock)
+        , connections(maxConnections, clock, &limits)
         , bodies(
               { bodyBudgetBytesOf(settings.memoryBytes), settings.maxBodyBytes, settings.bodyTimeout }, clock, limits)
         , closeWatcher(closeListener)
@@ -65,9 +68,12 @@
     CallTable calls;
     // The limit of connections in total, bounded by the memory.
     const std::size_t maxConnections;
+    // Limits the connections of each client address; `connections` limits them in total.
     ConnectionLimiter limiter;
     // Counts and logs what is refused or closed because of a limit.
     LimitLogger limits;
+    // Limits the connections in total.
+    ConnectionTable connections;
     UnfinishedBodies bodies;
     // Detects clients that disconnect while their connection is suspended.
     CloseWatcher closeWatcher;
--- a/src/adapters/api/api_server_base.cpp
+++ b/src/adapters/api/api_server_base.cpp
@@ -8,6 +8,7 @@
 #include <unistd.h>
 
 #include "absl/strings/str_cat.h"
+#include "adapters/api/api_connection_base.h"
 #include "adapters/api/http_exchange_base.h"
 #include "adapters/api/readiness_func.h"
 #include "core/error_func.h"
@@ -53,21 +54,16 @@
     return text;
 }
 
-// Counts connections as they open and close. `socketContext` refers to the ConnectionState, null before the first call.
+// Follows connections as they open and close. `socketContext` refers to the ApiConnection, null before the first call.
 void onConnectionNotification(
     void* context, MHD_Connection* connection, void** socketContext, MHD_ConnectionNotificationCode notification)
 {
-    ConnectionLimiter& limiter = static_cast<ApiContext*>(context)->limiter;
     if (notification == MHD_CONNECTION_NOTIFY_STARTED) {
-        const std::string client = clientAddressOf(connection);
-        *socketContext = new ConnectionState { client, limiter.add(client) };
+        auto& server = *static_cast<ApiContext*>(context);
+        *socketContext = new ApiConnection(server, connection, clientAddressOf(connection));
         return;
     }
-    auto* state = static_cast<ConnectionState*>(*socketContext);
-    if (state == nullptr)
-        return;
-    limiter.remove(state->client);
-    delete state;
+    delete static_cast<ApiConnection*>(*socketContext);
     *socketContext = nullptr;
 }
 
@@ -194,7 +190,7 @@
 
 std::size_t ApiServer::connectionCount() const
 {
-    return m_context->limiter.count();
+    return m_context->connections.size();
 }
 
 } // namespace mangohall
--- a/src/adapters/api/http_exchange_base.cpp
+++ b/src/adapters/api/http_exchange_base.cpp
@@ -7,6 +7,7 @@
 
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
+#include "adapters/api/api_connection_base.h"
 #include "adapters/api/readiness_func.h"
 #include "adapters/api/route_func.h"
 #include "adapters/api/target_func.h"
@@ -84,6 +85,8 @@
     if (*size > 0) {
         const absl::string_view piece(data, *size);
         *size = 0;
+        if (ApiConnection* sender = ApiConnection::of(m_connection))
+            sender->recordData();
         return handleBody(piece);
     }
     if (m_stage == Stage::Waiting)
@@ -116,10 +119,9 @@
 
 absl::Status HttpExchange::checkHead() const
 {
-    const MHD_ConnectionInfo* info = MHD_get_connection_info(m_connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
-    const auto* state = info == nullptr ? nullptr : static_cast<const ConnectionState*>(info->socket_context);
+    const ApiConnection* connection = ApiConnection::of(m_connection);
     // Supervisors have to reach the probes also while clients hold all connections.
-    if (state != nullptr && !state->isWithinLimits && !isProbe(m_request.target)) {
+    if (connection != nullptr && !connection->isWithinLimits() && !isProbe(m_request.target)) {
         m_context.limits.onLimit(ClientLimit::ConnectionRefused);
         return makeError(ErrorKind::TooManyConnections, "too many connections in total or from this address");
     }
@@ -163,6 +165,8 @@
 
 MHD_Result HttpExchange::route()
 {
+    if (ApiConnection* sender = ApiConnection::of(m_connection))
+        sender->recordRequest();
     if (m_body != 0) {
         absl::optional<std::string> body = m_context.bodies.finish(m_body);
         m_body = 0;
@@ -312,6 +316,10 @@
     if (response == nullptr)
         return MHD_NO;
     m_stage = Stage::Responding;
+    // A watch keeps its connection for as long as it lasts.
+    ApiConnection* receiver = ApiConnection::of(m_connection);
+    if (receiver != nullptr && contentType != jsonLinesType)
+        receiver->recordResponse();
     MHD_add_response_header(response, MHD_HTTP_HEADER_CONTENT_TYPE, contentType);
     if (httpStatus == MHD_HTTP_UNAUTHORIZED)
         MHD_add_response_header(response, MHD_HTTP_HEADER_WWW_AUTHENTICATE, "Bearer");
--- a/src/adapters/api/http_exchange_base.h
+++ b/src/adapters/api/http_exchange_base.h
@@ -15,14 +15,6 @@
 
 namespace mangohall {
 
-// State of one connection that lasts over several requests.
-struct ConnectionState {
-    // IPv4 address of the client; empty if it is unknown.
-    std::string client;
-    // False if the connection exceeds a connection limit; its requests are refused.
-    bool isWithinLimits = true;
-};
-
 // One request and its response on a connection of the HTTP library. The library calls it from one thread at a time.
 class HttpExchange : public CallConnection, public BodyConnection {
 public:
--- a/src/adapters/api/limit_listener_port.h
+++ b/src/adapters/api/limit_listener_port.h
@@ -16,9 +16,11 @@
     BodyEvicted,
     // A request was refused because its connection exceeds a connection limit.
     ConnectionRefused,
+    // A connection without a complete request was closed in favour of another one.
+    ConnectionDisplaced,
 };
 
-constexpr std::size_t clientLimitCount = 5;
+constexpr std::size_t clientLimitCount = 6;
 
 // Receives every use of a limit. Safe to call from several threads.
 class LimitListener {
--- a/src/adapters/api/limit_logger_base.cpp
+++ b/src/adapters/api/limit_logger_base.cpp
@@ -20,6 +20,8 @@
         return "request body evicted: the budget for unfinished bodies is used up";
     case ClientLimit::ConnectionRefused:
         return "request refused: too many connections";
+    case ClientLimit::ConnectionDisplaced:
+        return "connection without a complete request closed: too many connections";
     }
     return "";
 }
@@ -37,4 +39,9 @@
         logLine(LogLevel::Warn, absl::StrCat(messageOf(limit), "; ", m_counts.count(limit), " since the start"));
 }
 
+void LimitLogger::onConnectionDisplaced(std::uint64_t /*total*/)
+{
+    onLimit(ClientLimit::ConnectionDisplaced);
+}
+
 } // namespace mangohall
--- a/platform/connection_table_base.cpp
+++ b/src/core/connection_table_base.cpp
@@ -1,6 +1,6 @@
-#include "platform/connection_table_base.h"
+#include "core/connection_table_base.h"
 
-namespace mangohall::platform {
+namespace mangohall {
 
 ConnectionTable::ConnectionTable(std::size_t maxConnections, const Clock& clock, ConnectionObserver* observer)
     : m_maxConnections(maxConnections)
@@ -14,7 +14,7 @@
     absl::MutexLock lock(&m_mutex);
     const ConnectionId id = ++m_lastId;
     m_connections[id].socket = &socket;
-    setState(id, State::AwaitsHead);
+    setState(id, State::AwaitsData);
     return id;
 }
 
@@ -28,19 +28,19 @@
     m_connections.erase(found);
 }
 
-void ConnectionTable::recordHead(ConnectionId id)
+void ConnectionTable::markOccupied(ConnectionId id)
 {
     absl::MutexLock lock(&m_mutex);
     setState(id, State::Occupied);
 }
 
-void ConnectionTable::recordAnswer(ConnectionId id)
+void ConnectionTable::markAwaiting(ConnectionId id)
 {
     absl::MutexLock lock(&m_mutex);
-    setState(id, State::AwaitsHead);
+    setState(id, State::AwaitsData);
 }
 
-void ConnectionTable::recordShutDown(ConnectionId id)
+void ConnectionTable::markShutDown(ConnectionId id)
 {
     absl::MutexLock lock(&m_mutex);
     setState(id, State::ShutDown);
@@ -55,7 +55,7 @@
     Connection& connection = found->second;
     leaveState(connection);
     connection.state = state;
-    if (state == State::AwaitsHead) {
+    if (state == State::AwaitsData) {
         connection.silentSince = m_clock.now();
         connection.position = m_silent.insert(m_silent.end(), id);
     } else if (state == State::ShutDown) {
@@ -65,7 +65,7 @@
 
 void ConnectionTable::leaveState(Connection& connection)
 {
-    if (connection.state == State::AwaitsHead)
+    if (connection.state == State::AwaitsData)
         m_silent.erase(connection.position);
     else if (connection.state == State::ShutDown)
         --m_shutDownCount;
@@ -78,6 +78,12 @@
     return m_connections.size() - m_shutDownCount >= m_maxConnections;
 }
 
+bool ConnectionTable::isOverfull() const
+{
+    absl::MutexLock lock(&m_mutex);
+    return m_connections.size() - m_shutDownCount > m_maxConnections;
+}
+
 bool ConnectionTable::mayDisplace() const
 {
     return !m_silent.empty() && m_silent.front() != m_lastId;
@@ -115,4 +121,4 @@
     return m_displacedCount;
 }
 
-} // namespace mangohall::platform
+} // namespace mangohall
--- a/platform/connection_table_base.h
+++ b/src/core/connection_table_base.h
@@ -10,7 +10,7 @@
 #include "absl/time/time.h"
 #include "ports/clock_port.h"
 
-namespace mangohall::platform {
+namespace mangohall {
 
 // The socket of one connection.
 class ConnectionSocket {
@@ -33,30 +33,34 @@
 
 using ConnectionId = std::uint64_t;
 
-// Holds the connections of callers and knows which of them await the head of a request: those that have sent nothing or
-// a part of a head, and those between two requests. When all places are taken, the one that has gone longest without a
-// request gives its place to the next. Sockets are called on the thread that calls the table; that is the thread of the
-// HTTP server. The numbers can be read from any thread.
+// Holds the connections of a front end and knows which of them await data of a request: those that have sent nothing or
+// a part of a request, and those between two requests. When all places are taken, the one that has gone longest without
+// data gives its place to the next. Safe to call from several threads; sockets are called on the thread that calls the
+// table, under its lock and before `close` of their connection has returned. All connections are ordered by their last
+// data, so there is one lock.
 class ConnectionTable {
 public:
     // The observer may be null. The clock and the observer have to outlive the table.
     ConnectionTable(std::size_t maxConnections, const Clock& clock, ConnectionObserver* observer);
 
-    // Adds a connection, which awaits the head of its first request. The socket has to outlive its time in the table.
+    // Adds a connection, which awaits data. The socket has to outlive its time in the table.
     ConnectionId open(ConnectionSocket& socket);
     // Removes a connection that has ended.
     void close(ConnectionId id);
 
-    // Records that the head of a request has arrived, or that the request has been answered.
-    void recordHead(ConnectionId id);
-    void recordAnswer(ConnectionId id);
+    // Records that a request is being handled, which keeps its connection.
+    void markOccupied(ConnectionId id);
+    // Records that the connection awaits data, from now on.
+    void markAwaiting(ConnectionId id);
     // Records that the connection was shut down and is about to end.
-    void recordShutDown(ConnectionId id);
+    void markShutDown(ConnectionId id);
 
-    // Whether every place is taken by a connection that is not about to end.
+    // Whether every place is taken by a connection that is not about to end, and whether there are more of them than
+    // places.
     bool isFull() const;
-    // Since when the connection has awaited a head that has done so longest; the infinite future if none does but the
-    // one that was opened last.
+    bool isOverfull() const;
+    // Since when the connection has awaited data that has done so longest; the infinite future if none does but the one
+    // that was opened last.
     absl::Time longestSilentSince() const;
     // Shuts that connection down. Does nothing if there is none.
     void displaceLongestSilent();
@@ -67,23 +71,22 @@
 
 private:
     enum class State {
-        AwaitsHead,
-        // A request is being received or handled.
+        AwaitsData,
         Occupied,
         ShutDown,
     };
     struct Connection {
         ConnectionSocket* socket = nullptr;
         State state = State::Occupied;
-        // Since when it awaits a head.
+        // Since when it awaits data.
         absl::Time silentSince;
-        // Its place in the list of those that await a head.
+        // Its place in the list of those that await data.
         std::list<ConnectionId>::iterator position;
     };
 
     void setState(ConnectionId id, State state) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void leaveState(Connection& connection) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
-    // Whether a connection other than the last one that was opened awaits a head.
+    // Whether a connection other than the last one that was opened awaits data.
     bool mayDisplace() const ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
 
     const std::size_t m_maxConnections;
@@ -91,11 +94,11 @@
     ConnectionObserver* const m_observer;
     mutable absl::Mutex m_mutex;
     std::map<ConnectionId, Connection> m_connections ABSL_GUARDED_BY(m_mutex);
-    // Those that await a head; the one that has done so longest first.
+    // Those that await data; the one that has done so longest first.
     std::list<ConnectionId> m_silent ABSL_GUARDED_BY(m_mutex);
     std::size_t m_shutDownCount ABSL_GUARDED_BY(m_mutex) = 0;
     ConnectionId m_lastId ABSL_GUARDED_BY(m_mutex) = 0;
     std::uint64_t m_displacedCount ABSL_GUARDED_BY(m_mutex) = 0;
 };
 
-} // namespace mangohall::platform
+} // namespace mangohall
--- a/src/programs/entry/entry_process_base.cpp
+++ b/src/programs/entry/entry_process_base.cpp
@@ -21,6 +21,8 @@
     { ClientLimit::BodyEvicted, "mangohall_api_bodies_evicted", "Request bodies dropped in favour of others." },
     { ClientLimit::ConnectionRefused, "mangohall_api_connections_refused",
         "Requests refused on connections over a limit." },
+    { ClientLimit::ConnectionDisplaced, "mangohall_api_connections_displaced",
+        "Connections without a complete request that were closed for others." },
 };
 
 // Lists the bearer tokens of operators and organisations.
--- a/tests/platform/connection_table_test.cpp
+++ b/tests/core/connection_table_test.cpp
@@ -1,12 +1,12 @@
 // The decisions on connections without a complete request, without HTTP.
-#include "platform/connection_table_base.h"
+#include "core/connection_table_base.h"
 
 #include <vector>
 
 #include "fakes/manual_clock_base.h"
 #include "gtest/gtest.h"
 
-namespace mangohall::platform {
+namespace mangohall {
 namespace {
 
 class FakeSocket : public ConnectionSocket {
@@ -36,15 +36,15 @@
 };
 
 // Guards against clients that take every connection without sending a request.
-TEST_F(ConnectionTableTest, DisplacesTheOneThatHasAwaitedAHeadLongest)
+TEST_F(ConnectionTableTest, DisplacesTheOneThatHasAwaitedDataLongest)
 {
     const ConnectionId first = m_table.open(m_sockets[0]);
     m_clock.advance(absl::Seconds(1));
     const ConnectionId second = m_table.open(m_sockets[1]);
     EXPECT_FALSE(m_table.isFull());
     m_clock.advance(absl::Seconds(1));
-    m_table.recordHead(first);
-    m_table.recordAnswer(first);
+    m_table.markOccupied(first);
+    m_table.markAwaiting(first);
     m_table.open(m_sockets[2]);
     EXPECT_TRUE(m_table.isFull());
     EXPECT_EQ(m_table.longestSilentSince(), m_clock.now() - absl::Seconds(1));
@@ -65,14 +65,17 @@
 // come.
 TEST_F(ConnectionTableTest, KeepsRequestsAndTheLastConnection)
 {
-    m_table.recordHead(m_table.open(m_sockets[0]));
-    m_table.recordHead(m_table.open(m_sockets[1]));
+    m_table.markOccupied(m_table.open(m_sockets[0]));
+    m_table.markOccupied(m_table.open(m_sockets[1]));
     m_table.open(m_sockets[2]);
     EXPECT_TRUE(m_table.isFull());
     EXPECT_EQ(m_table.longestSilentSince(), absl::InfiniteFuture());
     m_table.displaceLongestSilent();
     for (const FakeSocket& socket : m_sockets)
         EXPECT_EQ(socket.shutDowns(), 0);
+    EXPECT_FALSE(m_table.isOverfull());
+    m_table.markOccupied(m_table.open(m_sockets[3]));
+    EXPECT_TRUE(m_table.isOverfull());
 }
 
 // Guards against a count of connections that are about to end, and that goes wrong with what they still do.
@@ -81,9 +84,9 @@
     const ConnectionId first = m_table.open(m_sockets[0]);
     m_table.open(m_sockets[1]);
     m_table.open(m_sockets[2]);
-    m_table.recordShutDown(first);
-    m_table.recordShutDown(first);
-    m_table.recordAnswer(first);
+    m_table.markShutDown(first);
+    m_table.markShutDown(first);
+    m_table.markAwaiting(first);
     EXPECT_FALSE(m_table.isFull());
     m_table.close(first);
     m_table.close(first);
@@ -93,4 +96,4 @@
 }
 
 } // namespace
-} // namespace mangohall::platform
+} // namespace mangohall
--- a/tests/programs/entry/crowd_test.cpp
+++ b/tests/programs/entry/crowd_test.cpp
@@ -258,6 +258,35 @@
     withstand(chunked(16384, std::size_t { 4 } << 20U));
 }
 
+// Heads that do not end, on more connections than the process has places for.
+TEST_F(EntryCrowdTest, AnswersOthersBesideHeadsThatDoNotEnd)
+{
+    Crowd crowd(m_port, crowdSize);
+    crowd.send("PUT /v1/jobs/k1 HTTP/1.1\r\nHost: a\r\n", wholeBody);
+    for (int call = 0; call < 12 && isAlive(); ++call)
+        ASSERT_TRUE(isOrdinaryRequestAnswered());
+    // A request that is not a probe is served as well.
+    const std::string request = absl::StrCat(
+        "DELETE /v1/nothing HTTP/1.1\r\nHost: a\r\nConnection: close\r\n", "Authorization: Bearer ", token, "\r\n\r\n");
+    EXPECT_TRUE(absl::StrContains(requestOnce(m_port, request), "permissionDenied"));
+    EXPECT_LE(openDescriptors(), connectionsThatFit + otherDescriptors);
+    EXPECT_TRUE(crowd.finish());
+    EXPECT_TRUE(isOrdinaryRequestAnswered());
+    EXPECT_LE(peakMemoryBytes(), memoryBytes);
+}
+
+// The same with bodies that are announced and of which nothing is sent, and with connections that send nothing.
+TEST_F(EntryCrowdTest, AnswersOthersBesideConnectionsThatSendNothingMore)
+{
+    Crowd announcing(m_port, crowdSize);
+    announcing.send(announced(bodyLimitBytes, 0), wholeBody);
+    Crowd silent(m_port, crowdSize);
+    for (int call = 0; call < 12 && isAlive(); ++call)
+        ASSERT_TRUE(isOrdinaryRequestAnswered());
+    EXPECT_LE(openDescriptors(), connectionsThatFit + otherDescriptors);
+    EXPECT_LE(peakMemoryBytes(), memoryBytes);
+}
+
 // The body is read to its end and parsed: an unknown field is found in it.
 TEST_F(EntryCrowdTest, ServesASingleBodyJustInsideTheLimit)
 {
