Fix: a job larger than the budget is read and deferred again without end

A job that was read because there is room for it is now held without asking again. AdmissionOfCluster.HoldsAJobThatExceedsTheBudgetByItself fails with the call as it was (no JobAdded) and passes now.

The decision on the limit moves to a folder of its own, as the owner and the callers' side share it.

--- a/src/batch/owner/admission_func.cpp
+++ b/src/batch/admission/admission_func.cpp
@@ -1,4 +1,4 @@
-#include "batch/owner/admission_func.h"
+#include "batch/admission/admission_func.h"
 
 #include <algorithm>
 #include <limits>
--- a/src/batch/caller/record_writer_base.cpp
+++ b/src/batch/caller/record_writer_base.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <utility>
 
-#include "batch/owner/admission_func.h"
+#include "batch/admission/admission_func.h"
 #include "core/error_func.h"
 
 namespace mangohall::batch {
--- a/src/batch/owner/owner_load_cmd.cpp
+++ b/src/batch/owner/owner_load_cmd.cpp
@@ -166,7 +166,7 @@
     m_jobs.removeDeferred(m_deferredJob);
     const auto* job = isAbsent || reply.records.empty() ? nullptr : std::get_if<Job>(&reply.records.front().value);
     if (job != nullptr)
-        addJob(*job, reply.records.front().revision, now);
+        holdJob(*job, reply.records.front().revision, now);
 }
 
 void OwnerPart::adoptRuns(JobEntry& entry, absl::Time now)
@@ -208,10 +208,14 @@
 
 void OwnerPart::addJob(const Job& job, Revision revision, absl::Time now)
 {
-    if (!m_jobs.hasRoomFor(job)) {
+    if (m_jobs.hasRoomFor(job))
+        holdJob(job, revision, now);
+    else
         deferJob(job, revision, now);
-        return;
-    }
+}
+
+void OwnerPart::holdJob(const Job& job, Revision revision, absl::Time now)
+{
     if (!m_jobs.add(job, revision) || !m_loading.isDone)
         return;
     DecisionEffect decision;
--- a/src/batch/owner/owner_part_base.h
+++ b/src/batch/owner/owner_part_base.h
@@ -69,7 +69,9 @@
     void reviewMemory(absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void applyJobs(const CollectionUpdate& update, absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void applyWorkers(const CollectionUpdate& update, absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    // Holds the job, or defers it if there is no room for it.
     void addJob(const Job& job, Revision revision, absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    void holdJob(const Job& job, Revision revision, absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     // Keeps a job in the store only, until there is room for it.
     void deferJob(const Job& job, Revision revision, absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void cancelJob(const JobId& job, absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
--- a/tests/batch/admission_test.cpp
+++ b/tests/batch/admission_test.cpp
@@ -1,5 +1,5 @@
 // How much is let in, and what becomes of it, as the memory for jobs runs out.
-#include "batch/owner/admission_func.h"
+#include "batch/admission/admission_func.h"
 
 #include <algorithm>
 #include <string>
@@ -94,6 +94,26 @@
         return kinds;
     }
 
+    // Writes an accepted job into the store.
+    void store(int job, const JobSpec& spec)
+    {
+        Job stored;
+        stored.id = JobId(pathOf(job).substr(7));
+        stored.queue = QueueName("batch");
+        stored.service = ServiceName("desk");
+        stored.terms = { 2, 3, 3, absl::Seconds(3) };
+        stored.spec = spec;
+        stored.acceptedAt = m_cluster.timeline().now();
+        m_cluster.store().put({ Collection::Jobs, stored.id.str() }, stored);
+    }
+
+    std::ptrdiff_t countOf(DecisionEffect::Kind kind) const
+    {
+        const std::vector<DecisionEffect>& all = m_cluster.decisions();
+        return std::count_if(
+            all.begin(), all.end(), [kind](const DecisionEffect& decision) { return decision.kind == kind; });
+    }
+
     ErrorKind kindOf(CallerId caller)
     {
         m_cluster.runFor(absl::Seconds(1));
@@ -143,24 +163,11 @@
     constexpr int count = 60;
     for (int node = 0; node < 3; ++node)
         m_cluster.kill(node);
-    for (int job = 1; job <= count; ++job) {
-        Job stored;
-        stored.id = JobId(pathOf(job).substr(7));
-        stored.queue = QueueName("batch");
-        stored.service = ServiceName("desk");
-        stored.terms = { 2, 3, 3, absl::Seconds(3) };
-        stored.spec = largeJob();
-        stored.acceptedAt = m_cluster.timeline().now();
-        m_cluster.store().put({ Collection::Jobs, stored.id.str() }, stored);
-    }
+    for (int job = 1; job <= count; ++job)
+        store(job, largeJob());
     for (int node = 0; node < 3; ++node)
         m_cluster.start(node);
     m_cluster.runFor(absl::Seconds(10));
-    const auto countOf = [this](DecisionEffect::Kind kind) {
-        const std::vector<DecisionEffect>& all = m_cluster.decisions();
-        return std::count_if(
-            all.begin(), all.end(), [kind](const DecisionEffect& decision) { return decision.kind == kind; });
-    };
     EXPECT_GE(countOf(DecisionEffect::Kind::JobDeferred), count - 20);
     EXPECT_EQ(kindOf(m_cluster.submit(1, pathOf(1000), largeJob())), ErrorKind::QueueFull);
     // Each is shown and can be cancelled, whether it is held or not; none is lost.
@@ -175,5 +182,17 @@
         EXPECT_EQ(m_cluster.phaseOf(pathOf(job)), job % 2 == 1 ? JobPhase::Aborted : JobPhase::Pending);
 }
 
+// Guards against a job that is deferred again each time it has been read.
+TEST_F(AdmissionOfCluster, HoldsAJobThatExceedsTheBudgetByItself)
+{
+    JobSpec spec = largeJob();
+    spec.steps.edit().assign(15000, StepSpec(spec.steps.front()));
+    store(1, spec);
+    m_cluster.runFor(absl::Seconds(5));
+    EXPECT_EQ(countOf(DecisionEffect::Kind::JobDeferred), 1);
+    EXPECT_EQ(countOf(DecisionEffect::Kind::JobAdded), 1);
+    EXPECT_EQ(m_cluster.phaseOf(pathOf(1)), JobPhase::Pending);
+}
+
 } // namespace
 } // namespace mangohall::batch
