Fix: a caller decides how long the log's lines are, and what its call keeps

By reading, for the table of what a caller can make a node hold: a refused request was logged with the last segment of its path, some 20 KB in each of the 512 lines that may wait to be written; and a call kept its target with the query for as long as it waited, up to 24 KB for each connection while the store is silent.

CallerPartTest.CutsWhatIsNoJobIdInTheLog fails on the code before (2,000 bytes) and passes now.

--- a/src/batch/caller/caller_part_cmd.cpp
+++ b/src/batch/caller/caller_part_cmd.cpp
@@ -17,6 +17,7 @@
 constexpr std::int32_t urgentPriority = 0;
 // The number of hexadecimal digits of a job id.
 constexpr std::size_t jobIdLength = 16;
+constexpr std::size_t maxLoggedIdLength = 64;
 // The part of a caller's time that is left for the answer to reach it.
 constexpr absl::Duration answerMargin = absl::Milliseconds(300);
 constexpr absl::Duration readTimeout = absl::Milliseconds(700);
@@ -30,6 +31,12 @@
 // When the caller may retry after an error that another node may not return, or this node a moment later.
 constexpr absl::Duration retryAfterRefusal = absl::Seconds(1);
 
+// The job that a path names, for the log also if it is none; what is longer than a job's id is cut.
+JobId jobNamedBy(absl::string_view text)
+{
+    return JobId(text.substr(0, maxLoggedIdLength));
+}
+
 bool isJobId(absl::string_view text)
 {
     return text.size() == jobIdLength && std::all_of(text.begin(), text.end(), absl::ascii_isxdigit);
@@ -114,7 +121,7 @@
     call.caller = event.caller;
     call.receivedAt = now;
     // Set early, so that requests that match no queue are logged with their job too.
-    call.job = JobId(absl::string_view(request.path).substr(request.path.rfind('/') + 1));
+    call.job = jobNamedBy(absl::string_view(request.path).substr(request.path.rfind('/') + 1));
     call.deadline = std::max(request.deadline - answerMargin, now + readRetryPeriod);
     call.stage = request.verb == CallerVerb::Submit ? OpenCall::Stage::Submitting
         : request.verb == CallerVerb::Cancel        ? OpenCall::Stage::Cancelling
@@ -129,7 +136,7 @@
         refuse(call, status, now);
         return;
     }
-    call.job = JobId(absl::string_view(request.path).substr(queue.pathPrefix.size()));
+    call.job = jobNamedBy(absl::string_view(request.path).substr(queue.pathPrefix.size()));
     if (call.job.empty() && request.verb == CallerVerb::Query) {
         call.stage = OpenCall::Stage::ReadingCounts;
         read(std::move(call));
--- a/tests/batch/caller_part_test.cpp
+++ b/tests/batch/caller_part_test.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <memory>
+#include <string>
 #include <vector>
 
 #include "core/error_func.h"
@@ -27,11 +28,11 @@
     }
 
     // Sends a query and returns the effects.
-    Effects query(CallerId caller)
+    Effects query(CallerId caller, const std::string& path = "/batch/00000000000000a1")
     {
         CallerRequest request;
         request.host = "desk.example";
-        request.path = "/batch/00000000000000a1";
+        request.path = path;
         request.deadline = start + absl::Seconds(3);
         return m_part.handle(CallerEvent { caller, request }, start);
     }
@@ -91,5 +92,18 @@
     EXPECT_EQ(answersIn(effects), callers - begun);
 }
 
+// Guards against log lines as long as callers like.
+TEST_F(CallerPartTest, CutsWhatIsNoJobIdInTheLog)
+{
+    for (const char* prefix : { "/batch/", "/unknown/" }) {
+        for (const Effect& effect : query(1, prefix + std::string(2000, 'a'))) {
+            if (const auto* decision = std::get_if<DecisionEffect>(&effect)) {
+                EXPECT_EQ(decision->outcome, "notFound");
+                EXPECT_LE(decision->job.size(), 64U);
+            }
+        }
+    }
+}
+
 } // namespace
 } // namespace mangohall::batch
