--- a/src/batch/job/shared_list_base.h
+++ b/src/batch/job/shared_list_base.h
@@ -34,7 +34,8 @@
     const Element* begin() const { return m_elements == nullptr ? nullptr : m_elements->data(); }
     const Element* end() const { return begin() + size(); }
 
-    // Change the list, which has elements of its own from now on.
+    // Change the list, which has elements of its own from now on. The names are those of the standard containers.
+    // NOLINTNEXTLINE(readability-identifier-naming)
     void push_back(Element element) { edit().push_back(std::move(element)); }
     Element& front() { return edit().front(); }
     Element& back() { return edit().back(); }
--- a/src/batch/job/task_list_base.h
+++ b/src/batch/job/task_list_base.h
@@ -76,7 +76,8 @@
 
     // The task for a change; it takes memory of its own from now on.
     TaskProgress& edit(std::size_t index);
-    // Appends a task.
+    // Appends a task. The name is that of the standard containers.
+    // NOLINTNEXTLINE(readability-identifier-naming)
     void push_back(const TaskProgress& task);
 
     // The tasks that have memory of their own. All others are done and not open, or were never placed.
