--- a/tests/batch/admission_test.cpp
+++ b/tests/batch/admission_test.cpp
@@ -89,6 +89,7 @@
         }
         m_cluster.runFor(absl::Seconds(1));
         std::vector<ErrorKind> kinds;
+        kinds.reserve(callers.size());
         for (const CallerId caller : callers)
             kinds.push_back(m_cluster.kindOf(caller));
         return kinds;
