Test: gangs on simulated workers work only together

The simulated workers ran each member of a gang by itself, at once: none waited for another one, so that no test of whole nodes could show what becomes of a gang whose members begin at different times. A test can also let single starts get no reply, and be executed after the longest delay.

--- a/tests/batch/simulated_workers_base.cpp
+++ b/tests/batch/simulated_workers_base.cpp
@@ -114,7 +114,7 @@
     }
     if (m_repeatsStarts && std::holds_alternative<StartRun>(call.command))
         delay(call);
-    if (tryOutlive(call) || tryKeepRenewal(call))
+    if (tryOutlive(call) || tryKeepRenewal(call) || tryDelayStart(call))
         return;
     const bool isReplyLost = happens(m_lostReplies);
     m_timeline.after(transit(),
@@ -234,12 +234,23 @@
     const auto known = m_runTimes.find(start.payload);
     const absl::Duration time = known == m_runTimes.end() ? defaultRunTime : known->second;
     m_recordedRuns.push_back({ start.run, worker.entry.name.str(), start.payload, m_timeline.now() });
-    worker.running[start.run]
-        = { m_recordedRuns.size() - 1, m_timeline.now() + time, m_failing.contains(start.payload), demand };
-    m_timeline.after(
-        time, [this, name = worker.entry.name.str(), processStartMs = worker.entry.processStartMs, run = start.run] {
-            finish(name, processStartMs, run);
-        });
+    worker.running[start.run] = { .recordIndex = m_recordedRuns.size() - 1,
+        .work = time,
+        .fails = m_failing.contains(start.payload),
+        .demand = demand };
+    if (const StepSpec* gang = gangStepOf(start.run))
+        joinGang(worker.entry.name.str(), start.run, gang->taskCount);
+    else
+        begin(worker.entry.name.str(), start.run);
+}
+
+void SimulatedWorkers::begin(const std::string& name, const RunKey& run)
+{
+    Worker& worker = m_workers.at(name);
+    Running& running = worker.running.at(run);
+    running.begunAt = m_timeline.now();
+    m_timeline.after(running.work,
+        [this, name, processStartMs = worker.entry.processStartMs, run] { finish(name, processStartMs, run); });
 }
 
 void SimulatedWorkers::checkStartRules(const Worker& worker, const StartRun& start, const Resources& demand)
@@ -359,8 +370,9 @@
 
 std::int32_t SimulatedWorkers::percentOf(const Running& running) const
 {
-    const absl::Time begin = m_recordedRuns[running.recordIndex].begin;
-    return static_cast<std::int32_t>(100 * absl::FDivDuration(m_timeline.now() - begin, running.endsAt - begin));
+    if (running.begunAt == absl::InfiniteFuture())
+        return 0;
+    return static_cast<std::int32_t>(100 * absl::FDivDuration(m_timeline.now() - running.begunAt, running.work));
 }
 
 WorkerReply SimulatedWorkers::report(const Worker& worker) const
@@ -396,6 +408,8 @@
     worker.runOfEnd[worker.lastEnd + 1] = static_cast<std::size_t>(&recorded - m_recordedRuns.data());
     worker.ends.push_back({ ++worker.lastEnd, run, endKind, "" });
     answerPolls(worker);
+    if (endKind != RunEnd::Done)
+        breakGang(run);
 }
 
 void SimulatedWorkers::expireLease(Worker& worker)
--- a/tests/batch/simulated_workers_base.h
+++ b/tests/batch/simulated_workers_base.h
@@ -95,6 +95,9 @@
     void setRefusals(double share) { m_refusals = share; }
     // Sets the longest time that a command, and its reply, is under way, so that they overtake each other.
     void setLongestTransit(absl::Duration transit) { m_longestTransit = transit; }
+    // The next starts that are sent to this worker, so many, get no reply and are executed after the longest delay, by
+    // whichever process the worker has then.
+    void delayNextStarts(const std::string& name, int count) { m_delayedStarts[name] = count; }
     // The next start gets no reply. Its worker refuses all further starts, and is unhealthy, until it is restarted; its
     // next process executes the start first of all.
     void outliveNextStart() { m_isNextStartOutlived = true; }
@@ -137,7 +140,9 @@
     // A run in progress; `recordIndex` is its index in `m_recordedRuns`.
     struct Running {
         std::size_t recordIndex = 0;
-        absl::Time endsAt;
+        // How long the task works, and since when: a member of a gang only from the moment when all are present.
+        absl::Duration work;
+        absl::Time begunAt = absl::InfiniteFuture();
         bool fails = false;
         Resources demand;
     };
@@ -192,10 +197,24 @@
     // Keeps the call if it is the renewal that is to be executed later.
     bool tryKeepRenewal(const WorkerCall& call);
     void start(Worker& worker, const StartRun& start, WorkerReply& reply);
+    // Lets the task of the run work from now on.
+    void begin(const std::string& name, const RunKey& run);
+    // The step of the run if it is a gang; null otherwise.
+    const StepSpec* gangStepOf(const RunKey& run) const;
+    // The workers that have the members of the gang's attempt which run now, with the runs.
+    std::vector<std::pair<std::string, RunKey>> membersOf(const RunKey& run) const;
+    // Lets the gang work if all members of this attempt are present; otherwise the run waits for them for a while.
+    void joinGang(const std::string& name, const RunKey& run, std::int32_t memberCount);
+    void giveUpWaiting(const std::string& name, std::int64_t processStartMs, const RunKey& run);
+    // Ends the other members of the gang's attempt.
+    void breakGang(const RunKey& run);
     void stop(Worker& worker, const StopRun& stop);
     void poll(Worker& worker, const PollRuns& poll, const Reply& reply);
     // Executes a command seconds later, unless its worker has left by then.
     void delay(const WorkerCall& call);
+    void executeAfter(const WorkerCall& call, absl::Duration lateness);
+    // Delays the call if it is one of the starts that are to get no reply.
+    bool tryDelayStart(const WorkerCall& call);
     void executeLate(Worker& worker, const WorkerCall& call);
     // Forgets the ends that the poll acknowledges.
     void acknowledge(Worker& worker, const PollRuns& poll);
@@ -237,6 +256,8 @@
     absl::Duration m_longestTransit = absl::ZeroDuration();
     bool m_isNextStartOutlived = false;
     absl::optional<WorkerCall> m_outlivedStart;
+    // How many starts are still to be delayed, by worker.
+    std::map<std::string, int> m_delayedStarts;
     std::string m_renewalKeptOf;
     absl::optional<WorkerCall> m_keptRenewal;
     bool m_obeysAnyEpoch = false;
--- a/tests/batch/simulated_workers_fault_cmd.cpp
+++ b/tests/batch/simulated_workers_fault_cmd.cpp
@@ -35,7 +35,21 @@
 
 void SimulatedWorkers::delay(const WorkerCall& call)
 {
-    const absl::Duration lateness = minLateness + (m_longestDelay - minLateness) * m_random.uniform();
+    executeAfter(call, minLateness + (m_longestDelay - minLateness) * m_random.uniform());
+}
+
+bool SimulatedWorkers::tryDelayStart(const WorkerCall& call)
+{
+    const auto delayed = m_delayedStarts.find(call.worker.str());
+    if (!std::holds_alternative<StartRun>(call.command) || delayed == m_delayedStarts.end() || delayed->second == 0)
+        return false;
+    --delayed->second;
+    executeAfter(call, m_longestDelay);
+    return true;
+}
+
+void SimulatedWorkers::executeAfter(const WorkerCall& call, absl::Duration lateness)
+{
     m_timeline.after(lateness, [this, call, sentAt = m_timeline.now()] {
         Worker& worker = m_workers.at(call.worker.str());
         if (worker.isGone || worker.isDown)
