Feature: the log says for which run a job waits

A gang that waited for a start without a reply left no line of its own: jobHeld gave reasons of the policy only, and runUnsettled only that a worker is silent. Now jobHeld names the run and its worker, whether its start is in doubt, its worker silent, or its end outstanding, since when, and by when that is over; startUnanswered says how long the start may come; and noCapacity counts the workers that get no work, with the reason.

Tests: BatchGang.LogsThatAJobWaitsForAStartInDoubt and LogsThatAJobWaitsForASilentWorker.

--- a/src/batch/owner/job_registry_base.h
+++ b/src/batch/owner/job_registry_base.h
@@ -131,6 +131,7 @@
     JobEntry* find(const JobId& job);
     const JobEntry* find(const JobId& job) const;
     absl::btree_map<JobId, JobEntry>& entries() { return m_entries; }
+    const absl::btree_map<JobId, JobEntry>& entries() const { return m_entries; }
 
     bool isCancelled(const JobId& job) const { return m_cancelled.contains(job.str()); }
 
--- a/src/batch/owner/job_wait_base.h
+++ b/src/batch/owner/job_wait_base.h
@@ -4,6 +4,7 @@
 
 #include "absl/time/time.h"
 #include "absl/types/optional.h"
+#include "batch/owner/run_hold_func.h"
 #include "batch/policy/allocation_type.h"
 
 namespace mangohall::batch {
@@ -53,6 +54,26 @@
         return true;
     }
 
+    // Records the placed run that the job waits for while nothing of it runs; none if it waits for no such run. Returns
+    // whether that is to be logged: it has lasted for a while, and differs from what was logged last since the job
+    // waits.
+    bool recordHeldRun(const absl::optional<HeldRun>& held, absl::Time now)
+    {
+        if (!held) {
+            m_heldSince = absl::InfiniteFuture();
+            m_loggedHold.reset();
+            return false;
+        }
+        m_heldSince = std::min(m_heldSince, now);
+        const bool isLogged = m_loggedHold && m_loggedHold->run == held->run && m_loggedHold->hold == held->hold;
+        if (isLogged || now - m_heldSince < unremarkableIdleTime)
+            return false;
+        m_loggedHold = held;
+        return true;
+    }
+    // How long the job has waited for placed runs, as of the last review.
+    absl::Duration heldTime(absl::Time now) const { return std::max(absl::ZeroDuration(), now - m_heldSince); }
+
     // Record when the owner has learned of the job, and when it made room for it, or placed a task of it.
     void recordAdded(absl::Time now) { m_addedAt = now; }
     void recordEviction(absl::Time now) { m_firstEvictionAt = std::min(m_firstEvictionAt, now); }
@@ -77,6 +98,8 @@
     absl::Time m_idleSince = absl::InfiniteFuture();
     absl::Time m_reasonSoughtAt = absl::InfinitePast();
     absl::optional<HoldReason> m_reason;
+    absl::Time m_heldSince = absl::InfiniteFuture();
+    absl::optional<HeldRun> m_loggedHold;
     absl::Time m_addedAt = absl::InfiniteFuture();
     absl::Time m_firstEvictionAt = absl::InfiniteFuture();
     absl::Time m_lastPlacementAt = absl::InfiniteFuture();
--- a/src/batch/owner/owner_log_cmd.cpp
+++ b/src/batch/owner/owner_log_cmd.cpp
@@ -6,9 +6,16 @@
 #include "absl/strings/str_cat.h"
 #include "batch/job/phase_name_func.h"
 #include "batch/owner/run_name_func.h"
+#include "batch/owner/unavailable_workers_func.h"
 
 namespace mangohall::batch {
 
+namespace {
+
+constexpr absl::Duration heldRunReviewPeriod = absl::Seconds(1);
+
+} // namespace
+
 void OwnerPart::logRun(DecisionEffect::Kind kind, const RunKey& run, const WorkerName& worker,
     absl::string_view outcome, absl::string_view reason, absl::Duration age)
 {
@@ -92,12 +99,49 @@
         decision.job = step.job.str();
         decision.queue = entry.progress.job().queue.str();
         decision.outcome = std::string(holdReasonName(step.reason));
+        if (step.reason == HoldReason::NoCapacity)
+            decision.reason = describeUnavailable(m_workers, now);
         decision.epoch = m_ownership.epoch();
         decision.age = entry.wait.idleTime(now);
         m_outbox.log(std::move(decision));
     }
 }
 
+absl::Time OwnerPart::nextHeldRunReview() const
+{
+    return m_jobs.entries().empty() ? absl::InfiniteFuture() : m_heldRunsReviewedAt + heldRunReviewPeriod;
+}
+
+void OwnerPart::reviewHeldRuns(absl::Time now)
+{
+    if (nextHeldRunReview() > now)
+        return;
+    m_heldRunsReviewedAt = now;
+    for (auto& [id, entry] : m_jobs.entries()) {
+        if (entry.progress.isFinal())
+            continue;
+        const absl::optional<HeldRun> held = findHeldRun(entry.progress, m_workers);
+        if (entry.wait.recordHeldRun(held, now))
+            logHeldRun(entry, *held, now);
+    }
+}
+
+void OwnerPart::logHeldRun(const JobEntry& entry, const HeldRun& held, absl::Time now)
+{
+    DecisionEffect decision;
+    decision.kind = DecisionEffect::Kind::JobHeld;
+    decision.job = held.run.task.job.str();
+    decision.run = runName(held.run);
+    decision.worker = held.worker.str();
+    decision.queue = entry.progress.job().queue.str();
+    decision.outcome = std::string(runHoldName(held.hold));
+    if (held.until != absl::InfiniteFuture())
+        decision.reason = absl::StrCat("over within ", absl::ToInt64Milliseconds(held.until - now), " ms");
+    decision.epoch = m_ownership.epoch();
+    decision.age = entry.wait.heldTime(now);
+    m_outbox.log(std::move(decision));
+}
+
 void OwnerPart::logGuaranteeMet(JobEntry& entry, absl::Time now)
 {
     if (!entry.isGuaranteeLogged || entry.isGuaranteeMetLogged || !entry.progress.haveFirstTasksBegun())
@@ -127,10 +171,14 @@
     m_outbox.log(std::move(decision));
 }
 
-void OwnerPart::logStart(const WorkerUpdate& update)
+void OwnerPart::logStart(const WorkerUpdate& update, absl::Time now)
 {
-    if (update.session.unansweredStart)
-        logRun(DecisionEffect::Kind::StartUnanswered, *update.session.unansweredStart, update.worker);
+    if (update.session.unansweredStart) {
+        const RunKey& run = *update.session.unansweredStart;
+        const absl::Duration left = m_workers.find(update.worker)->startsMayComeUntil(run) - now;
+        logRun(DecisionEffect::Kind::StartUnanswered, run, update.worker, "",
+            absl::StrCat("may be executed within ", absl::ToInt64Milliseconds(left), " ms"));
+    }
     if (update.session.barredStart)
         logRun(DecisionEffect::Kind::StartBarred, *update.session.barredStart, update.worker);
 }
--- a/src/batch/owner/owner_part_base.h
+++ b/src/batch/owner/owner_part_base.h
@@ -130,6 +130,10 @@
     void logGuarantees(const AllocationInput& input, absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     // Logs why steps were not placed, unless it has been logged already.
     void logHeldJobs(absl::Span<const HeldStep> held, absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    // Logs, at intervals, for which placed run each job waits that has nothing running.
+    absl::Time nextHeldRunReview() const ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    void reviewHeldRuns(absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    void logHeldRun(const JobEntry& entry, const HeldRun& held, absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     // Logs once that all first tasks of a job have started that a guarantee covers.
     void logGuaranteeMet(JobEntry& entry, absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void logQuarantine(const WorkerName& worker, absl::Duration duration) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
@@ -137,7 +141,7 @@
     void logUnsettledRun(JobEntry& entry, const RunKey& run, const WorkerName& worker, absl::Time lapsesAt,
         absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     // Logs what became of a start command.
-    void logStart(const WorkerUpdate& update) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    void logStart(const WorkerUpdate& update, absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void logUnansweredRenewal(const WorkerUpdate& update) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void logWorker(const WorkerUpdate& update) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void logWorkerList(bool isCurrent, absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
@@ -169,6 +173,7 @@
     JobId m_deferredJob ABSL_GUARDED_BY(m_mutex);
     absl::Time m_deferredRetryAt ABSL_GUARDED_BY(m_mutex) = absl::InfinitePast();
     absl::Time m_memoryReviewedAt ABSL_GUARDED_BY(m_mutex) = absl::InfinitePast();
+    absl::Time m_heldRunsReviewedAt ABSL_GUARDED_BY(m_mutex) = absl::InfinitePast();
     // Something has changed that may let a task start.
     bool m_isAllocationDue ABSL_GUARDED_BY(m_mutex) = false;
     // When the last allocation round began.
--- a/src/batch/owner/owner_part_cmd.cpp
+++ b/src/batch/owner/owner_part_cmd.cpp
@@ -240,6 +240,7 @@
     m_workers.setOwnedUntil(m_ownership.leaseEnd());
     m_workers.setStartsUntil(m_directoryConfirmedAt + m_settings.maxEvacuationAge);
     m_workers.advance(*this, m_outbox, now);
+    reviewHeldRuns(now);
 }
 
 absl::Time OwnerPart::nextDue(absl::Time now) const
@@ -252,7 +253,7 @@
         due = std::min(due, m_jobFollower.nextDue());
     if (!m_loading.isDone)
         return std::max(std::min(due, std::max(m_loading.retryAt, now + loadRetryPeriod)), now);
-    due = std::min({ due, m_writer.nextDue(), m_workers.nextDue(), m_jobs.nextDue() });
+    due = std::min({ due, m_writer.nextDue(), m_workers.nextDue(), m_jobs.nextDue(), nextHeldRunReview() });
     if (m_isDraining)
         due = std::min(due, m_handoverEndsAt);
     return std::max(std::min(due, nextAllocation(now)), now);
--- a/src/batch/owner/run_name_func.cpp
+++ b/src/batch/owner/run_name_func.cpp
@@ -100,6 +100,23 @@
     return "workerUnavailable";
 }
 
+absl::string_view runHoldName(RunHold hold)
+{
+    switch (hold) {
+    case RunHold::NotSent:
+        return "startNotSent";
+    case RunHold::Starting:
+        return "starting";
+    case RunHold::Ending:
+        return "runEnding";
+    case RunHold::StartInDoubt:
+        return "startInDoubt";
+    case RunHold::WorkerSilent:
+        break;
+    }
+    return "workerSilent";
+}
+
 absl::string_view holdReasonName(HoldReason reason)
 {
     switch (reason) {
--- a/src/batch/owner/run_name_func.h
+++ b/src/batch/owner/run_name_func.h
@@ -5,6 +5,7 @@
 
 #include "absl/strings/string_view.h"
 #include "batch/job/job_type.h"
+#include "batch/owner/run_hold_func.h"
 #include "batch/owner/stop_reason_type.h"
 #include "batch/policy/allocation_type.h"
 #include "batch/worker/worker_session_base.h"
@@ -21,6 +22,8 @@
 absl::string_view runStageName(RunSlot::Stage stage);
 // The name of the reason for a stop.
 absl::string_view stopReasonName(StopReason reason);
+// The name of the reason why a placed run holds up its job.
+absl::string_view runHoldName(RunHold hold);
 // The name of the reason why a step is not placed.
 absl::string_view holdReasonName(HoldReason reason);
 
--- a/src/batch/worker/worker_session_base.cpp
+++ b/src/batch/worker/worker_session_base.cpp
@@ -65,10 +65,16 @@
     return ended;
 }
 
-bool WorkerSession::acceptsWork(absl::Time now) const
-{
+WorkerAvailability WorkerSession::availability(absl::Time now) const
+{
+    if (!isListed())
+        return WorkerAvailability::Unlisted;
+    if (!isProcessCertain() || !m_processEntry)
+        return WorkerAvailability::Silent;
+    if (isClosedToStarts())
+        return WorkerAvailability::Closed;
     const absl::Time from = std::max(m_startsPausedUntil, m_commands.unansweredAcknowledgementUntil());
-    return isListed() && isProcessCertain() && m_processEntry && !isClosedToStarts() && now >= from;
+    return now >= from ? WorkerAvailability::Available : WorkerAvailability::Paused;
 }
 
 bool WorkerSession::isRunning(const RunKey& run) const
--- a/src/batch/worker/worker_session_base.h
+++ b/src/batch/worker/worker_session_base.h
@@ -64,6 +64,20 @@
     bool isLost = false;
 };
 
+// Whether a worker gets new runs, or why not.
+enum class WorkerAvailability {
+    Available,
+    // The worker list has no usable row of the worker.
+    Unlisted,
+    // The worker has not replied since a call failed, or since the owner knows of it, or its process may have been
+    // replaced.
+    Silent,
+    // The worker drains, or its data centre is being evacuated.
+    Closed,
+    // The worker has refused a start just before, or an acknowledgement to an earlier process may still be executed.
+    Paused,
+};
+
 // One worker: the runs that use its capacity, the latest time at which its lease can end, and the calls that are due. A
 // run is dropped only after the worker has shown that the run is over and cannot start any more, or after its lease
 // must have expired. A start without a reply may be executed by a later process of the worker, which knows neither a
@@ -89,6 +103,12 @@
     // Whether a start of the run may still be executed, now or by a later process. Until none may, the run keeps its
     // capacity, and its task may run nowhere else.
     bool mayStillStart(const RunKey& run) const { return m_commands.mayStart(run); }
+    // Until when a start of the run without a reply may still be executed; the infinite past if there is none.
+    absl::Time startsMayComeUntil(const RunKey& run) const { return m_commands.startsMayComeUntil(run); }
+    // When the run must be over if the worker does not reply.
+    absl::Time lapsesAt(const RunKey& run, const RunSlot& slot) const;
+    // Whether the worker can be called and no call has failed since its last reply to a poll.
+    bool isReachable() const { return hasAddress() && m_failedCalls == 0; }
     // Whether the worker runs the run, by all that it has replied; false while it does not reply.
     bool isRunning(const RunKey& run) const;
     // When the process started that has the run, in Unix milliseconds; 0 if that is unknown.
@@ -120,7 +140,8 @@
     // Whether new runs may be started on the worker: it is listed by a row of the process that has replied, is neither
     // draining nor evacuated, has refused no start just before, and executes no acknowledgement that was sent to an
     // earlier process.
-    bool acceptsWork(absl::Time now) const;
+    bool acceptsWork(absl::Time now) const { return availability(now) == WorkerAvailability::Available; }
+    WorkerAvailability availability(absl::Time now) const;
 
     // The capacity that no run uses.
     Resources freeCapacity() const;
@@ -220,8 +241,6 @@
     // Whether the address of the worker is known. It is not if only the progress of an earlier owner names the worker;
     // such a worker is not called until it is listed again.
     bool hasAddress() const { return !m_entry.address.empty(); }
-    // Whether the worker can be called and no call has failed since its last reply to a poll.
-    bool isReachable() const { return hasAddress() && m_failedCalls == 0; }
     // Whether nothing has happened since the last reply to a poll that another process of the worker may explain: a
     // call without a reply, or a sign of a restart.
     bool isProcessCertain() const { return m_hasAnswered && m_failedCalls == 0; }
@@ -241,8 +260,6 @@
     std::vector<EndedRun> endRunsOfEarlierProcess();
     // What shows that the run is over on a worker that does not reply; empty if nothing does.
     absl::optional<EndEvidence> evidenceOfEnd(const RunKey& run, const RunSlot& slot, absl::Time now) const;
-    // When the run must be over if the worker does not reply.
-    absl::Time lapsesAt(const RunKey& run, const RunSlot& slot) const;
     // The process that has sent the reply, given by its start; 0 if that is unknown.
     std::int64_t replyingProcess(const WorkerReply& reply, absl::Time now) const;
     // Whether the worker gets no starts: it drains, or its data centre is being evacuated.
--- /dev/null
+++ b/tests/batch/batch_gang_test.cpp
@@ -0,0 +1,60 @@
+// Gangs on whole nodes, whose members' starts get no reply.
+#include <set>
+#include <string>
+
+#include "absl/strings/match.h"
+#include "batch/batch_cluster_base.h"
+#include "gtest/gtest.h"
+
+namespace mangohall::batch {
+namespace {
+
+constexpr auto path = "/batch/00000000000000a1";
+constexpr auto id = "00000000000000a1";
+// A gang of this many members that each fill a worker needs all workers.
+constexpr int workerCount = 8;
+constexpr int workerAccelerators = 8;
+// More starts than are sent in any of the tests.
+constexpr int allStarts = 1000;
+
+JobSpec gangOnAllWorkers()
+{
+    return gangOf("p", workerCount, workerAccelerators);
+}
+
+// The reasons that were logged for the job with this worker.
+std::set<std::string> holdsAt(const BatchCluster& cluster, const std::string& worker)
+{
+    std::set<std::string> holds;
+    for (const DecisionEffect& decision : cluster.decisions()) {
+        if (decision.kind != DecisionEffect::Kind::JobHeld || decision.job != id || decision.worker != worker)
+            continue;
+        EXPECT_FALSE(decision.run.empty());
+        EXPECT_GE(decision.age, absl::Seconds(1));
+        holds.insert(decision.outcome);
+        const bool isBounded = decision.outcome == "startInDoubt" || decision.outcome == "workerSilent";
+        EXPECT_EQ(isBounded, absl::StartsWith(decision.reason, "over within ")) << decision.reason;
+    }
+    return holds;
+}
+
+TEST(BatchGang, LogsThatAJobWaitsForAStartInDoubt)
+{
+    BatchCluster cluster;
+    cluster.workers().delayNextStarts("w00", allStarts);
+    cluster.submit(0, path, gangOnAllWorkers());
+    cluster.runFor(absl::Seconds(10));
+    EXPECT_TRUE(holdsAt(cluster, "w00").contains("startInDoubt"));
+}
+
+TEST(BatchGang, LogsThatAJobWaitsForASilentWorker)
+{
+    BatchCluster cluster;
+    cluster.workers().setCutOff("w00", true);
+    cluster.submit(0, path, gangOnAllWorkers());
+    cluster.runFor(absl::Seconds(10));
+    EXPECT_TRUE(holdsAt(cluster, "w00").contains("workerSilent"));
+}
+
+} // namespace
+} // namespace mangohall::batch
