Fix: a gang member that waits for the others counts as stalled

A member that begins before the others stands at 0 % until all are there. After 1.2 s of that it was stopped as stalled, which broke the gang, often a moment before the missing member's start was repeated (six of the eight traced jobs, 0.07 s before in one); and then the whole gang waited until no process could execute the unanswered starts any more, some 14 s.

A member's stall counts from when every member has shown; until then the workers themselves end the wait after their own time limit. A gang that is whole and stands still is stopped as before.

--- a/src/batch/owner/owner_run_cmd.cpp
+++ b/src/batch/owner/owner_run_cmd.cpp
@@ -143,7 +143,7 @@
 void OwnerPart::reviewWorker(const WorkerName& worker, absl::Time now)
 {
     WorkerSession* session = m_workers.find(worker);
-    const RunReview review = reviewRuns(*session, m_jobs, now);
+    const RunReview review = reviewRuns(*session, m_jobs, m_workers, now);
     for (const RunKey& run : review.stalled) {
         const StepSpec& spec = m_jobs.find(run.task.job)->progress.stepSpec(run.task.task.step);
         if (session->health().recordStall(run.task.job, spec.isGang, now))
--- a/src/batch/owner/run_review_func.cpp
+++ b/src/batch/owner/run_review_func.cpp
@@ -62,12 +62,51 @@
     return std::max({ shortestStallTimeout, byEstimate, byShare });
 }
 
-bool hasStalled(const RunSlot& slot, const StepSpec& spec, absl::string_view checkpoint, absl::Time now)
+// Whether the run has stood still since it could work for as long as a stalled one does.
+bool hasStalled(
+    const RunSlot& slot, const StepSpec& spec, absl::string_view checkpoint, absl::Time couldWorkSince, absl::Time now)
 {
     if (slot.stage != RunSlot::Stage::Running || slot.isStopWanted || slot.percent >= wholePercent)
         return false;
     const bool hasBegunHere = slot.begunAt != absl::InfinitePast() && checkpoint.empty();
-    return now - slot.percentChangedAt >= stallTimeoutOf(slot, spec, hasBegunHere);
+    const absl::Time stillSince = std::max(slot.percentChangedAt, couldWorkSince);
+    return now - stillSince >= stallTimeoutOf(slot, spec, hasBegunHere);
+}
+
+// When the worker has shown the member of a gang; the infinite future if it has not, or does not reply.
+absl::Time shownSince(const RunKey& run, const WorkerName& name, const WorkerRegistry& workers)
+{
+    const auto session = workers.sessions().find(name);
+    if (session == workers.sessions().end() || !session->second.isRunning(run))
+        return absl::InfiniteFuture();
+    return session->second.runs().at(run).confirmedAt;
+}
+
+// Since when the member of a gang can work, that is all members are there; the infinite future if some are not.
+absl::Time isWholeSince(const RunKey& run, const JobProgress& progress, const WorkerRegistry& workers)
+{
+    absl::Time since = absl::InfinitePast();
+    TaskRef member = run.task.task;
+    for (member.index = 0; member.index < progress.stepSpec(member.step).taskCount; ++member.index) {
+        const TaskProgress* task = progress.find(member);
+        if (task == nullptr || task->phase != TaskProgress::Phase::Placed || task->attempt != run.attempt)
+            return absl::InfiniteFuture();
+        since = std::max(since, shownSince({ { run.task.job, member }, run.attempt }, task->worker, workers));
+    }
+    return since;
+}
+
+// Whether the run stands still although it can work: a member of a gang waits for the others first.
+bool hasStalled(
+    const RunKey& run, const RunSlot& slot, const JobRegistry& jobs, const WorkerRegistry& workers, absl::Time now)
+{
+    const StepSpec* spec = specOf(run, jobs);
+    if (spec == nullptr || !hasStalled(slot, *spec, checkpointOf(run, jobs), absl::InfinitePast(), now))
+        return false;
+    if (!spec->isGang)
+        return true;
+    const absl::Time wholeSince = isWholeSince(run, jobs.find(run.task.job)->progress, workers);
+    return hasStalled(slot, *spec, checkpointOf(run, jobs), wholeSince, now);
 }
 
 bool isUrgent(const RunKey& run, const JobRegistry& jobs)
@@ -102,15 +141,15 @@
 
 } // namespace
 
-RunReview reviewRuns(const WorkerSession& session, const JobRegistry& jobs, absl::Time now)
+RunReview reviewRuns(
+    const WorkerSession& session, const JobRegistry& jobs, const WorkerRegistry& workers, absl::Time now)
 {
     RunReview review;
     for (const auto& [run, slot] : session.runs()) {
-        const StepSpec* spec = specOf(run, jobs);
-        if (spec == nullptr || !hasStalled(slot, *spec, checkpointOf(run, jobs), now))
+        if (!hasStalled(run, slot, jobs, workers, now))
             continue;
         review.stalled.push_back(run);
-        if (shouldRelocateStalled(run, slot, *spec, jobs))
+        if (shouldRelocateStalled(run, slot, *specOf(run, jobs), jobs))
             review.toRelocate.push_back({ run, StopReason::Stalled });
     }
     if (session.leavesAt() == absl::InfiniteFuture())
--- a/src/batch/owner/run_review_func.h
+++ b/src/batch/owner/run_review_func.h
@@ -6,6 +6,7 @@
 #include "absl/time/time.h"
 #include "batch/owner/job_registry_base.h"
 #include "batch/owner/stop_reason_type.h"
+#include "batch/owner/worker_registry_base.h"
 #include "batch/worker/worker_session_base.h"
 
 namespace mangohall::batch {
@@ -26,7 +27,8 @@
 };
 
 // Reviews the runs of one worker. Runs of unknown jobs are in neither list, and long-running tasks are never to be
-// relocated.
-RunReview reviewRuns(const WorkerSession& session, const JobRegistry& jobs, absl::Time now);
+// relocated. The other workers show whether all members of a gang are there: until then none can make progress.
+RunReview reviewRuns(
+    const WorkerSession& session, const JobRegistry& jobs, const WorkerRegistry& workers, absl::Time now);
 
 } // namespace mangohall::batch
--- a/tests/batch/batch_gang_test.cpp
+++ b/tests/batch/batch_gang_test.cpp
@@ -56,5 +56,18 @@
     EXPECT_TRUE(holdsAt(cluster, "w00").contains("workerSilent"));
 }
 
+// Guards against the loss of a gang for as long as a start may be in doubt: the members that had begun were stopped as
+// stalled while they waited for one whose start got no reply, a moment before that start was repeated.
+TEST(BatchGang, LetsMembersWaitForOneWhoseStartIsRepeated)
+{
+    BatchCluster cluster;
+    cluster.workers().delayNextStarts("w00", 2);
+    const CallerId caller = cluster.submit(0, path, gangOnAllWorkers());
+    cluster.runFor(absl::Seconds(5));
+    ASSERT_TRUE(cluster.log(caller).answer);
+    EXPECT_EQ(cluster.phaseOf(path), JobPhase::Completed);
+    EXPECT_EQ(cluster.workers().startCount(id), workerCount);
+}
+
 } // namespace
 } // namespace mangohall::batch
--- a/tests/batch/run_review_test.cpp
+++ b/tests/batch/run_review_test.cpp
@@ -62,7 +62,7 @@
         for (m_now = start; m_now < start + absl::Hours(24); m_now += interval) {
             const auto percent = static_cast<std::int32_t>(absl::FDivDuration(m_now - start, runTime) * 100);
             report(std::min(percent, lastPercent));
-            if (!reviewRuns(m_session, m_jobs, m_now).stalled.empty())
+            if (!reviewRuns(m_session, m_jobs, m_workers, m_now).stalled.empty())
                 return m_now - stillFrom;
         }
         return absl::InfiniteDuration();
@@ -76,10 +76,11 @@
         m_session.update(entry, m_now, m_now);
     }
 
-    std::vector<RelocatedRun> toRelocate() { return reviewRuns(m_session, m_jobs, m_now).toRelocate; }
+    std::vector<RelocatedRun> toRelocate() { return reviewRuns(m_session, m_jobs, m_workers, m_now).toRelocate; }
 
     JobRegistry m_jobs;
     WorkerSession m_session;
+    WorkerRegistry m_workers { SessionSettings() };
     absl::Time m_now = start + absl::Seconds(2);
 };
 
@@ -135,7 +136,7 @@
 {
     runTask(60);
     m_now += absl::Seconds(2);
-    const RunReview review = reviewRuns(m_session, m_jobs, m_now);
+    const RunReview review = reviewRuns(m_session, m_jobs, m_workers, m_now);
     EXPECT_EQ(review.stalled.size(), 1U);
     EXPECT_TRUE(review.toRelocate.empty());
 }
@@ -187,7 +188,7 @@
     for (int percent = 60; percent < 100; ++percent) {
         report(percent);
         m_now += timeOfPercent - absl::Milliseconds(1);
-        EXPECT_TRUE(reviewRuns(m_session, m_jobs, m_now).stalled.empty()) << percent;
+        EXPECT_TRUE(reviewRuns(m_session, m_jobs, m_workers, m_now).stalled.empty()) << percent;
     }
 }
 
@@ -199,7 +200,7 @@
         m_now += absl::Milliseconds(700);
         report(percent);
         const std::size_t expected = m_now >= start + absl::Milliseconds(4600) ? 1 : 0;
-        EXPECT_EQ(reviewRuns(m_session, m_jobs, m_now).stalled.size(), expected);
+        EXPECT_EQ(reviewRuns(m_session, m_jobs, m_workers, m_now).stalled.size(), expected);
     }
 }
 
