Fix: a lost start is repeated too late for the gang that waits for it

A start whose call got no reply was repeated only once the call had timed out (0.8 s) and a poll had been answered after that: 1.6 to 2.8 s later while polls were lost too. The other members of the gang wait for 3 to 5 s and give up (two of eight traced jobs), and then the gang waits until no process can execute the starts any more.

A start is sent again every 250 ms beside its pending calls, up to four at a time, to the same process: the worker executes one. A call that gets no reply does not show that the worker is silent if the same process has replied to one that was sent later; so the loss of one start does not stop its repetition until a poll is answered. A worker that drains or is evacuated gets no repetition.

BatchGang.RepeatsAStartWithinTheTimeThatMembersWait fails on the code before (active after 5 s, seven members ended alone) and passes now.

--- a/src/batch/owner/job_wait_base.h
+++ b/src/batch/owner/job_wait_base.h
@@ -65,7 +65,7 @@
             return false;
         }
         m_heldSince = std::min(m_heldSince, now);
-        const bool isLogged = m_loggedHold && m_loggedHold->run == held->run && m_loggedHold->hold == held->hold;
+        const bool isLogged = m_loggedHold && isSameHold(*m_loggedHold, *held);
         if (isLogged || now - m_heldSince < unremarkableIdleTime)
             return false;
         m_loggedHold = held;
--- a/src/batch/owner/run_hold_func.h
+++ b/src/batch/owner/run_hold_func.h
@@ -31,6 +31,13 @@
     absl::Time until = absl::InfiniteFuture();
 };
 
+// Whether both are the same run, held for the same reason, and the latest end of both is known, or of neither.
+inline bool isSameHold(const HeldRun& left, const HeldRun& right)
+{
+    const bool isSameBound = (left.until == absl::InfiniteFuture()) == (right.until == absl::InfiniteFuture());
+    return left.run == right.run && left.hold == right.hold && isSameBound;
+}
+
 // The run that the job waits for: of the placed ones, the one that is over last. None if a task of the job runs, or no
 // task is placed. A gang runs once every member does.
 absl::optional<HeldRun> findHeldRun(const JobProgress& progress, const WorkerRegistry& workers);
--- a/src/batch/worker/run_slot_type.h
+++ b/src/batch/worker/run_slot_type.h
@@ -65,8 +65,9 @@
     // When the last start and the last stop command were sent.
     absl::Time startSentAt = absl::InfinitePast();
     absl::Time stopSentAt = absl::InfinitePast();
-    // A start or a stop command was sent and its call has not ended.
-    bool isStartPending = false;
+    // How many start commands were sent whose calls have not ended.
+    int pendingStarts = 0;
+    // A stop command was sent and its call has not ended.
     bool isStopPending = false;
     // The stop commands without a reply since the worker last replied to a poll after it had been silent.
     int unansweredStops = 0;
--- a/src/batch/worker/session_call_type.h
+++ b/src/batch/worker/session_call_type.h
@@ -26,6 +26,8 @@
     bool isRepeated = false;
     // The call renews the lease of everything that runs on the worker.
     bool renewsLease = false;
+    // How long the worker may hold a poll open.
+    absl::Duration wait = absl::ZeroDuration();
     // The last end that a poll acknowledges; 0 if it acknowledges none.
     std::int64_t acknowledgedEnd = 0;
     // Tells apart the calls of a session, counted from 1.
--- a/src/batch/worker/worker_session_base.h
+++ b/src/batch/worker/worker_session_base.h
@@ -217,6 +217,9 @@
         SessionUpdate& update);
     // Handles a call that got no reply, or whose reply shows that it was not executed.
     void handleFailure(const SessionCall& context, const WorkerReply& reply, absl::Time now, SessionUpdate& update);
+    // Whether the worker's process has replied to a command that was sent when this call should have got its reply, or
+    // later.
+    bool hasRepliedSince(const SessionCall& context) const;
     // Handles a start that may have been executed, or did not reach the worker.
     void handleFailedStart(const SessionCall& context, const WorkerReply& reply, SessionUpdate& update);
     void dropUnstartedRun(
@@ -345,6 +348,8 @@
     int m_pendingStarts = 0;
     // When the last poll was sent.
     absl::Time m_polledAt = absl::InfinitePast();
+    // When the latest command was sent that the present process has replied to.
+    absl::Time m_repliedSentAt = absl::InfinitePast();
     // Failed calls since the last reply to a poll.
     int m_failedCalls = 0;
     // At the last failed call no process was listening at the worker's address, or the connection was closed.
--- a/src/batch/worker/worker_session_call_cmd.cpp
+++ b/src/batch/worker/worker_session_call_cmd.cpp
@@ -15,6 +15,9 @@
 constexpr absl::Duration startConfirmationTimeout = absl::Seconds(8);
 // How often that delay doubles for stops: up to 4 s.
 constexpr int maxStopDoublings = 4;
+// A start that is lost is not waited for until its call times out: it is sent again beside it, up to this often.
+// Members of a gang wait for each other for a few seconds only.
+constexpr int maxPendingStartsOfRun = 4;
 // A worker that gets more starts at the same time may not reply to all of them in time.
 constexpr int maxPendingStarts = 32;
 // Interval between polls of a worker that does not reply.
@@ -105,8 +108,8 @@
     }
     // A start renews the lease, so none is sent to a worker that does not reply: its lease has to expire.
     const bool mayStart = m_mayStart && isProcessCertain() && m_processEntry && !isAcknowledgementPending()
-        && m_pendingStarts < maxPendingStarts && !hasRecordedLapse();
-    if (slot.stage != RunSlot::Stage::Starting || slot.isStartPending || !mayStart)
+        && !isClosedToStarts() && m_pendingStarts < maxPendingStarts && !hasRecordedLapse();
+    if (slot.stage != RunSlot::Stage::Starting || slot.pendingStarts >= maxPendingStartsOfRun || !mayStart)
         return absl::InfiniteFuture();
     if (slot.isUnsent())
         return absl::InfinitePast();
@@ -121,7 +124,7 @@
     if (!isClosedToStarts())
         return;
     for (auto& [run, slot] : m_runs) {
-        if (slot.stage != RunSlot::Stage::Starting || slot.isStartPending || slot.isStopWanted)
+        if (slot.stage != RunSlot::Stage::Starting || slot.pendingStarts > 0 || slot.isStopWanted)
             continue;
         slot.isStopWanted = true;
         slot.since = now;
@@ -156,10 +159,14 @@
             continue;
         const auto kind = slot.isStopWanted ? SessionCall::Kind::Stop : SessionCall::Kind::Start;
         const bool isRepeated = !slot.isStopWanted && !slot.isUnsent();
-        (slot.isStopWanted ? slot.stopSentAt : slot.startSentAt) = now;
-        (slot.isStopWanted ? slot.isStopPending : slot.isStartPending) = true;
-        if (kind == SessionCall::Kind::Start)
+        if (kind == SessionCall::Kind::Start) {
+            slot.startSentAt = now;
+            ++slot.pendingStarts;
             ++m_pendingStarts;
+        } else {
+            slot.stopSentAt = now;
+            slot.isStopPending = true;
+        }
         calls.push_back(makeRunCall(kind, run, now));
         calls.back().context.isRepeated = isRepeated;
         calls.back().context.isGivenUp = std::exchange(slot.isGivenUp, false);
@@ -212,7 +219,7 @@
 {
     absl::Time sentAt = absl::InfiniteFuture();
     for (const auto& [run, slot] : m_runs) {
-        if (slot.isStartPending)
+        if (slot.pendingStarts > 0)
             sentAt = std::min(sentAt, slot.startSentAt);
     }
     return sentAt;
@@ -243,6 +250,7 @@
     // though the reply does not.
     if (m_failedCalls == 0 && !hasRecordedLapse())
         grantLease(due, now);
+    due.context.wait = wait;
     due.context.acknowledgedEnd = m_sentAcknowledgedEnd;
     m_commands.recordSent(due.context);
     m_isPollPending = true;
--- a/src/batch/worker/worker_session_lease_cmd.cpp
+++ b/src/batch/worker/worker_session_lease_cmd.cpp
@@ -54,7 +54,7 @@
 
 absl::Time WorkerSession::lapsesAt(const RunKey& run, const RunSlot& slot) const
 {
-    if (slot.stage == RunSlot::Stage::Reserved || slot.isStartPending)
+    if (slot.stage == RunSlot::Stage::Reserved || slot.pendingStarts > 0)
         return absl::InfiniteFuture();
     return std::min(slot.recordedLapse, std::max(m_leaseBound, m_commands.foreignLeaseEnd(run, processOf(run))));
 }
--- a/src/batch/worker/worker_session_list_cmd.cpp
+++ b/src/batch/worker/worker_session_list_cmd.cpp
@@ -115,7 +115,7 @@
 // The run is over unless the worker lists it.
 void WorkerSession::settleStarts(const RunKey& run, RunSlot& slot, absl::Time polledAt)
 {
-    if (!mayStillStart(run) || slot.isStartPending || m_commands.startsMayComeUntil(run) > polledAt)
+    if (!mayStillStart(run) || slot.pendingStarts > 0 || m_commands.startsMayComeUntil(run) > polledAt)
         return;
     const bool hasShown = slot.stage == RunSlot::Stage::Running || slot.stage == RunSlot::Stage::Ended;
     m_commands.settleStarts(run);
--- a/src/batch/worker/worker_session_process_cmd.cpp
+++ b/src/batch/worker/worker_session_process_cmd.cpp
@@ -82,6 +82,7 @@
         m_hasAnswered = false;
         m_workerClock = 0;
         m_clockReadAt = absl::InfinitePast();
+        m_repliedSentAt = absl::InfinitePast();
     }
     m_processStartMs = processStartMs;
     m_processEntry.reset();
--- a/src/batch/worker/worker_session_reply_cmd.cpp
+++ b/src/batch/worker/worker_session_reply_cmd.cpp
@@ -31,7 +31,7 @@
     if (context.kind == SessionCall::Kind::Start)
         --m_pendingStarts;
     if (context.kind == SessionCall::Kind::Start && slot != m_runs.end())
-        slot->second.isStartPending = false;
+        --slot->second.pendingStarts;
     if (context.kind == SessionCall::Kind::Stop && slot != m_runs.end())
         slot->second.isStopPending = false;
     const bool isPollRefused = context.kind == SessionCall::Kind::Poll && reply.refusal != WorkerRefusal::None;
@@ -55,6 +55,8 @@
         return update;
     }
     recordAnswer(context, reply, now, update);
+    if (repliedBy != 0 && repliedBy == m_processStartMs && isProcessCertain())
+        m_repliedSentAt = std::max(m_repliedSentAt, context.sentAt);
     switch (context.kind) {
     case SessionCall::Kind::Start:
         handleStartReply(context, reply, repliedBy, now, update);
@@ -83,7 +85,15 @@
         update.unansweredRenewal = context.processStartMs;
     if (const auto found = m_runs.find(context.run); context.kind == SessionCall::Kind::Stop && found != m_runs.end())
         ++found->second.unansweredStops;
-    recordFailedCall(reply.status, update);
+    if (!mayBeExecuted || !hasRepliedSince(context))
+        recordFailedCall(reply.status, update);
+}
+
+// The loss of one command or of its reply does not show that the worker is silent if the process has replied to a
+// later one.
+bool WorkerSession::hasRepliedSince(const SessionCall& context) const
+{
+    return context.sentAt + context.wait <= m_repliedSentAt;
 }
 
 void WorkerSession::handleFailedStart(const SessionCall& context, const WorkerReply& reply, SessionUpdate& update)
--- a/tests/batch/worker_session_fixture_base.h
+++ b/tests/batch/worker_session_fixture_base.h
@@ -122,6 +122,14 @@
         m_now += absl::Seconds(1);
     }
 
+    // Lets this call of a start fail, and the calls of all its repetitions.
+    void failStarts(const SessionCall& first)
+    {
+        m_session.handleReply(first, noAnswer(), m_now);
+        while (isDue(SessionCall::Kind::Start))
+            m_session.handleReply(due(SessionCall::Kind::Start).context, noAnswer(), m_now);
+    }
+
     // Starts a run; its call fails at once. Returns until when the start may still be executed.
     absl::Time leaveStartWithoutReply(const RunKey& run = runOf(0))
     {
