Fix: the list that ends a doubt is asked for late

A start without a reply is over once a list that was asked for after its last possible execution does not show the run.

A poll is held open until that moment at most, and the next one is due then and not held open.

One of the random histories with workers that obey any epoch reports a violation on this commit, looked at next.

--- a/src/batch/worker/worker_session_base.h
+++ b/src/batch/worker/worker_session_base.h
@@ -284,11 +284,16 @@
     void handleEndedRow(const EndedRow& row, absl::Time now, SessionUpdate& update);
     void dropUnlistedRuns(const SessionCall& context, const WorkerReply& reply, SessionUpdate& update);
     bool isPollDue(absl::Time now) const;
+    // When the next poll is due: at the latest when a list may settle a start in doubt.
     absl::Time nextPollAt() const;
+    absl::Time nextUsualPollAt() const;
+    // When the first of the starts without a reply cannot be executed any more, so that the next list settles it; the
+    // infinite future if there is none.
+    absl::Time nextSettlement() const;
     // Whether the session has a run that the worker may be running: any but the reserved ones.
     bool hasLiveRuns() const;
     // How long the worker may hold the next poll open.
-    absl::Duration nextPollWait() const;
+    absl::Duration nextPollWait(absl::Time now) const;
     DueCall makePoll(absl::Time now);
     DueCall makeRunCall(SessionCall::Kind kind, const RunKey& run, absl::Time now);
     WorkerCall makeCall(absl::Duration timeout) const;
--- a/src/batch/worker/worker_session_call_cmd.cpp
+++ b/src/batch/worker/worker_session_call_cmd.cpp
@@ -51,7 +51,27 @@
         m_runs.begin(), m_runs.end(), [](const auto& entry) { return entry.second.stage != RunSlot::Stage::Reserved; });
 }
 
+absl::Time WorkerSession::nextSettlement() const
+{
+    absl::Time next = absl::InfiniteFuture();
+    if (!m_commands.mayStartAny())
+        return next;
+    for (const auto& [run, slot] : m_runs) {
+        const absl::Time until = m_commands.startsMayComeUntil(run);
+        if (slot.pendingStarts == 0 && until != absl::InfinitePast())
+            next = std::min(next, until);
+    }
+    return next;
+}
+
 absl::Time WorkerSession::nextPollAt() const
+{
+    const absl::Time usual = nextUsualPollAt();
+    const absl::Time settlement = usual == absl::InfiniteFuture() ? usual : nextSettlement();
+    return settlement > m_polledAt ? std::min(usual, settlement) : usual;
+}
+
+absl::Time WorkerSession::nextUsualPollAt() const
 {
     if (m_isPollPending || !hasAddress() || m_claim.isTakenOver())
         return absl::InfiniteFuture();
@@ -83,7 +103,7 @@
     return nextPollAt() <= now;
 }
 
-absl::Duration WorkerSession::nextPollWait() const
+absl::Duration WorkerSession::nextPollWait(absl::Time now) const
 {
     // Starts wait for the reply to an acknowledgement.
     const bool mayWait = isProcessCertain() && !hasRecordedLapse() && m_listedEnds.empty() && hasLiveRuns()
@@ -93,8 +113,10 @@
         [this](const auto& entry) { return entry.second.isStopConfirmed && entry.second.confirmedAt >= m_polledAt; });
     if (!mayWait || isPollAwaited)
         return absl::ZeroDuration();
+    // The list that settles a start in doubt is asked for once the start cannot be executed any more.
+    const absl::Duration untilSettlement = std::max(absl::ZeroDuration(), nextSettlement() - now);
     // The runs of a draining worker have to be reviewed often.
-    return m_entry.isDraining ? m_settings.pollWait : m_pollWait;
+    return std::min(m_entry.isDraining ? m_settings.pollWait : m_pollWait, untilSettlement);
 }
 
 absl::Time WorkerSession::commandDueAt(const RunSlot& slot) const
@@ -242,7 +264,7 @@
 
 DueCall WorkerSession::makePoll(absl::Time now)
 {
-    const absl::Duration wait = nextPollWait();
+    const absl::Duration wait = nextPollWait(now);
     DueCall due { { SessionCall::Kind::Poll, RunKey(), now, calledProcessStart() }, makeCall(wait + callTimeout) };
     m_sentAcknowledgedEnd = nextAcknowledgement();
     due.call.command = PollRuns { m_sentAcknowledgedEnd, wait };
--- a/tests/batch/worker_session_start_test.cpp
+++ b/tests/batch/worker_session_start_test.cpp
@@ -88,6 +88,26 @@
     EXPECT_EQ(answerPoll(answerOf(19000)).ended.size(), 1U);
 }
 
+// Guards against a job that waits longer than the doubt lasts: the poll before was held open past its end.
+TEST_F(WorkerSessionTest, AsksForAListOnceAStartCannotBeExecutedAnyMore)
+{
+    settle();
+    const absl::Time until = leaveStartWithoutReply();
+    m_session.stop(runOf(0), m_now);
+    m_session.handleReply(due(SessionCall::Kind::Stop).context, answerOf(5100), m_now);
+    while (m_now < until) {
+        const DueCall poll = due(SessionCall::Kind::Poll);
+        const absl::Duration wait = std::get<PollRuns>(poll.call.command).wait;
+        EXPECT_LE(m_now + wait, until);
+        m_now += std::max(wait, absl::Milliseconds(1));
+        m_session.handleReply(poll.context, answerOf(5000 + absl::ToInt64Milliseconds(m_now - start)), m_now);
+    }
+    const DueCall poll = due(SessionCall::Kind::Poll);
+    EXPECT_EQ(std::get<PollRuns>(poll.call.command).wait, absl::ZeroDuration());
+    const WorkerReply list = answerOf(5000 + absl::ToInt64Milliseconds(m_now - start));
+    EXPECT_EQ(m_session.handleReply(poll.context, list, m_now).ended.size(), 1U);
+}
+
 // Lets the run of a repeated start end in this way; the first start got no reply. Returns until when it may be
 // executed.
 class RepeatedStart : public WorkerSessionTest {
