Fix: a repetition that the next process has executed is taken for settled

Both sendings of a start were answered, the first by the process that then ended, the second by the next one; the replies to starts name no process, so nothing was in doubt any more, and the run was ended with the old process while the new one ran it.

If a start was sent more than once and a reply may come from another process, that sending counts as one without a reply.

--- a/src/batch/worker/run_slot_type.h
+++ b/src/batch/worker/run_slot_type.h
@@ -67,6 +67,8 @@
     absl::Time stopSentAt = absl::InfinitePast();
     // How many start commands were sent whose calls have not ended.
     int pendingStarts = 0;
+    // The start was sent more than once, so that two processes may have executed it.
+    bool isStartRepeated = false;
     // A stop command was sent and its call has not ended.
     bool isStopPending = false;
     // The stop commands without a reply since the worker last replied to a poll after it had been silent.
--- a/src/batch/worker/worker_session_base.h
+++ b/src/batch/worker/worker_session_base.h
@@ -215,6 +215,8 @@
     // Handles the reply of this process, given by its start, to a start; 0 if it is unknown which has replied.
     void handleStartReply(const SessionCall& context, const WorkerReply& reply, std::int64_t repliedBy, absl::Time now,
         SessionUpdate& update);
+    // Whether a start was executed by a process other than the one that may have executed an earlier sending of it.
+    bool mayBeOneOfTwoRuns(const SessionCall& context, const WorkerReply& reply, std::int64_t repliedBy) const;
     // Handles a call that got no reply, or whose reply shows that it was not executed.
     void handleFailure(const SessionCall& context, const WorkerReply& reply, absl::Time now, SessionUpdate& update);
     // Whether the worker's process has replied to a command that was sent when this call should have got its reply, or
--- a/src/batch/worker/worker_session_call_cmd.cpp
+++ b/src/batch/worker/worker_session_call_cmd.cpp
@@ -191,6 +191,7 @@
         }
         calls.push_back(makeRunCall(kind, run, now));
         calls.back().context.isRepeated = isRepeated;
+        slot.isStartRepeated = slot.isStartRepeated || isRepeated;
         calls.back().context.isGivenUp = std::exchange(slot.isGivenUp, false);
     }
     if (isPollDue(now))
--- a/src/batch/worker/worker_session_reply_cmd.cpp
+++ b/src/batch/worker/worker_session_reply_cmd.cpp
@@ -44,7 +44,10 @@
         return update;
     }
     const std::int64_t repliedBy = replyingProcess(reply, now);
-    m_commands.recordReply(context, repliedBy, now);
+    if (mayBeOneOfTwoRuns(context, reply, repliedBy))
+        m_commands.recordNoReply(context, now);
+    else
+        m_commands.recordReply(context, repliedBy, now);
     // The reply comes from an earlier process of the worker. One that does not name its process is taken for a reply of
     // the called one.
     const std::int64_t namedProcess = reply.processStartMs != 0 ? reply.processStartMs : context.processStartMs;
@@ -71,6 +74,16 @@
     return update;
 }
 
+// An unknown process has executed the start, and the present one may have executed an earlier sending: what the present
+// one lists says nothing of the other run.
+bool WorkerSession::mayBeOneOfTwoRuns(
+    const SessionCall& context, const WorkerReply& reply, std::int64_t repliedBy) const
+{
+    const auto slot = m_runs.find(context.run);
+    return context.kind == SessionCall::Kind::Start && reply.refusal == WorkerRefusal::None && repliedBy == 0
+        && slot != m_runs.end() && slot->second.isStartRepeated;
+}
+
 void WorkerSession::handleFailure(
     const SessionCall& context, const WorkerReply& reply, absl::Time now, SessionUpdate& update)
 {
--- a/tests/batch/worker_session_start_test.cpp
+++ b/tests/batch/worker_session_start_test.cpp
@@ -88,6 +88,28 @@
     EXPECT_EQ(answerPoll(answerOf(19000)).ended.size(), 1U);
 }
 
+// Guards against a second run of a task: the process that has confirmed the first sending ends, and the next one
+// executes the second sending, whose reply names no process.
+TEST_F(WorkerSessionTest, KeepsARunWhoseRepetitionTheNextProcessMayHaveExecuted)
+{
+    settle();
+    const SessionCall first = startRun(runOf(0));
+    m_now += absl::Milliseconds(250);
+    const SessionCall second = due(SessionCall::Kind::Start).context;
+    m_session.handleReply(first, answerOf(5250), m_now);
+    WorkerReply ofUnknownProcess;
+    ofUnknownProcess.clock = 77;
+    m_session.handleReply(second, ofUnknownProcess, m_now);
+    WorkerReply list = answerOf(5250);
+    list.ended = { { 1, runOf(0), RunEnd::Failed, "" } };
+    EXPECT_TRUE(answerPoll(list).ended.empty());
+    m_now += absl::Milliseconds(250);
+    list = listOfNextProcess();
+    list.running = { { runOf(0), "", 10 } };
+    EXPECT_TRUE(answerPoll(list).ended.empty());
+    EXPECT_EQ(m_session.runs().at(runOf(0)).stage, RunSlot::Stage::Running);
+}
+
 // Guards against a job that waits longer than the doubt lasts: the poll before was held open past its end.
 TEST_F(WorkerSessionTest, AsksForAListOnceAStartCannotBeExecutedAnyMore)
 {
