Fix: a request does not arrive after its call has timed out

Cause: the HTTP client ended a timed-out transfer with an orderly close of its connection. The system kept what was not delivered yet and went on sending it, so a request behind a partition or a full window could reach its server seconds after its caller had counted the call as over. Callers (outstanding_commands_base) count from the end of the call.

Change: CurlSocketRegistry::close sets SO_LINGER with a time of zero, so that the connection is reset and the system drops what was not delivered. All connections that the client closes are closed so, not only those of failed transfers: such a connection is idle, or its peer has closed it, or its transfer was ended. An idle one has had its whole response, nothing in it waits for delivery. The library closes some connections of failed transfers before it tells of the failure, and the number of a closed socket may be that of another by then, so a mark for each socket could be wrong; without one, none of them is missed. What changes for the server of an idle connection: it reads ECONNRESET instead of the end, and a reset that the network loses is not repeated as an orderly end is, so that it keeps that connection until it writes to it or gives it up by itself. Not covered: what the server's system has already got, and a process that exits without closing its clients.

--- a/src/adapters/http/curl_http_client_base.h
+++ b/src/adapters/http/curl_http_client_base.h
@@ -33,9 +33,9 @@
 };
 
 // HTTP client on libcurl with one thread for all requests. When a request times out, all idle connections to its host
-// are shut down, because established connections may have stopped working while new ones still work. A request whose
-// deadline has passed before it could be sent is not sent any more, so that a process that was suspended does not act
-// on old decisions.
+// are shut down, because established connections may have stopped working while new ones still work. Its own connection
+// is reset, so that no part of the request arrives after its end. A request whose deadline has passed before it could
+// be sent is not sent any more, so that a process that was suspended does not act on old decisions.
 class CurlHttpClient : public HttpClient {
 public:
     // The clock must outlive the client.
--- a/src/adapters/http/curl_socket_registry_base.cpp
+++ b/src/adapters/http/curl_socket_registry_base.cpp
@@ -38,6 +38,9 @@
 int CurlSocketRegistry::close(int socket)
 {
     remove(socket);
+    // After an orderly close, the system would go on sending what was not delivered.
+    constexpr linger reset = { 1, 0 };
+    static_cast<void>(::setsockopt(socket, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset)));
     return ::close(socket);
 }
 
--- a/src/adapters/http/curl_socket_registry_base.h
+++ b/src/adapters/http/curl_socket_registry_base.h
@@ -17,7 +17,8 @@
 public:
     // Registers a connected socket of a host, unless it is not bound to this local port. Returns whether it is.
     bool add(absl::string_view host, int socket, std::uint16_t port);
-    // Closes and unregisters a socket. Returns the result of the system call: 0, or -1 on failure.
+    // Resets the connection of a socket, so that what its peer has not got by now does not arrive later, and closes and
+    // unregisters the socket. Returns the result of the system call: 0, or -1 on failure.
     int close(int socket);
 
     // Returns the host's socket that is bound to this local port; -1 if there is none.
