Test: processor times of the HTTP client are compared on one processor

But the threads of the two clients mostly stayed on different processors for all tries, and the same work takes more time on some processors than on others. Traced with the processor of each try: the client alone took 3.3 ms for 100 calls on processor 4 in two tries and 2.45 ms on 7 from the third on; both clients on one took 2.42 and 2.47 ms. In other runs the times of either client were near 1.2, 2.0 or 2.7 ms, for many tries in a row. Beside four busy processes, the ratio was 0.82 to 1.86 in 30 runs, and 0.49 to 1.99 in 100 more (limit 2; none of them failed, so the failure itself was not reproduced), without relation to the number of hosts in the group that is called. It hid cost as well: with one cache for all hosts planted (maxGroups = 1), it failed in 1 of 30 runs, and that by chance. With 900 hosts and both threads on one processor, the ratio with that fault was 1.19 to 1.72 in 30 runs; the remark that it was over the limit did not hold here.

Change: the threads of both clients are tied to one processor before they are measured, also in TakesNoLongerBesideCallsThatWait. The limit of 2, the nine tries in turn and the smallest of each kind stay. There are 3600 hosts instead of 900, with a limit of idle connections that keeps them all, so that the planted fault is over the limit: the test is stricter than before.

--- a/tests/adapters/http/curl_http_client_test.cpp
+++ b/tests/adapters/http/curl_http_client_test.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <ctime>
+#include <sched.h>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
@@ -53,11 +54,15 @@
         return waiter.wait();
     }
 
-    // Processor times of the threads of two clients for the same number of consecutive calls. The clients are measured
-    // in turn, and each time is the minimum of several tries, since other processes on the machine increase it.
+    // Processor times of the threads of two clients for the same number of consecutive calls. Both threads stay on one
+    // processor, since the same work takes longer on one whose neighbours are busy. The clients are measured in turn,
+    // and each time is the minimum of several tries, since other processes on the machine increase it.
     std::pair<absl::Duration, absl::Duration> processorTimesOfCalls(HttpClient& first, HttpClient& second)
     {
         constexpr int tryCount = 9;
+        const int processor = sched_getcpu();
+        keepOnProcessor(first, processor);
+        keepOnProcessor(second, processor);
         std::pair<absl::Duration, absl::Duration> least { absl::InfiniteDuration(), absl::InfiniteDuration() };
         for (int count = 0; count < tryCount; ++count) {
             least.first = std::min(least.first, processorTimeOfCalls(first));
@@ -66,6 +71,21 @@
         return least;
     }
 
+    // Makes one call whose callback ties the client's thread to a processor.
+    void keepOnProcessor(HttpClient& client, int processor)
+    {
+        ResponseWaiter waiter;
+        client.send(
+            makeRequest("/echo", ""), [processor, done = waiter.done()](const absl::StatusOr<HttpResponse>& response) {
+                cpu_set_t processors;
+                CPU_ZERO(&processors);
+                CPU_SET(processor, &processors);
+                EXPECT_EQ(sched_setaffinity(0, sizeof(processors), &processors), 0);
+                done(response);
+            });
+        EXPECT_TRUE(waiter.wait().ok());
+    }
+
     // Processor time of the client's thread for a number of consecutive calls.
     absl::Duration processorTimeOfCalls(HttpClient& client)
     {
@@ -213,15 +233,17 @@
         EXPECT_TRUE(waiter.wait().ok());
 }
 
-// Load of a large site: an owner has a connection to each of hundreds of workers. Guards against a cost for each call
+// Load of a large site: an owner has a connection to each of many workers. Guards against a cost for each call
 // that grows with the number of hosts: the library examines all connections of a cache at the end of each transfer.
 TEST_F(CurlManyHostsTest, TakesNoLongerBesideConnectionsToManyHosts)
 {
-    constexpr int hostCount = 900;
-    // As above; with one cache for all hosts the ratio was larger.
+    // So many that the ratio is 3 to 7 with one cache for all hosts; with 900 it is less than 2.
+    constexpr int hostCount = 3600;
     constexpr double maxRatio = 2;
-    CurlHttpClient idleClient(m_clock, {});
-    CurlHttpClient client(m_clock, {});
+    CurlHttpClientOptions options;
+    options.idleConnections = 4500;
+    CurlHttpClient idleClient(m_clock, options);
+    CurlHttpClient client(m_clock, options);
     for (int host = 0; host < hostCount; ++host)
         ASSERT_TRUE(call(client, requestTo(host, "/echo")).ok());
     const auto [alone, beside] = processorTimesOfCalls(idleClient, client);
