--- a/tests/batch/simulated_workers_base.h
+++ b/tests/batch/simulated_workers_base.h
@@ -112,8 +112,8 @@
     // stopped.
     void setObeysAnyEpoch(bool obeysAnyEpoch) { m_obeysAnyEpoch = obeysAnyEpoch; }
     void setForgetsStops(bool forgetsStops) { m_forgetsStops = forgetsStops; }
-    // Let the workers break the platform's rules: to execute a command later than it may be, and to execute a start
-    // that they have replied to once more, seconds later.
+    // Let the workers break the platform's rules: to execute a command longer after its arrival than they may, and to
+    // execute a start that they have replied to once more, seconds later.
     void setLongestDelay(absl::Duration delay) { m_longestDelay = delay; }
     void setRepeatsStarts(bool repeatsStarts) { m_repeatsStarts = repeatsStarts; }
     // Lets workers go on with what they run once another one has taken over their address, which no worker can.
