Codechange: tests of worker faults share how a job is started and checked

The start of a job whose tasks run for a given time stood in ten tests, the names of all workers, the drain of a rack and the check of its runs in two each. startJob, allWorkers, drainFirstRack, expectRunsOnSecondRackOnly and the expectCompleted that was there serve now; what each test checks is the same.

--- a/tests/batch/batch_worker_fault_test.cpp
+++ b/tests/batch/batch_worker_fault_test.cpp
@@ -1,6 +1,8 @@
 // Workers that are cut off, restart, drain, or execute commands late.
 #include <map>
+#include <set>
 #include <string>
+#include <vector>
 
 #include "absl/strings/str_cat.h"
 #include "batch/batch_cluster_base.h"
@@ -12,6 +14,37 @@
 const std::string path = "/batch/00000000000000a1";
 const std::string id = "00000000000000a1";
 
+// Submits the job, whose tasks run for `runTime` each, and lets a second pass.
+void startJob(BatchCluster& cluster, absl::Duration runTime, const JobSpec& spec)
+{
+    cluster.workers().setRunTime(spec.payload, runTime);
+    cluster.submit(0, path, spec);
+    cluster.runFor(absl::Seconds(1));
+}
+
+// The names of all workers: four in each of two racks.
+std::vector<std::string> allWorkers()
+{
+    std::vector<std::string> names;
+    for (int worker = 0; worker < 8; ++worker)
+        names.push_back(absl::StrCat("w", worker / 4, worker % 4));
+    return names;
+}
+
+// Lets the workers of the first rack drain for `time`.
+void drainFirstRack(BatchCluster& cluster, absl::Duration time)
+{
+    for (int worker = 0; worker < 4; ++worker)
+        cluster.workers().drain(absl::StrCat("w0", worker), time);
+}
+
+// Expects that every run so far was on a worker of the second rack.
+void expectRunsOnSecondRackOnly(BatchCluster& cluster)
+{
+    for (const RecordedRun& run : cluster.workers().recordedRuns())
+        EXPECT_EQ(run.worker.substr(0, 2), "w1");
+}
+
 // Expects that the job is completed and that no worker has seen a rule broken.
 void expectCompleted(BatchCluster& cluster)
 {
@@ -22,9 +55,7 @@
 TEST(BatchWorkerFault, RestartsTasksOfACutOffWorkerOnceItsLeaseMustHaveExpired)
 {
     BatchCluster cluster;
-    cluster.workers().setRunTime("long", absl::Seconds(20));
-    cluster.submit(0, path, tasksOf("long", 1, 1));
-    cluster.runFor(absl::Seconds(1));
+    startJob(cluster, absl::Seconds(20), tasksOf("long", 1, 1));
     ASSERT_EQ(cluster.workers().recordedRuns().size(), 1U);
     cluster.workers().setCutOff(cluster.workers().recordedRuns().front().worker, true);
     cluster.runFor(absl::Seconds(60));
@@ -34,9 +65,7 @@
 TEST(BatchWorkerFault, RestartsTasksOfARestartedWorkerAtOnce)
 {
     BatchCluster cluster;
-    cluster.workers().setRunTime("long", absl::Seconds(3));
-    cluster.submit(0, path, tasksOf("long", 1, 1));
-    cluster.runFor(absl::Seconds(1));
+    startJob(cluster, absl::Seconds(3), tasksOf("long", 1, 1));
     cluster.workers().restart(cluster.workers().recordedRuns().front().worker);
     cluster.runFor(absl::Seconds(5));
     EXPECT_EQ(cluster.phaseOf(path), JobPhase::Completed);
@@ -48,10 +77,8 @@
 TEST(BatchWorkerFault, RestartsATaskOnceAnotherWorkerHasTakenOverAnAddress)
 {
     BatchCluster cluster;
-    cluster.workers().setRunTime("long", absl::Seconds(3));
     cluster.workers().setCutOff("w00", true);
-    cluster.submit(0, path, tasksOf("long", 8, 8));
-    cluster.runFor(absl::Seconds(1));
+    startJob(cluster, absl::Seconds(3), tasksOf("long", 8, 8));
     cluster.workers().replace("w00", "w00-next", absl::Seconds(1));
     cluster.runFor(absl::Seconds(2));
     cluster.workers().setCutOff("w00-next", false);
@@ -63,10 +90,8 @@
 TEST(BatchWorkerFault, RestartsATaskOfAnEarlierOwnerOnceAnAddressIsTakenOver)
 {
     BatchCluster cluster;
-    cluster.workers().setRunTime("long", absl::Seconds(3));
     cluster.workers().setCutOff("w00", true);
-    cluster.submit(0, path, tasksOf("long", 8, 8));
-    cluster.runFor(absl::Seconds(1));
+    startJob(cluster, absl::Seconds(3), tasksOf("long", 8, 8));
     cluster.workers().replace("w00", "w00-next", absl::Seconds(1));
     cluster.kill(cluster.owner());
     cluster.runFor(absl::Seconds(2));
@@ -79,9 +104,7 @@
 TEST(BatchWorkerFault, RunsNothingTwiceWhenCallsAreRefusedAtAnAddressThatNobodyHasTakenOver)
 {
     BatchCluster cluster;
-    cluster.workers().setRunTime("long", absl::Seconds(9));
-    cluster.submit(0, path, tasksOf("long", 8, 8));
-    cluster.runFor(absl::Seconds(1));
+    startJob(cluster, absl::Seconds(9), tasksOf("long", 8, 8));
     cluster.workers().setMisdirected("w00", true);
     cluster.runFor(absl::Seconds(40));
     expectCompleted(cluster);
@@ -92,10 +115,8 @@
 TEST(BatchWorkerFault, RunsNothingTwiceWhenAReplacedWorkerReturns)
 {
     BatchCluster cluster;
-    cluster.workers().setRunTime("long", absl::Seconds(20));
     cluster.workers().setLateCommands(0.5);
-    cluster.submit(0, path, tasksOf("long", 6, 8));
-    cluster.runFor(absl::Seconds(1));
+    startJob(cluster, absl::Seconds(20), tasksOf("long", 6, 8));
     cluster.workers().setLateCommands(0);
     cluster.workers().replace("w00", "w00-next", absl::Milliseconds(500));
     cluster.runFor(absl::Seconds(15));
@@ -111,14 +132,13 @@
     BatchCluster cluster;
     cluster.workers().setRunTime("long", absl::Seconds(6));
     cluster.runFor(absl::Seconds(1));
-    for (int worker = 0; worker < 8; ++worker)
-        cluster.workers().restart(absl::StrCat("w", worker / 4, worker % 4), absl::Seconds(1));
+    for (const std::string& worker : allWorkers())
+        cluster.workers().restart(worker, absl::Seconds(1));
     cluster.runFor(absl::Milliseconds(100));
     cluster.submit(0, path, tasksOf("long", 4, 8));
     cluster.runFor(absl::Seconds(30));
-    EXPECT_EQ(cluster.phaseOf(path), JobPhase::Completed);
+    expectCompleted(cluster);
     EXPECT_EQ(cluster.workers().startCount(id), 4);
-    EXPECT_TRUE(cluster.workers().violations().empty()) << cluster.workers().violations().front();
 }
 
 // Guards against a task that is started again after it was done: the poll that acknowledges an end of the earlier
@@ -132,23 +152,20 @@
     cluster.submit(0, "/batch/00000000000000b2", tasksOf("first", 8, 3));
     cluster.runFor(absl::Milliseconds(1300));
     ASSERT_EQ(cluster.phaseOf("/batch/00000000000000b2"), JobPhase::Completed);
-    for (int worker = 0; worker < 8; ++worker)
-        cluster.workers().losePower(absl::StrCat("w", worker / 4, worker % 4), absl::Milliseconds(1350));
+    for (const std::string& worker : allWorkers())
+        cluster.workers().losePower(worker, absl::Milliseconds(1350));
     cluster.runFor(absl::Milliseconds(100));
     cluster.submit(0, path, tasksOf("short", 8, 3));
     cluster.runFor(absl::Seconds(60));
-    EXPECT_EQ(cluster.phaseOf(path), JobPhase::Completed);
+    expectCompleted(cluster);
     EXPECT_EQ(cluster.workers().startCount(id), 8);
-    EXPECT_TRUE(cluster.workers().violations().empty()) << cluster.workers().violations().front();
 }
 
 // A gang with a member on a draining worker is restarted on other workers soon after that worker is gone.
 TEST(BatchWorkerFault, RestartsAGangWhoseMembersWorkerLeft)
 {
     BatchCluster cluster;
-    cluster.workers().setRunTime("long", absl::Seconds(6));
-    cluster.submit(0, path, gangOf("long", 4, 8));
-    cluster.runFor(absl::Seconds(1));
+    startJob(cluster, absl::Seconds(6), gangOf("long", 4, 8));
     cluster.workers().drain(cluster.workers().recordedRuns().front().worker, absl::Seconds(1));
     cluster.runFor(absl::Seconds(12));
     expectCompleted(cluster);
@@ -157,13 +174,11 @@
 TEST(BatchWorkerFault, StartsNothingOnAWorkerThatDrains)
 {
     BatchCluster cluster;
-    for (int worker = 0; worker < 4; ++worker)
-        cluster.workers().drain("w0" + std::to_string(worker), absl::Seconds(20));
+    drainFirstRack(cluster, absl::Seconds(20));
     cluster.runFor(absl::Milliseconds(200));
     cluster.submit(0, path, tasksOf("p", 6, 8));
     cluster.runFor(absl::Seconds(6));
-    for (const RecordedRun& run : cluster.workers().recordedRuns())
-        EXPECT_EQ(run.worker.substr(0, 2), "w1");
+    expectRunsOnSecondRackOnly(cluster);
     EXPECT_EQ(cluster.phaseOf(path), JobPhase::Completed);
 }
 
@@ -173,8 +188,7 @@
 {
     BatchCluster cluster;
     cluster.store().setWatchDelay(Collection::Workers, absl::Seconds(5));
-    for (int worker = 0; worker < 4; ++worker)
-        cluster.workers().drain("w0" + std::to_string(worker), absl::Seconds(60));
+    drainFirstRack(cluster, absl::Seconds(60));
     cluster.runFor(absl::Seconds(4));
     cluster.submit(0, path, tasksOf("p", 6, 8));
     cluster.runFor(absl::Seconds(6));
@@ -182,8 +196,7 @@
     cluster.store().setWatchDelay(Collection::Workers, absl::ZeroDuration());
     cluster.runFor(absl::Seconds(6));
     EXPECT_EQ(cluster.workers().recordedRuns().size(), 6U);
-    for (const RecordedRun& run : cluster.workers().recordedRuns())
-        EXPECT_EQ(run.worker.substr(0, 2), "w1");
+    expectRunsOnSecondRackOnly(cluster);
     EXPECT_EQ(cluster.phaseOf(path), JobPhase::Completed);
 }
 
@@ -202,9 +215,7 @@
 TEST(BatchWorkerFault, MovesRunsThatWouldOutlastTheirDrainingWorkers)
 {
     BatchCluster cluster;
-    cluster.workers().setRunTime("long", absl::Seconds(8));
-    cluster.submit(0, path, tasksOf("long", 4, 8, absl::Seconds(8)));
-    cluster.runFor(absl::Seconds(1));
+    startJob(cluster, absl::Seconds(8), tasksOf("long", 4, 8, absl::Seconds(8)));
     ASSERT_EQ(cluster.workers().recordedRuns().size(), 4U);
     std::set<std::string> drained;
     for (int run = 0; run < 2; ++run) {
@@ -223,13 +234,11 @@
 TEST(BatchWorkerFault, KeepsRunsThatEndBeforeTheirDrainingWorker)
 {
     BatchCluster cluster;
-    cluster.workers().setRunTime("short", absl::Seconds(4));
-    cluster.submit(0, path, tasksOf("short", 4, 8, absl::Seconds(4)));
-    cluster.runFor(absl::Seconds(1));
+    startJob(cluster, absl::Seconds(4), tasksOf("short", 4, 8, absl::Seconds(4)));
     for (int run = 0; run < 2; ++run)
         cluster.workers().drain(cluster.workers().recordedRuns()[run].worker, absl::Seconds(5));
     cluster.runFor(absl::Seconds(8));
-    EXPECT_EQ(cluster.workers().startCount("00000000000000a1"), 4);
+    EXPECT_EQ(cluster.workers().startCount(id), 4);
     EXPECT_EQ(cluster.phaseOf(path), JobPhase::Completed);
 }
 
@@ -238,9 +247,7 @@
 TEST(BatchWorkerFault, RunsNothingTwiceWhenADrainingWorkerIsIsolated)
 {
     BatchCluster cluster;
-    cluster.workers().setRunTime("long", absl::Seconds(9));
-    cluster.submit(0, path, tasksOf("long", 1, 1, absl::Seconds(9)));
-    cluster.runFor(absl::Seconds(1));
+    startJob(cluster, absl::Seconds(9), tasksOf("long", 1, 1, absl::Seconds(9)));
     ASSERT_EQ(cluster.workers().recordedRuns().size(), 1U);
     const std::string worker = cluster.workers().recordedRuns().front().worker;
     cluster.workers().drain(worker, absl::Seconds(30));
