Codechange: both strict JSON readers find their fields in one class

ObjectReader and SettingsReader each held the object, its path and the fields that were asked for, with their own find, pathOf, search for unknown fields and, in SettingsReader, range check of integers. JsonFields and integerInRange serve now; each reader keeps its own rule for errors (the first one, or all).

--- a/src/adapters/json/object_reader_base.cpp
+++ b/src/adapters/json/object_reader_base.cpp
@@ -17,11 +17,10 @@
 } // namespace
 
 ObjectReader::ObjectReader(const nlohmann::json& object, absl::string_view path)
-    : m_object(object)
-    , m_path(path)
+    : m_fields(object, path)
 {
-    if (!object.is_object()) {
-        const absl::string_view name = m_path.empty() ? "the JSON value" : absl::string_view(m_path);
+    if (!m_fields.isObject()) {
+        const absl::string_view name = path.empty() ? "the JSON value" : path;
         m_status = makeError(ErrorKind::InvalidValue, absl::StrCat(name, ": must be an object"));
     }
 }
@@ -107,41 +106,26 @@
 
 const nlohmann::json* ObjectReader::find(absl::string_view field)
 {
-    m_readFields.emplace(field);
-    if (!m_status.ok() || !has(field))
-        return nullptr;
-    return &m_object.at(std::string(field));
+    const nlohmann::json* value = m_fields.find(field);
+    return m_status.ok() ? value : nullptr;
 }
 
 void ObjectReader::require(absl::string_view field)
 {
-    if (m_status.ok() && !has(field))
+    if (m_status.ok() && !m_fields.has(field))
         fail(field, "must be given");
 }
 
-std::string ObjectReader::pathOf(absl::string_view field) const
-{
-    if (m_path.empty())
-        return std::string(field);
-    return absl::StrCat(m_path, ".", field);
-}
-
 absl::Status ObjectReader::finish()
 {
     if (!m_status.ok())
         return m_status;
-    for (const auto& item : m_object.items()) {
-        if (m_readFields.find(item.key()) == m_readFields.end())
-            return makeError(ErrorKind::UnknownField, absl::StrCat(pathOf(item.key()), ": unknown field"));
-    }
+    const std::vector<std::string> unread = m_fields.unreadNames();
+    if (!unread.empty())
+        return makeError(ErrorKind::UnknownField, absl::StrCat(pathOf(unread.front()), ": unknown field"));
     return absl::OkStatus();
 }
 
-bool ObjectReader::has(absl::string_view field) const
-{
-    return m_object.contains(std::string(field));
-}
-
 void ObjectReader::fail(absl::string_view field, absl::string_view rule)
 {
     if (m_status.ok())
--- a/src/adapters/json/object_reader_base.h
+++ b/src/adapters/json/object_reader_base.h
@@ -2,7 +2,6 @@
 #pragma once
 
 #include <cstdint>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -11,6 +10,7 @@
 #include "absl/time/time.h"
 #include "absl/types/optional.h"
 #include "absl/types/span.h"
+#include "adapters/json/json_fields_base.h"
 #include "core/name_type.h"
 #include "nlohmann/json.hpp"
 
@@ -62,7 +62,7 @@
     {
         std::string text;
         read(field, text);
-        if (!m_status.ok() || !has(field))
+        if (!m_status.ok() || !m_fields.has(field))
             return;
         for (const EnumeratorName<Value>& row : names) {
             if (row.name == text) {
@@ -81,7 +81,7 @@
     void require(absl::string_view field);
 
     // The path of a field, as used in messages.
-    std::string pathOf(absl::string_view field) const;
+    std::string pathOf(absl::string_view field) const { return m_fields.pathOf(field); }
 
     // The first error so far. Unknown fields are not checked.
     const absl::Status& status() const { return m_status; }
@@ -91,17 +91,13 @@
     absl::Status finish();
 
 private:
-    bool has(absl::string_view field) const;
     // Records InvalidValue with the message "path: rule", unless an earlier error is recorded.
     void fail(absl::string_view field, absl::string_view rule);
     // The value of an integer field. Empty if the field is absent, or if it is not an integer from `minimum` to
     // `maximum`, which is recorded as an error.
     absl::optional<std::int64_t> findInteger(absl::string_view field, std::int64_t minimum, std::int64_t maximum);
 
-    const nlohmann::json& m_object;
-    std::string m_path;
-    // The names of the fields that a read function asked for.
-    std::set<std::string> m_readFields;
+    JsonFields m_fields;
     absl::Status m_status;
 };
 
--- a/src/adapters/settings/settings_reader_base.cpp
+++ b/src/adapters/settings/settings_reader_base.cpp
@@ -5,6 +5,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_join.h"
+#include "adapters/json/json_number_func.h"
 
 namespace mangohall {
 
@@ -12,25 +13,19 @@
 
 const nlohmann::json emptyObject = nlohmann::json::object();
 
-const nlohmann::json& asObject(const nlohmann::json& value)
-{
-    return value.is_object() ? value : emptyObject;
-}
-
 } // namespace
 
 SettingsReader::SettingsReader(const nlohmann::json& object, absl::string_view path, std::vector<SettingsFault>& faults)
-    : m_object(asObject(object))
-    , m_path(path)
+    : m_fields(object, path)
     , m_faults(faults)
 {
-    if (!object.is_object())
-        m_faults.push_back({ m_path, "must be an object" });
+    if (!m_fields.isObject())
+        m_faults.push_back({ m_fields.path(), "must be an object" });
 }
 
 void SettingsReader::requireText(absl::string_view field, std::string& target)
 {
-    if (!m_object.contains(std::string(field))) {
+    if (!m_fields.has(field)) {
         fail(field, "must be given");
         return;
     }
@@ -42,7 +37,7 @@
 
 void SettingsReader::readText(absl::string_view field, std::string& target)
 {
-    const nlohmann::json* value = find(field);
+    const nlohmann::json* value = m_fields.find(field);
     if (value == nullptr)
         return;
     if (!value->is_string()) {
@@ -66,7 +61,7 @@
 
 void SettingsReader::readTexts(absl::string_view field, std::vector<std::string>& target)
 {
-    const nlohmann::json* value = find(field);
+    const nlohmann::json* value = m_fields.find(field);
     if (value == nullptr)
         return;
     if (!value->is_array()) {
@@ -86,7 +81,7 @@
 
 void SettingsReader::requireInteger(absl::string_view field, IntegerRange range, std::int64_t& target)
 {
-    if (!m_object.contains(std::string(field))) {
+    if (!m_fields.has(field)) {
         fail(field, "must be given");
         return;
     }
@@ -95,7 +90,7 @@
 
 void SettingsReader::readFraction(absl::string_view field, double& target)
 {
-    const nlohmann::json* const value = find(field);
+    const nlohmann::json* const value = m_fields.find(field);
     if (value == nullptr)
         return;
     const double share = value->is_number() ? value->get<double>() : 0;
@@ -108,7 +103,7 @@
 
 void SettingsReader::readSeconds(absl::string_view field, IntegerRange rangeMs, absl::Duration& target)
 {
-    const nlohmann::json* const value = find(field);
+    const nlohmann::json* const value = m_fields.find(field);
     if (value == nullptr)
         return;
     const absl::Duration duration = absl::Seconds(value->is_number() ? value->get<double>() : -1);
@@ -128,60 +123,34 @@
 
 SettingsReader SettingsReader::section(absl::string_view field)
 {
-    const nlohmann::json* value = find(field);
-    return SettingsReader(value == nullptr ? emptyObject : *value, pathOf(field), m_faults);
-}
-
-std::vector<std::string> SettingsReader::fields() const
-{
-    std::vector<std::string> names;
-    for (const auto& item : m_object.items())
-        names.push_back(item.key());
-    return names;
+    const nlohmann::json* value = m_fields.find(field);
+    return SettingsReader(value == nullptr ? emptyObject : *value, m_fields.pathOf(field), m_faults);
 }
 
 void SettingsReader::fail(absl::string_view field, absl::string_view message)
 {
-    m_faults.push_back({ pathOf(field), std::string(message) });
+    m_faults.push_back({ m_fields.pathOf(field), std::string(message) });
 }
 
 void SettingsReader::finish()
 {
-    for (const std::string& name : fields()) {
-        if (m_readFields.find(name) == m_readFields.end())
-            fail(name, "unknown field");
-    }
-}
-
-const nlohmann::json* SettingsReader::find(absl::string_view field)
-{
-    const std::string name(field);
-    m_readFields.insert(name);
-    const auto found = m_object.find(name);
-    return found == m_object.end() ? nullptr : &*found;
+    for (const std::string& name : m_fields.unreadNames())
+        fail(name, "unknown field");
 }
 
 absl::optional<std::int64_t> SettingsReader::readInteger(absl::string_view field, IntegerRange range)
 {
-    const nlohmann::json* value = find(field);
+    const nlohmann::json* value = m_fields.find(field);
     if (value == nullptr)
         return absl::nullopt;
     if (!value->is_number_integer()) {
         fail(field, "must be a whole number");
         return absl::nullopt;
     }
-    const bool isTooLarge
-        = value->is_number_unsigned() && value->get<std::uint64_t>() > static_cast<std::uint64_t>(range.maximum);
-    if (isTooLarge || value->get<std::int64_t>() < range.minimum || value->get<std::int64_t>() > range.maximum) {
+    const absl::optional<std::int64_t> number = integerInRange(*value, range.minimum, range.maximum);
+    if (!number)
         fail(field, absl::StrCat("must be ", range.minimum, " to ", range.maximum));
-        return absl::nullopt;
-    }
-    return value->get<std::int64_t>();
-}
-
-std::string SettingsReader::pathOf(absl::string_view field) const
-{
-    return m_path.empty() ? std::string(field) : absl::StrCat(m_path, ".", field);
+    return number;
 }
 
 } // namespace mangohall
--- a/src/adapters/settings/settings_reader_base.h
+++ b/src/adapters/settings/settings_reader_base.h
@@ -2,7 +2,6 @@
 #pragma once
 
 #include <cstdint>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -10,6 +9,7 @@
 #include "absl/time/time.h"
 #include "absl/types/optional.h"
 #include "absl/types/span.h"
+#include "adapters/json/json_fields_base.h"
 #include "adapters/settings/settings_fault_func.h"
 #include "nlohmann/json.hpp"
 
@@ -61,7 +61,7 @@
     SettingsReader section(absl::string_view field);
 
     // The names of all fields of the object.
-    std::vector<std::string> fields() const;
+    std::vector<std::string> fields() const { return m_fields.names(); }
 
     // Records an error of a field.
     void fail(absl::string_view field, absl::string_view message);
@@ -70,18 +70,11 @@
     void finish();
 
 private:
-    // The value of a field, null if it is absent. Marks the field as read.
-    const nlohmann::json* find(absl::string_view field);
     // The value of an integer field. Empty if the field is absent, or if it is invalid, which is recorded.
     absl::optional<std::int64_t> readInteger(absl::string_view field, IntegerRange range);
-    // The path of a field within the file.
-    std::string pathOf(absl::string_view field) const;
 
-    const nlohmann::json& m_object;
-    const std::string m_path;
+    JsonFields m_fields;
     std::vector<SettingsFault>& m_faults;
-    // The names of the fields that a read function asked for.
-    std::set<std::string> m_readFields;
 };
 
 } // namespace mangohall
