--- a/src/adapters/settings/settings_func.cpp
+++ b/src/adapters/settings/settings_func.cpp
@@ -3,14 +3,13 @@
 #include <arpa/inet.h>
 
 #include <filesystem>
-#include <fstream>
 #include <limits>
-#include <sstream>
 
 #include "absl/strings/match.h"
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "absl/types/optional.h"
+#include "adapters/settings/settings_file_func.h"
 #include "adapters/settings/settings_reader_base.h"
 
 namespace mangohall {
@@ -34,17 +33,6 @@
 // Short tokens can be guessed.
 constexpr std::size_t minTokenCharacters = 16;
 
-// The content of the file; empty if it cannot be opened.
-absl::optional<std::string> readFile(const std::string& path)
-{
-    const std::ifstream file(path, std::ios::binary);
-    if (!file)
-        return absl::nullopt;
-    std::ostringstream text;
-    text << file.rdbuf();
-    return text.str();
-}
-
 bool isIpAddress(const std::string& text)
 {
     in_addr ipv4 {};
@@ -170,7 +158,7 @@
 
 void readTokenFile(const std::string& path, TokenSettings& tokens, std::vector<SettingsFault>& faults)
 {
-    const absl::optional<std::string> text = readFile(path);
+    const absl::optional<std::string> text = readSettingsText(path);
     if (!text) {
         faults.push_back({ "tokens.filePath", "the file cannot be read" });
         return;
@@ -240,7 +228,7 @@
 
 SettingsResult readSettingsFile(const std::string& path, NodeRole role)
 {
-    const absl::optional<std::string> text = readFile(path);
+    const absl::optional<std::string> text = readSettingsText(path);
     if (!text) {
         SettingsResult result;
         result.faults.push_back({ "", "the file cannot be read" });
