--- a/src/adapters/json/batch_record_json_func.cpp
+++ b/src/adapters/json/batch_record_json_func.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "adapters/json/field_reader_base.h"
+#include "adapters/json/json_elements_func.h"
 #include "adapters/json/json_number_func.h"
 #include "adapters/json/json_text_func.h"
 #include "batch/job/job_check_func.h"
@@ -132,16 +133,10 @@
     if (reader.has("firstDueMs"))
         job.spec.firstDue = absl::FromUnixMillis(reader.integer("firstDueMs"));
     job.spec.period = reader.milliseconds("periodMs");
-    const json& elements = reader.array("steps");
-    std::vector<StepSpec> steps;
-    steps.reserve(elements.size());
-    for (const json& element : elements) {
-        FieldReader stepReader(element);
-        steps.push_back(stepFromJson(stepReader));
-        if (!stepReader.status().ok())
-            return stepReader.status();
-    }
-    job.spec.steps = std::move(steps);
+    absl::StatusOr<std::vector<StepSpec>> steps = readElements(reader.array("steps"), stepFromJson);
+    if (!steps.ok())
+        return steps.status();
+    job.spec.steps = *std::move(steps);
     absl::Status status = reader.status();
     if (status.ok())
         status = checkSpec(job.spec);
