--- a/tests/batch/priority_policy_test.cpp
+++ b/tests/batch/priority_policy_test.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <string>
 
 #include "absl/strings/str_cat.h"
 #include "batch/policy_builders_func.h"
@@ -10,6 +11,37 @@
 namespace mangohall::batch {
 namespace {
 
+// A step whose tasks are a gang.
+StepSpec gangSpecOf(int tasks, int accelerators)
+{
+    StepSpec spec = specOf(tasks, accelerators);
+    spec.isGang = true;
+    return spec;
+}
+
+// An urgent step that a guarantee covers.
+PendingStep guaranteedStepOf(const std::string& job, const StepSpec& spec)
+{
+    PendingStep pending = pendingStepOf(job, spec, 0);
+    pending.isGuaranteed = true;
+    return pending;
+}
+
+// Adds a run that uses the whole worker under a guarantee.
+void occupyCovered(WorkerCapacity& capacity)
+{
+    occupy(capacity, "covered", 8, 1, 0);
+    capacity.runs.back().isGuaranteed = true;
+}
+
+// Adds a run that uses the whole worker and is being stopped.
+void occupyUntilStopped(WorkerCapacity& capacity)
+{
+    occupy(capacity, "leaving", 8, 1);
+    capacity.runs.back().isStopping = true;
+    capacity.freeAfterStops.accelerators = 8;
+}
+
 // Long runs with different eviction costs fill all workers when an urgent task arrives.
 TEST(PriorityPolicy, EvictsWhatLosesLeastForUrgentWork)
 {
@@ -39,8 +71,7 @@
     occupy(workers[1], "b", 8, 10);
     occupy(workers[2], "c", 8, 1);
     occupy(workers[3], "d", 8, 100);
-    StepSpec spec = specOf(2, 8);
-    spec.isGang = true;
+    StepSpec spec = gangSpecOf(2, 8);
     spec.isRackLocal = true;
     const Allocation allocation = PriorityPolicy().allocate(workers, { pendingStepOf("urgent", spec, 0) }, now);
     ASSERT_EQ(allocation.evictions.size(), 2U);
@@ -52,12 +83,10 @@
 TEST(PriorityPolicy, ReclaimsAGuaranteeFromUrgentWorkThatNoneCovers)
 {
     std::vector<WorkerCapacity> workers = makeWorkers(1, 2);
-    occupy(workers[0], "covered", 8, 1, 0);
-    workers[0].runs.front().isGuaranteed = true;
+    occupyCovered(workers[0]);
     occupy(workers[1], "borrower", 8, 100, 0);
     const StepSpec spec = specOf(1, 8);
-    PendingStep pending = pendingStepOf("guaranteed", spec, 0);
-    pending.isGuaranteed = true;
+    PendingStep pending = guaranteedStepOf("guaranteed", spec);
     std::vector<WorkerCapacity> early = workers;
     EXPECT_TRUE(PriorityPolicy().allocate(early, { pending }, now).evictions.empty());
     pending.mayReclaim = true;
@@ -72,12 +101,10 @@
 {
     std::vector<WorkerCapacity> workers = makeWorkers(1, 1);
     const StepSpec spec = specOf(1, 8);
-    PendingStep waiting = pendingStepOf("waiting", spec, 0);
-    waiting.isGuaranteed = true;
+    PendingStep waiting = guaranteedStepOf("waiting", spec);
     waiting.mayReclaim = true;
     waiting.targetEnd = now - absl::Seconds(1);
-    PendingStep fresh = pendingStepOf("fresh", spec, 0);
-    fresh.isGuaranteed = true;
+    const PendingStep fresh = guaranteedStepOf("fresh", spec);
     const Allocation allocation = PriorityPolicy().allocate(workers, { fresh, waiting }, now);
     ASSERT_EQ(allocation.placements.size(), 1U);
     EXPECT_EQ(allocation.placements.front().task.job, JobId("waiting"));
@@ -88,17 +115,12 @@
 TEST(PriorityPolicy, KeepsTheRoomThatIsMadeForAGuaranteedGangFromLaterOnes)
 {
     std::vector<WorkerCapacity> workers = makeWorkers(1, 2);
-    occupy(workers[1], "leaving", 8, 1);
-    workers[1].runs.front().isStopping = true;
-    workers[1].freeAfterStops.accelerators = 8;
-    StepSpec spec = specOf(2, 8);
-    spec.isGang = true;
-    PendingStep gang = pendingStepOf("gang", spec, 0);
-    gang.isGuaranteed = true;
+    occupyUntilStopped(workers[1]);
+    const StepSpec spec = gangSpecOf(2, 8);
+    PendingStep gang = guaranteedStepOf("gang", spec);
     gang.startBy = now + absl::Seconds(3);
     const StepSpec small = specOf(1, 8);
-    PendingStep later = pendingStepOf("later", small, 0);
-    later.isGuaranteed = true;
+    PendingStep later = guaranteedStepOf("later", small);
     later.startBy = now + absl::Milliseconds(3400);
     later.targetEnd = gang.targetEnd - absl::Seconds(2);
     const Allocation allocation = PriorityPolicy().allocate(workers, { gang, later }, now);
@@ -112,16 +134,12 @@
 {
     std::vector<WorkerCapacity> workers = makeWorkers(1, 3);
     occupy(workers[1], "batch", 8, 1);
-    occupy(workers[2], "covered", 8, 1, 0);
-    workers[2].runs.front().isGuaranteed = true;
-    StepSpec spec = specOf(3, 8);
-    spec.isGang = true;
-    PendingStep gang = pendingStepOf("gang", spec, 0);
-    gang.isGuaranteed = true;
+    occupyCovered(workers[2]);
+    const StepSpec spec = gangSpecOf(3, 8);
+    PendingStep gang = guaranteedStepOf("gang", spec);
     gang.startBy = now + absl::Seconds(3);
     const StepSpec small = specOf(1, 8);
-    PendingStep later = pendingStepOf("later", small, 0);
-    later.isGuaranteed = true;
+    PendingStep later = guaranteedStepOf("later", small);
     later.startBy = now + absl::Milliseconds(3400);
     const Allocation allocation = PriorityPolicy().allocate(workers, { gang, later }, now);
     EXPECT_TRUE(allocation.placements.empty());
@@ -134,19 +152,14 @@
 TEST(PriorityPolicy, KeepsPartOfTheRoomForOneGuaranteedGangAtATime)
 {
     std::vector<WorkerCapacity> workers = makeWorkers(1, 4);
-    occupy(workers[3], "covered", 8, 1, 0);
-    workers[3].runs.front().isGuaranteed = true;
+    occupyCovered(workers[3]);
     occupy(workers[2], "batch", 4, 1);
-    StepSpec wide = specOf(4, 8);
-    wide.isGang = true;
-    StepSpec narrow = specOf(5, 4);
-    narrow.isGang = true;
-    PendingStep first = pendingStepOf("first", wide, 0);
-    PendingStep second = pendingStepOf("second", narrow, 0);
-    for (PendingStep* gang : { &first, &second }) {
-        gang->isGuaranteed = true;
-        gang->startBy = now + absl::Seconds(gang == &first ? 1 : 2);
-    }
+    const StepSpec wide = gangSpecOf(4, 8);
+    const StepSpec narrow = gangSpecOf(5, 4);
+    PendingStep first = guaranteedStepOf("first", wide);
+    first.startBy = now + absl::Seconds(1);
+    PendingStep second = guaranteedStepOf("second", narrow);
+    second.startBy = now + absl::Seconds(2);
     const Allocation allocation = PriorityPolicy().allocate(workers, { first, second }, now);
     EXPECT_TRUE(allocation.placements.empty());
     ASSERT_EQ(allocation.evictions.size(), 1U);
@@ -157,12 +170,9 @@
 TEST(PriorityPolicy, KeepsPartOfTheRoomOfAGuaranteedGangForABoundedTime)
 {
     std::vector<WorkerCapacity> workers = makeWorkers(1, 3);
-    occupy(workers[2], "covered", 8, 1, 0);
-    workers[2].runs.front().isGuaranteed = true;
-    StepSpec spec = specOf(3, 8);
-    spec.isGang = true;
-    PendingStep gang = pendingStepOf("gang", spec, 0);
-    gang.isGuaranteed = true;
+    occupyCovered(workers[2]);
+    StepSpec spec = gangSpecOf(3, 8);
+    PendingStep gang = guaranteedStepOf("gang", spec);
     gang.mayReclaim = true;
     gang.startBy = now - absl::Seconds(2);
     const StepSpec small = specOf(1, 8);
@@ -181,10 +191,8 @@
 TEST(PriorityPolicy, DoesNotEvictAgainWhileRoomIsComingFree)
 {
     std::vector<WorkerCapacity> workers = makeWorkers(1, 2);
-    occupy(workers[0], "leaving", 8, 1);
+    occupyUntilStopped(workers[0]);
     occupy(workers[1], "staying", 8, 1);
-    workers[0].runs.front().isStopping = true;
-    workers[0].freeAfterStops.accelerators = 8;
     const StepSpec spec = specOf(1, 8);
     EXPECT_TRUE(PriorityPolicy().allocate(workers, { pendingStepOf("urgent", spec, 0) }, now).evictions.empty());
 }
@@ -196,8 +204,7 @@
     occupy(workers[0], "ending", 8, 1);
     workers[0].runs.front().isEnding = true;
     const StepSpec spec = specOf(1, 8);
-    PendingStep pending = pendingStepOf("guaranteed", spec, 0);
-    pending.isGuaranteed = true;
+    PendingStep pending = guaranteedStepOf("guaranteed", spec);
     std::vector<WorkerCapacity> early = workers;
     EXPECT_TRUE(PriorityPolicy().allocate(early, { pending }, now).evictions.empty());
     pending.mayReclaim = true;
@@ -207,8 +214,7 @@
 TEST(PriorityPolicy, PlacesAGangWholeOrNotAtAll)
 {
     std::vector<WorkerCapacity> workers = makeWorkers(1, 2);
-    StepSpec spec = specOf(3, 8);
-    spec.isGang = true;
+    const StepSpec spec = gangSpecOf(3, 8);
     const StepSpec small = specOf(1, 8);
     const Allocation allocation
         = PriorityPolicy().allocate(workers, { pendingStepOf("gang", spec, 1), pendingStepOf("small", small, 2) }, now);
@@ -220,8 +226,7 @@
 {
     std::vector<WorkerCapacity> workers = makeWorkers(3, 2);
     occupy(workers[0], "x", 4, 1);
-    StepSpec spec = specOf(2, 8);
-    spec.isGang = true;
+    StepSpec spec = gangSpecOf(2, 8);
     spec.isRackLocal = true;
     const std::vector<WorkerCapacity> before = workers;
     const Allocation allocation = PriorityPolicy().allocate(workers, { pendingStepOf("gang", spec, 1) }, now);
@@ -248,8 +253,7 @@
     PendingStep late = pendingStepOf("late", spec, 0);
     late.targetEnd = now - absl::Seconds(1);
     const PendingStep inTime = pendingStepOf("inTime", spec, 0);
-    PendingStep guaranteed = pendingStepOf("guaranteed", spec, 0);
-    guaranteed.isGuaranteed = true;
+    const PendingStep guaranteed = guaranteedStepOf("guaranteed", spec);
     std::vector<WorkerCapacity> first = workers;
     const Allocation both = PriorityPolicy().allocate(first, { late, inTime }, now);
     ASSERT_EQ(both.placements.size(), 1U);
@@ -279,8 +283,7 @@
     std::vector<WorkerCapacity> workers = makeWorkers(44, 8);
     for (std::size_t worker = 0; worker < workers.size(); ++worker)
         occupy(workers[worker], absl::StrCat("urgent", worker), 6, 10, 0);
-    StepSpec spec = specOf(tasks, accelerators);
-    spec.isGang = true;
+    const StepSpec spec = gangSpecOf(tasks, accelerators);
     constexpr int gangs = 8;
     std::vector<PendingStep> pendingSteps;
     pendingSteps.reserve(gangs);
@@ -304,8 +307,7 @@
 {
     const auto examinationsFor = [](int tasks) {
         std::vector<WorkerCapacity> workers = makeWorkers(44, 8);
-        StepSpec spec = specOf(tasks, 1);
-        spec.isGang = true;
+        const StepSpec spec = gangSpecOf(tasks, 1);
         const Allocation allocation = PriorityPolicy().allocate(workers, { pendingStepOf("gang", spec, 0) }, now);
         EXPECT_EQ(allocation.placements.size(), static_cast<std::size_t>(tasks));
         return allocation.workersExamined;
@@ -320,8 +322,7 @@
         std::vector<WorkerCapacity> workers = makeWorkers(44, 8);
         for (std::size_t worker = 0; worker < workers.size(); ++worker)
             occupy(workers[worker], absl::StrCat("batch", worker), 8, 10);
-        StepSpec spec = specOf(tasks, 8);
-        spec.isGang = true;
+        const StepSpec spec = gangSpecOf(tasks, 8);
         const Allocation allocation = PriorityPolicy().allocate(workers, { pendingStepOf("gang", spec, 0) }, now);
         EXPECT_EQ(allocation.evictions.size(), static_cast<std::size_t>(tasks));
         return allocation.workersExamined;
