Codechange: tests of reclaiming share the cluster with a placed guarantee

Six places made a cluster of a seed, declared the building and one guarantee and let ten seconds pass. makeCluster serves now; seeds, guarantees and checks are the same.

--- a/tests/cluster/reclaim_test.cpp
+++ b/tests/cluster/reclaim_test.cpp
@@ -1,4 +1,6 @@
 // Guaranteed capacity is available in time when its organisation returns, whatever jobs have borrowed it.
+#include <memory>
+
 #include "absl/strings/str_cat.h"
 #include "cluster/scenario_func.h"
 #include "core/time_const.h"
@@ -71,6 +73,19 @@
     cluster.runFor(absl::Seconds(20));
 }
 
+// Makes a cluster in which the guarantee is declared and placed.
+std::unique_ptr<Cluster> makeCluster(std::uint64_t seed, const Guarantee& guarantee, int racksPerDataCentre = 2)
+{
+    ClusterOptions options;
+    options.seed = seed;
+    options.racksPerDataCentre = racksPerDataCentre;
+    auto cluster = std::make_unique<Cluster>(options);
+    cluster->declareBuilding();
+    cluster->put("e0", guarantee);
+    cluster->runFor(absl::Seconds(10));
+    return cluster;
+}
+
 // Returns the time from the submission until the last of the job's tasks started to execute.
 absl::Duration startDelayOf(Cluster& cluster, CallerId caller, const std::string& key, int tasks)
 {
@@ -88,12 +103,8 @@
 TEST(Reclaim, StartsAnUrgentGangOnWholeWorkersInTime)
 {
     for (std::uint64_t seed = 1; seed <= 10; ++seed) {
-        ClusterOptions options;
-        options.seed = seed;
-        Cluster cluster(options);
-        cluster.declareBuilding();
-        cluster.put("e0", wholeWorkers("large", "hall-dc0", 4));
-        cluster.runFor(absl::Seconds(10));
+        const auto made = makeCluster(seed, wholeWorkers("large", "hall-dc0", 4));
+        Cluster& cluster = *made;
         borrowEverything(cluster, { seed, 3, 200 });
         const CallerId urgent = cluster.submit("e1", "large", "urgent", urgentGang(4, 8, Adjacency::SameDataCentre));
         cluster.runFor(absl::Seconds(40));
@@ -105,12 +116,8 @@
 TEST(Reclaim, StartsAnUrgentGangOnAWholeRackInTime)
 {
     for (std::uint64_t seed = 1; seed <= 10; ++seed) {
-        ClusterOptions options;
-        options.seed = seed;
-        Cluster cluster(options);
-        cluster.declareBuilding();
-        cluster.put("e0", wholeRack("large", "hall-dc0"));
-        cluster.runFor(absl::Seconds(10));
+        const auto made = makeCluster(seed, wholeRack("large", "hall-dc0"));
+        Cluster& cluster = *made;
         borrowEverything(cluster, { seed, 2, 200 });
         const CallerId urgent = cluster.submit("e1", "large", "urgent", urgentGang(16, 2, Adjacency::SameRack));
         cluster.runFor(absl::Seconds(40));
@@ -144,10 +151,8 @@
 
 TEST(Reclaim, DoesNotStopBorrowersThatMayNotBeStopped)
 {
-    Cluster cluster { ClusterOptions() };
-    cluster.declareBuilding();
-    cluster.put("e0", wholeRack("large", "hall-dc0"));
-    cluster.runFor(absl::Seconds(10));
+    const auto made = makeCluster(1, wholeRack("large", "hall-dc0"));
+    Cluster& cluster = *made;
     const Borrowing borrowing;
     borrowEverything(cluster, borrowing);
     const int first = 1;
@@ -167,12 +172,8 @@
 TEST(Reclaim, PutsUrgentWorkBeforeWorkOfLowerPriorityOfTheSameOrganisation)
 {
     for (std::uint64_t seed = 1; seed <= 5; ++seed) {
-        ClusterOptions options;
-        options.seed = seed;
-        Cluster cluster(options);
-        cluster.declareBuilding();
-        cluster.put("e0", wholeWorkers("large", "hall-dc0", 3));
-        cluster.runFor(absl::Seconds(10));
+        const auto made = makeCluster(seed, wholeWorkers("large", "hall-dc0", 3));
+        Cluster& cluster = *made;
         // These jobs fill the guarantee first and then the remaining capacity.
         for (int index = 0; index < 60; ++index) {
             JobSpec spec = singleTask(absl::Minutes(30), 4);
@@ -192,12 +193,8 @@
 TEST(Reclaim, StartsInTimeAroundAFrozenWorkerUnderABorrower)
 {
     for (std::uint64_t seed = 1; seed <= 8; ++seed) {
-        ClusterOptions options;
-        options.seed = seed;
-        Cluster cluster(options);
-        cluster.declareBuilding();
-        cluster.put("e0", wholeWorkers("large", "hall-dc0", 4));
-        cluster.runFor(absl::Seconds(10));
+        const auto made = makeCluster(seed, wholeWorkers("large", "hall-dc0", 4));
+        Cluster& cluster = *made;
         Borrowing borrowing;
         borrowing.seed = seed;
         borrowEverything(cluster, borrowing);
@@ -214,13 +211,7 @@
 // the cluster is full of borrowers. Then the given rack of dc0 dies.
 std::unique_ptr<Cluster> makeClusterWithDeadRack(const Borrowing& borrowing, int rack)
 {
-    ClusterOptions options;
-    options.seed = borrowing.seed;
-    options.racksPerDataCentre = 3;
-    auto cluster = std::make_unique<Cluster>(options);
-    cluster->declareBuilding();
-    cluster->put("e0", wholeRack("large", "hall-dc0"));
-    cluster->runFor(absl::Seconds(10));
+    auto cluster = makeCluster(borrowing.seed, wholeRack("large", "hall-dc0"), 3);
     borrowEverything(*cluster, borrowing);
     for (int worker = 0; worker < 4; ++worker)
         cluster->workerPool().kill(absl::StrCat("dc0-r", rack, "-w", worker));
