--- a/tests/batch/batch_worker_fault_test.cpp
+++ b/tests/batch/batch_worker_fault_test.cpp
@@ -25,8 +25,10 @@
 // The names of all workers: four in each of two racks.
 std::vector<std::string> allWorkers()
 {
+    constexpr int workers = 8;
     std::vector<std::string> names;
-    for (int worker = 0; worker < 8; ++worker)
+    names.reserve(workers);
+    for (int worker = 0; worker < workers; ++worker)
         names.push_back(absl::StrCat("w", worker / 4, worker % 4));
     return names;
 }
