Fix: a start in doubt waits for a lease on a worker that has left

The lease is that of a run on a later process of the worker, which might execute the start last of all.

Once the worker has drained, has removed its own entry, and a call that was sent when the start could no longer come finds no process at its address, nothing runs there and nothing can begin. A refusal of a call that was sent before shows nothing, as a later process might come in between.

--- a/src/batch/worker/worker_session_base.h
+++ b/src/batch/worker/worker_session_base.h
@@ -236,7 +236,7 @@
     void handleStopReply(const SessionCall& context, const WorkerReply& reply, absl::Time now, SessionUpdate& update);
     void handlePollReply(const SessionCall& context, const WorkerReply& reply, absl::Time now, SessionUpdate& update);
     // Records a call without a usable reply.
-    void recordFailedCall(const absl::Status& status, SessionUpdate& update);
+    void recordFailedCall(const SessionCall& context, const absl::Status& status, SessionUpdate& update);
     // Whether the record of a task says by when its run on this worker has ended.
     bool hasRecordedLapse() const { return m_hasRecordedLapse; }
     void updateHasRecordedLapse();
@@ -361,6 +361,8 @@
     int m_failedCalls = 0;
     // At the last failed call no process was listening at the worker's address, or the connection was closed.
     bool m_isUnreachable = false;
+    // When the latest call was sent that found no process listening at the worker's address.
+    absl::Time m_refusedSentAt = absl::InfinitePast();
     // After a refused start the worker accepts no new work until then.
     absl::Time m_startsPausedUntil = absl::InfinitePast();
     // Ends that the worker lists and that are not acknowledged yet, and whether each is durable.
--- a/src/batch/worker/worker_session_lease_cmd.cpp
+++ b/src/batch/worker/worker_session_lease_cmd.cpp
@@ -111,7 +111,8 @@
 // - once another worker has taken over the address, since a command to this one is refused there: also if a start is
 //   pending;
 // - once every lease must have expired that any process of the worker may hold, with the starts that may still come;
-// - once the worker has left after it had drained, if no start may come to a later process.
+// - once the worker has left after it had drained and nobody listens at its address, if no start could come to a later
+//   process by then.
 absl::optional<EndEvidence> WorkerSession::evidenceOfEnd(const RunKey& run, const RunSlot& slot, absl::Time now) const
 {
     if (m_claim.isTakenOver())
@@ -120,7 +121,8 @@
         return absl::nullopt;
     if (now >= lapsesAt(run, slot))
         return EndEvidence::LeaseExpired;
-    const bool isGone = hasLeft() && !mayStillStart(run) && slot.stage != RunSlot::Stage::Reserved;
+    const bool mayBeExecuted = slot.pendingStarts > 0 || m_commands.startsMayComeUntil(run) > m_refusedSentAt;
+    const bool isGone = hasLeft() && !mayBeExecuted && slot.stage != RunSlot::Stage::Reserved;
     return isGone ? absl::make_optional(EndEvidence::WorkerLeft) : absl::nullopt;
 }
 
--- a/src/batch/worker/worker_session_reply_cmd.cpp
+++ b/src/batch/worker/worker_session_reply_cmd.cpp
@@ -99,7 +99,7 @@
     if (const auto found = m_runs.find(context.run); context.kind == SessionCall::Kind::Stop && found != m_runs.end())
         ++found->second.unansweredStops;
     if (!mayBeExecuted || !hasRepliedSince(context))
-        recordFailedCall(reply.status, update);
+        recordFailedCall(context, reply.status, update);
 }
 
 // The loss of one command or of its reply does not show that the worker is silent if the process has replied to a
@@ -150,10 +150,12 @@
     return !isListed() && m_runs.empty() && !m_isPollPending && m_commands.lastEffectAt() <= now;
 }
 
-void WorkerSession::recordFailedCall(const absl::Status& status, SessionUpdate& update)
+void WorkerSession::recordFailedCall(const SessionCall& context, const absl::Status& status, SessionUpdate& update)
 {
     const ErrorKind kind = errorKindOf(status);
     m_isUnreachable = kind == ErrorKind::OwnerUnreachable || kind == ErrorKind::PeerGone;
+    if (kind == ErrorKind::OwnerUnreachable)
+        m_refusedSentAt = std::max(m_refusedSentAt, context.sentAt);
     update.isLost = m_failedCalls == 0;
     ++m_failedCalls;
     // The worker takes no work until it has replied to a poll; what was not sent need not wait for that.
--- a/tests/batch/worker_session_start_test.cpp
+++ b/tests/batch/worker_session_start_test.cpp
@@ -449,6 +449,28 @@
     EXPECT_TRUE(m_session.runs().contains(runOf(1)));
 }
 
+// Guards against a job that waits for a lease on a worker that has left: no process is there once the start cannot come
+// any more.
+TEST_F(WorkerSessionTest, EndsARunInDoubtOnceADrainedWorkerIsGoneAndNoStartMayCome)
+{
+    drainWithARun();
+    m_session.adopt(runOf(1), { 100, 100, 4 }, { processStartMs, 0 }, false, m_now);
+    const absl::Time until = m_now + longestDelay;
+    while (m_now < until) {
+        m_session.handleReply(due(SessionCall::Kind::Poll).context, noAnswer(ErrorKind::OwnerUnreachable), m_now);
+        m_session.takeLapsedRuns(m_now);
+        EXPECT_TRUE(m_session.runs().contains(runOf(1)));
+        m_now += absl::Milliseconds(500);
+    }
+    // The refusal of a poll that was sent before shows nothing.
+    EXPECT_TRUE(m_session.takeLapsedRuns(m_now).empty());
+    m_session.handleReply(due(SessionCall::Kind::Poll).context, noAnswer(ErrorKind::OwnerUnreachable), m_now);
+    const std::vector<EndedRun> ended = m_session.takeLapsedRuns(m_now);
+    ASSERT_EQ(ended.size(), 1U);
+    EXPECT_EQ(ended.front().run, runOf(1));
+    EXPECT_EQ(ended.front().evidence, EndEvidence::WorkerLeft);
+}
+
 // Guards against a task that begins on a worker long after it was known to drain.
 TEST_F(WorkerSessionTest, BarsAStartWithoutAReplyOnADrainingWorker)
 {
