Fix: work is placed on a worker that gets no start

By reading, for the table of states that hold work back: while the record of a task says by when its run has ended, its worker gets no start (docs/DESIGN.md), but it counted as available once it replied again, so that a gang could be placed there and wait, for as long as the withdrawal of that record takes to become durable. It counts as paused now.

--- a/src/batch/worker/worker_session_base.cpp
+++ b/src/batch/worker/worker_session_base.cpp
@@ -74,7 +74,7 @@
     if (isClosedToStarts())
         return WorkerAvailability::Closed;
     const absl::Time from = std::max(m_startsPausedUntil, m_commands.unansweredAcknowledgementUntil());
-    return now >= from ? WorkerAvailability::Available : WorkerAvailability::Paused;
+    return now >= from && !hasRecordedLapse() ? WorkerAvailability::Available : WorkerAvailability::Paused;
 }
 
 bool WorkerSession::isRunning(const RunKey& run) const
--- a/src/batch/worker/worker_session_base.h
+++ b/src/batch/worker/worker_session_base.h
@@ -74,7 +74,8 @@
     Silent,
     // The worker drains, or its data centre is being evacuated.
     Closed,
-    // The worker has refused a start just before, or an acknowledgement to an earlier process may still be executed.
+    // The worker has refused a start just before, or an acknowledgement to an earlier process may still be executed, or
+    // a record says by when one of its runs has ended, so that it gets no start.
     Paused,
 };
 
--- a/tests/batch/worker_session_lease_test.cpp
+++ b/tests/batch/worker_session_lease_test.cpp
@@ -421,6 +421,17 @@
     EXPECT_NE(due(SessionCall::Kind::Poll).call.leaseUntil, 0);
 }
 
+// Guards against a gang that is placed on a worker which gets no start, and waits there while others have room.
+TEST_F(RecordedLapseTest, AcceptsNoWorkWhileItGetsNoStart)
+{
+    recordLapse();
+    m_now += absl::Milliseconds(600);
+    ASSERT_TRUE(answerPoll(answerOf(6500)).isFound);
+    EXPECT_FALSE(m_session.acceptsWork(m_now));
+    m_session.markLapseWithdrawn(runOf(0));
+    EXPECT_TRUE(m_session.acceptsWork(m_now));
+}
+
 // Guards against a second run of a task: a withdrawal that is written late would pass for that of a later record.
 TEST_F(RecordedLapseTest, IsWithdrawnOnceForEachRecord)
 {
