Fix: four gaps that the repetition of starts has opened

- A stop that was answered let a released start be sent beside an acknowledgement without a reply: the next process would forget the end of the run for it (TWICE).
A lost acknowledgement marks the worker as lost again, and starts wait for it.
- Of two sendings without a reply the first was taken for the executed one when the run showed; the other one may come for longer.
The one that may come for the shortest time is taken now.
- 12.5 s counted from a change of owner, but what the earlier owner sent last counts from the end of its call: 3 s more for a renewal, 0.8 s for a start.
- Replies that came over half a second late left every sending in doubt for 12.5 s.
A later poll of the called process settles them.

WorkerSessionTest.SendsNoStartBesideAnAcknowledgementWithoutAReply, KeepsTheLatestOfTwoSendingsOfWhichOneWasExecuted and SettlesSlowRepliesOfTheSameProcessWithALaterPoll fail on the code before.

--- a/src/batch/worker/outstanding_commands_base.cpp
+++ b/src/batch/worker/outstanding_commands_base.cpp
@@ -12,7 +12,7 @@
 } // namespace
 
 OutstandingCommands::OutstandingCommands(absl::Time ownedSince, absl::Duration longestLease)
-    : m_earlierOwnersUntil(ownedSince + maxDelay)
+    : m_earlierOwnersUntil(ownedSince + longestCall + maxDelay)
     , m_longestLease(longestLease)
 {
 }
@@ -80,6 +80,21 @@
     return true;
 }
 
+void OutstandingCommands::recordReplyOfUnknown(const SessionCall& call, absl::Time now)
+{
+    recordNoReply(call, now);
+    if (Command* command = find(call))
+        command->confirmedAt = now;
+}
+
+void OutstandingCommands::settleRepliesBefore(absl::Time sentAt, std::int64_t processStartMs)
+{
+    const auto isSettled = [sentAt, processStartMs](const Command& command) {
+        return command.confirmedAt <= sentAt && command.call.processStartMs == processStartMs;
+    };
+    m_commands.erase(std::remove_if(m_commands.begin(), m_commands.end(), isSettled), m_commands.end());
+}
+
 void OutstandingCommands::recordStartsOfEarlierOwner(const RunKey& run, absl::Time now, absl::Time until)
 {
     SessionCall call;
@@ -87,7 +102,7 @@
     call.run = run;
     call.sentAt = now;
     m_commands.push_back({ .call = call,
-        .until = std::min(now + maxDelay, until),
+        .until = std::min(now + commandCallTimeout + maxDelay, until),
         .isPending = false,
         .mayStart = true,
         .isOfEarlierOwner = true });
@@ -104,7 +119,8 @@
         const bool isOneOfTwo = executed != nullptr && (executed->isPending || command.isPending);
         if (command.isOfEarlierOwner || isOneOfTwo)
             return;
-        if (executed == nullptr)
+        // Which of several it was is unknown, so the one counts as executed that could come for the shortest time.
+        if (executed == nullptr || command.until < executed->until)
             executed = &command;
     }
     if (executed != nullptr)
--- a/src/batch/worker/outstanding_commands_base.h
+++ b/src/batch/worker/outstanding_commands_base.h
@@ -36,6 +36,12 @@
     // command was executed.
     bool recordNotExecuted(const SessionCall& call);
     bool recordNoReply(const SessionCall& call, absl::Time now);
+    // Records that a start was executed by a process that the reply does not name: the start may have been executed by
+    // the called process as well, so it counts as one without a reply until `settleRepliesBefore`.
+    void recordReplyOfUnknown(const SessionCall& call, absl::Time now);
+    // Records that this process, given by its start, has replied to a command that was sent then: no later process has
+    // sent a reply that had arrived before.
+    void settleRepliesBefore(absl::Time sentAt, std::int64_t processStartMs);
     // Records that an earlier owner may have sent any number of starts of the run, none of which is executed after
     // `until`.
     void recordStartsOfEarlierOwner(const RunKey& run, absl::Time now, absl::Time until = absl::InfiniteFuture());
@@ -89,6 +95,8 @@
         // Until when it may be executed; for an executed one, when that was known.
         absl::Time until;
         bool isPending = true;
+        // When a process that the reply does not name has confirmed it; the infinite future if none has.
+        absl::Time confirmedAt = absl::InfiniteFuture();
         // A start that may still be executed.
         bool mayStart = false;
         // It stands for any number of starts.
--- a/src/batch/worker/session_call_type.h
+++ b/src/batch/worker/session_call_type.h
@@ -8,6 +8,9 @@
 
 namespace mangohall::batch {
 
+// How long a call waits for its reply, beside the time for which the worker may hold a poll open.
+inline constexpr absl::Duration commandCallTimeout = absl::Milliseconds(800);
+
 // What a call was for; needed to interpret its reply.
 struct SessionCall {
     enum class Kind {
--- a/src/batch/worker/worker_session_call_cmd.cpp
+++ b/src/batch/worker/worker_session_call_cmd.cpp
@@ -8,7 +8,6 @@
 
 namespace {
 
-constexpr absl::Duration callTimeout = absl::Milliseconds(800);
 // Delay before a command that got no reply is sent again.
 constexpr absl::Duration commandRetryPeriod = absl::Milliseconds(250);
 // A start that is not confirmed within this time is stopped instead of being repeated.
@@ -133,11 +132,14 @@
         && !isClosedToStarts() && m_pendingStarts < maxPendingStarts && !hasRecordedLapse();
     if (slot.stage != RunSlot::Stage::Starting || slot.pendingStarts >= maxPendingStartsOfRun || !mayStart)
         return absl::InfiniteFuture();
+    // The next process would forget the end of the run for an acknowledgement that comes late.
+    const absl::Time acknowledgedBy = m_commands.unansweredAcknowledgementUntil();
     if (slot.isUnsent())
-        return absl::InfinitePast();
+        return acknowledgedBy;
     // Another process may have other room.
-    const bool mayRepeat = slot.placedProcessStartMs == m_processStartMs;
-    return mayRepeat ? std::max(slot.startSentAt + commandRetryPeriod, m_startsPausedUntil) : absl::InfiniteFuture();
+    if (slot.placedProcessStartMs != m_processStartMs)
+        return absl::InfiniteFuture();
+    return std::max({ slot.startSentAt + commandRetryPeriod, m_startsPausedUntil, acknowledgedBy });
 }
 
 // A start that the worker has not confirmed may still be executed, so it is barred by a stop.
@@ -226,7 +228,7 @@
 
 DueCall WorkerSession::makeRunCall(SessionCall::Kind kind, const RunKey& run, absl::Time now)
 {
-    DueCall due { { kind, run, now, calledProcessStart() }, makeCall(callTimeout) };
+    DueCall due { { kind, run, now, calledProcessStart() }, makeCall(commandCallTimeout) };
     if (kind == SessionCall::Kind::Stop) {
         due.call.command = StopRun { run };
         m_commands.recordSent(due.context);
@@ -266,7 +268,8 @@
 DueCall WorkerSession::makePoll(absl::Time now)
 {
     const absl::Duration wait = nextPollWait(now);
-    DueCall due { { SessionCall::Kind::Poll, RunKey(), now, calledProcessStart() }, makeCall(wait + callTimeout) };
+    DueCall due { { SessionCall::Kind::Poll, RunKey(), now, calledProcessStart() },
+        makeCall(wait + commandCallTimeout) };
     m_sentAcknowledgedEnd = nextAcknowledgement();
     due.call.command = PollRuns { m_sentAcknowledgedEnd, wait };
     // The lease of a worker that does not reply is not renewed, so that it expires: the renewal might arrive even
--- a/src/batch/worker/worker_session_reply_cmd.cpp
+++ b/src/batch/worker/worker_session_reply_cmd.cpp
@@ -45,7 +45,7 @@
     }
     const std::int64_t repliedBy = replyingProcess(reply, now);
     if (mayBeOneOfTwoRuns(context, reply, repliedBy))
-        m_commands.recordNoReply(context, now);
+        m_commands.recordReplyOfUnknown(context, now);
     else
         m_commands.recordReply(context, repliedBy, now);
     // The reply comes from an earlier process of the worker. One that does not name its process is taken for a reply of
@@ -98,7 +98,7 @@
         update.unansweredRenewal = context.processStartMs;
     if (const auto found = m_runs.find(context.run); context.kind == SessionCall::Kind::Stop && found != m_runs.end())
         ++found->second.unansweredStops;
-    if (!mayBeExecuted || !hasRepliedSince(context))
+    if (!mayBeExecuted || context.acknowledgedEnd != 0 || !hasRepliedSince(context))
         recordFailedCall(context, reply.status, update);
 }
 
@@ -167,6 +167,8 @@
     const SessionCall& context, const WorkerReply& reply, absl::Time now, SessionUpdate& update)
 {
     m_claim.recordReply(context.sentAt);
+    if (reply.processStartMs != 0)
+        m_commands.settleRepliesBefore(context.sentAt, reply.processStartMs);
     applyProcessStart(reply.processStartMs, now, update.ended);
     // The row may have named a later process before the worker's first reply.
     suspectRestart(m_entry.processStartMs);
--- a/tests/batch/outstanding_commands_test.cpp
+++ b/tests/batch/outstanding_commands_test.cpp
@@ -7,6 +7,9 @@
 namespace {
 
 constexpr absl::Duration longestDelay = absl::Milliseconds(12500);
+// The longest call of an earlier owner, and its longest call of a start.
+constexpr absl::Duration longestPoll = absl::Seconds(3);
+constexpr absl::Duration startCall = absl::Milliseconds(800);
 constexpr absl::Duration longestLease = absl::Seconds(10);
 // Starts of two processes, long before the tests begin.
 constexpr std::int64_t firstProcess = 1000;
@@ -94,8 +97,8 @@
 {
     const OutstandingCommands commands(begin, longestLease);
     const std::int64_t young = absl::ToUnixMillis(begin - absl::Seconds(1));
-    EXPECT_EQ(commands.foreignLeaseEnd(run, young), begin + longestDelay + longestLease);
-    EXPECT_EQ(commands.foreignLeaseEnd(run, 0), begin + longestDelay + longestLease);
+    EXPECT_EQ(commands.foreignLeaseEnd(run, young), begin + longestPoll + longestDelay + longestLease);
+    EXPECT_EQ(commands.foreignLeaseEnd(run, 0), begin + longestPoll + longestDelay + longestLease);
 }
 
 // Usual work does not wait: nothing that was sent to an earlier process can come any more to one that has been up for
@@ -115,8 +118,8 @@
     commands.recordEarlierCommandsUntil(young, begin - absl::Seconds(30));
     EXPECT_LT(commands.foreignLeaseEnd(run, young), begin);
     // It says nothing of any other process.
-    EXPECT_EQ(commands.foreignLeaseEnd(run, young + 1), begin + longestDelay + longestLease);
-    EXPECT_EQ(commands.foreignLeaseEnd(run, 0), begin + longestDelay + longestLease);
+    EXPECT_EQ(commands.foreignLeaseEnd(run, young + 1), begin + longestPoll + longestDelay + longestLease);
+    EXPECT_EQ(commands.foreignLeaseEnd(run, 0), begin + longestPoll + longestDelay + longestLease);
 }
 
 // Guards against TWICE: the worker may start the run by any of the commands that were sent to it.
@@ -152,8 +155,8 @@
     m_commands.recordShown(run, m_now);
     m_commands.recordShown(run, m_now);
     EXPECT_TRUE(m_commands.mayStart(run));
-    EXPECT_EQ(m_commands.startsMayComeUntil(run), m_now + longestDelay);
-    EXPECT_EQ(m_commands.foreignLeaseEnd(run, firstProcess), m_now + longestDelay + longestLease);
+    EXPECT_EQ(m_commands.startsMayComeUntil(run), m_now + startCall + longestDelay);
+    EXPECT_EQ(m_commands.foreignLeaseEnd(run, firstProcess), m_now + startCall + longestDelay + longestLease);
 }
 
 // A start that a list has shown is of known outcome, although its call gets no reply.
--- a/tests/batch/worker_session_lease_test.cpp
+++ b/tests/batch/worker_session_lease_test.cpp
@@ -329,7 +329,8 @@
     WorkerSession session(makeWorkerEntry("w"), 1, SessionSettings(), m_now);
     session.adopt(runOf(0), { 100, 100, 4 }, { young, 0 }, true, m_now);
     session.handleReply(session.takeDueCalls(m_now).front().context, noAnswer(), m_now);
-    const absl::Time longestEnd = m_now + longestDelay + SessionSettings().maxLease;
+    constexpr absl::Duration longestPoll = absl::Seconds(3);
+    const absl::Time longestEnd = m_now + longestPoll + longestDelay + SessionSettings().maxLease;
     EXPECT_TRUE(session.takeLapsedRuns(longestEnd).empty());
     EXPECT_EQ(session.takeLapsedRuns(longestEnd + absl::Seconds(1)).size(), 1U);
 }
--- a/tests/batch/worker_session_start_test.cpp
+++ b/tests/batch/worker_session_start_test.cpp
@@ -110,6 +110,73 @@
     EXPECT_EQ(m_session.runs().at(runOf(0)).stage, RunSlot::Stage::Running);
 }
 
+// Guards against a doubt without a cause: replies that come late show an unexpected clock, and a later poll shows that
+// the same process has sent them.
+TEST_F(WorkerSessionTest, SettlesSlowRepliesOfTheSameProcessWithALaterPoll)
+{
+    settle();
+    const SessionCall first = startRun(runOf(0));
+    m_now += absl::Milliseconds(250);
+    const SessionCall second = due(SessionCall::Kind::Start).context;
+    m_now += absl::Milliseconds(520);
+    WorkerReply slow;
+    slow.clock = 5000;
+    m_session.handleReply(first, slow, m_now);
+    m_session.handleReply(second, slow, m_now);
+    EXPECT_TRUE(m_session.mayStillStart(runOf(0)));
+    // The pending poll was sent before the replies arrived.
+    WorkerReply list = answerOf(5770);
+    list.running = { { runOf(0), "", 5 } };
+    answerPoll(list);
+    EXPECT_TRUE(m_session.mayStillStart(runOf(0)));
+    m_now += absl::Milliseconds(1);
+    list.clock = 5772;
+    answerPoll(list);
+    EXPECT_FALSE(m_session.mayStillStart(runOf(0)));
+}
+
+// Guards against a second run of a task: of two sendings without a reply one was executed, and the other one may come
+// for longer.
+TEST_F(WorkerSessionTest, KeepsTheLatestOfTwoSendingsOfWhichOneWasExecuted)
+{
+    settle();
+    const SessionCall first = startRun(runOf(0));
+    m_now += absl::Milliseconds(250);
+    const SessionCall second = due(SessionCall::Kind::Start).context;
+    m_session.handleReply(second, noAnswer(ErrorKind::PeerGone), m_now);
+    m_now += absl::Milliseconds(300);
+    m_session.handleReply(first, noAnswer(), m_now);
+    const absl::Time latest = m_now + longestDelay;
+    WorkerReply list = answerOf(5550);
+    list.running = { { runOf(0), "", 0 } };
+    answerPoll(list);
+    answerPoll(list);
+    EXPECT_EQ(m_session.startsMayComeUntil(runOf(0)), latest);
+}
+
+// Guards against a second run of a task that was done: the next process would forget its end for a late acknowledgement
+// to the earlier one. The reply to a stop does not show what became of the acknowledgement.
+TEST_F(WorkerSessionTest, SendsNoStartBesideAnAcknowledgementWithoutAReply)
+{
+    settle();
+    m_session.handleReply(startRun(runOf(5)), answerOf(5050), m_now);
+    listAnEnd();
+    m_session.markEndDurable(1);
+    m_now += absl::Seconds(1);
+    const DueCall acknowledgement = due(SessionCall::Kind::Poll);
+    ASSERT_EQ(acknowledgement.context.acknowledgedEnd, 1);
+    m_session.reserve(runOf(1), { 100, 100, 4 }, m_now);
+    m_session.release(runOf(1), m_now);
+    ASSERT_FALSE(isDue(SessionCall::Kind::Start));
+    m_session.stop(runOf(5), m_now);
+    WorkerReply stopped;
+    stopped.clock = 6200;
+    m_session.handleReply(due(SessionCall::Kind::Stop).context, stopped, m_now);
+    m_now += absl::Milliseconds(800);
+    m_session.handleReply(acknowledgement.context, noAnswer(), m_now);
+    EXPECT_FALSE(isDue(SessionCall::Kind::Start));
+}
+
 // Guards against a job that waits longer than the doubt lasts: the poll before was held open past its end.
 TEST_F(WorkerSessionTest, AsksForAListOnceAStartCannotBeExecutedAnyMore)
 {
@@ -274,11 +341,11 @@
 TEST_F(WorkerSessionTest, KeepsAnAdoptedRunUntilNoProcessCanExecuteItsStart)
 {
     m_session.adopt(runOf(0), { 100, 100, 4 }, { processStartMs - 1, 0 }, false, m_now);
-    const absl::Time until = m_now + longestDelay;
+    const absl::Time until = m_now + commandCallTimeout + longestDelay;
     EXPECT_TRUE(answerPoll(answerOf(5000)).ended.empty());
     m_now = until - absl::Milliseconds(1);
-    EXPECT_TRUE(answerPoll(answerOf(17500)).ended.empty());
-    EXPECT_EQ(answerPoll(answerOf(17501)).ended.size(), 1U);
+    EXPECT_TRUE(answerPoll(answerOf(18300)).ended.empty());
+    EXPECT_EQ(answerPoll(answerOf(18301)).ended.size(), 1U);
 }
 
 // Usual work does not wait: a start that the earlier owner may not have sent is repeated on its worker.
@@ -297,7 +364,7 @@
 TEST_F(WorkerSessionTest, AcknowledgesNoEndOfAnAdoptedRunWhileItsStartsAreUnknown)
 {
     m_session.adopt(runOf(0), { 100, 100, 4 }, { processStartMs, 0 }, false, m_now);
-    const absl::Time until = m_now + longestDelay;
+    const absl::Time until = m_now + commandCallTimeout + longestDelay;
     WorkerReply list = answerOf(5000);
     list.running = { { runOf(0), "", 50 } };
     answerPoll(list);
@@ -315,7 +382,7 @@
 TEST_F(WorkerSessionTest, KeepsAnAdoptedDoneRunUntilNoProcessCanExecuteItsStart)
 {
     m_session.adoptDone(runOf(0), { 100, 100, 4 }, m_now);
-    const absl::Time until = m_now + longestDelay;
+    const absl::Time until = m_now + commandCallTimeout + longestDelay;
     WorkerReply list = answerOf(5000);
     list.ended = { { 1, runOf(0), RunEnd::Done, "" } };
     const absl::Time polledAt = m_now;
@@ -455,7 +522,7 @@
 {
     drainWithARun();
     m_session.adopt(runOf(1), { 100, 100, 4 }, { processStartMs, 0 }, false, m_now);
-    const absl::Time until = m_now + longestDelay;
+    const absl::Time until = m_now + commandCallTimeout + longestDelay;
     while (m_now < until) {
         m_session.handleReply(due(SessionCall::Kind::Poll).context, noAnswer(ErrorKind::OwnerUnreachable), m_now);
         m_session.takeLapsedRuns(m_now);
