--- a/src/batch/worker/worker_session_base.h
+++ b/src/batch/worker/worker_session_base.h
@@ -74,7 +74,8 @@
     Silent,
     // The worker drains, or its data centre is being evacuated.
     Closed,
-    // The worker has refused a start just before, or an acknowledgement to an earlier process may still be executed.
+    // The worker has refused a start just before, or an acknowledgement to an earlier process may still be executed, or
+    // a record says by when one of its runs has ended, so that it gets no start.
     Paused,
 };
 
@@ -215,8 +216,13 @@
     // Handles the reply of this process, given by its start, to a start; 0 if it is unknown which has replied.
     void handleStartReply(const SessionCall& context, const WorkerReply& reply, std::int64_t repliedBy, absl::Time now,
         SessionUpdate& update);
+    // Whether a start was executed by a process other than the one that may have executed an earlier sending of it.
+    bool mayBeOneOfTwoRuns(const SessionCall& context, const WorkerReply& reply, std::int64_t repliedBy) const;
     // Handles a call that got no reply, or whose reply shows that it was not executed.
     void handleFailure(const SessionCall& context, const WorkerReply& reply, absl::Time now, SessionUpdate& update);
+    // Whether the worker's process has replied to a command that was sent when this call should have got its reply, or
+    // later.
+    bool hasRepliedSince(const SessionCall& context) const;
     // Handles a start that may have been executed, or did not reach the worker.
     void handleFailedStart(const SessionCall& context, const WorkerReply& reply, SessionUpdate& update);
     void dropUnstartedRun(
@@ -231,7 +237,7 @@
     void handleStopReply(const SessionCall& context, const WorkerReply& reply, absl::Time now, SessionUpdate& update);
     void handlePollReply(const SessionCall& context, const WorkerReply& reply, absl::Time now, SessionUpdate& update);
     // Records a call without a usable reply.
-    void recordFailedCall(const absl::Status& status, SessionUpdate& update);
+    void recordFailedCall(const SessionCall& context, const absl::Status& status, SessionUpdate& update);
     // Whether the record of a task says by when its run on this worker has ended.
     bool hasRecordedLapse() const { return m_hasRecordedLapse; }
     void updateHasRecordedLapse();
@@ -281,11 +287,16 @@
     void handleEndedRow(const EndedRow& row, absl::Time now, SessionUpdate& update);
     void dropUnlistedRuns(const SessionCall& context, const WorkerReply& reply, SessionUpdate& update);
     bool isPollDue(absl::Time now) const;
+    // When the next poll is due: at the latest when a list may settle a start in doubt.
     absl::Time nextPollAt() const;
+    absl::Time nextUsualPollAt() const;
+    // When the first of the starts without a reply cannot be executed any more, so that the next list settles it; the
+    // infinite future if there is none.
+    absl::Time nextSettlement() const;
     // Whether the session has a run that the worker may be running: any but the reserved ones.
     bool hasLiveRuns() const;
     // How long the worker may hold the next poll open.
-    absl::Duration nextPollWait() const;
+    absl::Duration nextPollWait(absl::Time now) const;
     DueCall makePoll(absl::Time now);
     DueCall makeRunCall(SessionCall::Kind kind, const RunKey& run, absl::Time now);
     WorkerCall makeCall(absl::Duration timeout) const;
@@ -345,10 +356,14 @@
     int m_pendingStarts = 0;
     // When the last poll was sent.
     absl::Time m_polledAt = absl::InfinitePast();
+    // When the latest command was sent that the present process has replied to.
+    absl::Time m_repliedSentAt = absl::InfinitePast();
     // Failed calls since the last reply to a poll.
     int m_failedCalls = 0;
     // At the last failed call no process was listening at the worker's address, or the connection was closed.
     bool m_isUnreachable = false;
+    // When the latest call was sent that found no process listening at the worker's address.
+    absl::Time m_refusedSentAt = absl::InfinitePast();
     // After a refused start the worker accepts no new work until then.
     absl::Time m_startsPausedUntil = absl::InfinitePast();
     // Ends that the worker lists and that are not acknowledged yet, and whether each is durable.
--- a/src/batch/worker/worker_session_call_cmd.cpp
+++ b/src/batch/worker/worker_session_call_cmd.cpp
@@ -8,13 +8,15 @@
 
 namespace {
 
-constexpr absl::Duration callTimeout = absl::Milliseconds(800);
 // Delay before a command that got no reply is sent again.
 constexpr absl::Duration commandRetryPeriod = absl::Milliseconds(250);
 // A start that is not confirmed within this time is stopped instead of being repeated.
 constexpr absl::Duration startConfirmationTimeout = absl::Seconds(8);
 // How often that delay doubles for stops: up to 4 s.
 constexpr int maxStopDoublings = 4;
+// A start that is lost is not waited for until its call times out: it is sent again beside it, up to this often.
+// Members of a gang wait for each other for a few seconds only.
+constexpr int maxPendingStartsOfRun = 4;
 // A worker that gets more starts at the same time may not reply to all of them in time.
 constexpr int maxPendingStarts = 32;
 // Interval between polls of a worker that does not reply.
@@ -48,7 +50,27 @@
         m_runs.begin(), m_runs.end(), [](const auto& entry) { return entry.second.stage != RunSlot::Stage::Reserved; });
 }
 
+absl::Time WorkerSession::nextSettlement() const
+{
+    absl::Time next = absl::InfiniteFuture();
+    if (!m_commands.mayStartAny())
+        return next;
+    for (const auto& [run, slot] : m_runs) {
+        const absl::Time until = m_commands.startsMayComeUntil(run);
+        if (slot.pendingStarts == 0 && until != absl::InfinitePast())
+            next = std::min(next, until);
+    }
+    return next;
+}
+
 absl::Time WorkerSession::nextPollAt() const
+{
+    const absl::Time usual = nextUsualPollAt();
+    const absl::Time settlement = usual == absl::InfiniteFuture() ? usual : nextSettlement();
+    return settlement > m_polledAt ? std::min(usual, settlement) : usual;
+}
+
+absl::Time WorkerSession::nextUsualPollAt() const
 {
     if (m_isPollPending || !hasAddress() || m_claim.isTakenOver())
         return absl::InfiniteFuture();
@@ -80,7 +102,7 @@
     return nextPollAt() <= now;
 }
 
-absl::Duration WorkerSession::nextPollWait() const
+absl::Duration WorkerSession::nextPollWait(absl::Time now) const
 {
     // Starts wait for the reply to an acknowledgement.
     const bool mayWait = isProcessCertain() && !hasRecordedLapse() && m_listedEnds.empty() && hasLiveRuns()
@@ -90,8 +112,10 @@
         [this](const auto& entry) { return entry.second.isStopConfirmed && entry.second.confirmedAt >= m_polledAt; });
     if (!mayWait || isPollAwaited)
         return absl::ZeroDuration();
+    // The list that settles a start in doubt is asked for once the start cannot be executed any more.
+    const absl::Duration untilSettlement = std::max(absl::ZeroDuration(), nextSettlement() - now);
     // The runs of a draining worker have to be reviewed often.
-    return m_entry.isDraining ? m_settings.pollWait : m_pollWait;
+    return std::min(m_entry.isDraining ? m_settings.pollWait : m_pollWait, untilSettlement);
 }
 
 absl::Time WorkerSession::commandDueAt(const RunSlot& slot) const
@@ -105,14 +129,17 @@
     }
     // A start renews the lease, so none is sent to a worker that does not reply: its lease has to expire.
     const bool mayStart = m_mayStart && isProcessCertain() && m_processEntry && !isAcknowledgementPending()
-        && m_pendingStarts < maxPendingStarts && !hasRecordedLapse();
-    if (slot.stage != RunSlot::Stage::Starting || slot.isStartPending || !mayStart)
+        && !isClosedToStarts() && m_pendingStarts < maxPendingStarts && !hasRecordedLapse();
+    if (slot.stage != RunSlot::Stage::Starting || slot.pendingStarts >= maxPendingStartsOfRun || !mayStart)
         return absl::InfiniteFuture();
+    // The next process would forget the end of the run for an acknowledgement that comes late.
+    const absl::Time acknowledgedBy = m_commands.unansweredAcknowledgementUntil();
     if (slot.isUnsent())
-        return absl::InfinitePast();
+        return acknowledgedBy;
     // Another process may have other room.
-    const bool mayRepeat = slot.placedProcessStartMs == m_processStartMs;
-    return mayRepeat ? std::max(slot.startSentAt + commandRetryPeriod, m_startsPausedUntil) : absl::InfiniteFuture();
+    if (slot.placedProcessStartMs != m_processStartMs)
+        return absl::InfiniteFuture();
+    return std::max({ slot.startSentAt + commandRetryPeriod, m_startsPausedUntil, acknowledgedBy });
 }
 
 // A start that the worker has not confirmed may still be executed, so it is barred by a stop.
@@ -121,7 +148,7 @@
     if (!isClosedToStarts())
         return;
     for (auto& [run, slot] : m_runs) {
-        if (slot.stage != RunSlot::Stage::Starting || slot.isStartPending || slot.isStopWanted)
+        if (slot.stage != RunSlot::Stage::Starting || slot.pendingStarts > 0 || slot.isStopWanted)
             continue;
         slot.isStopWanted = true;
         slot.since = now;
@@ -156,12 +183,17 @@
             continue;
         const auto kind = slot.isStopWanted ? SessionCall::Kind::Stop : SessionCall::Kind::Start;
         const bool isRepeated = !slot.isStopWanted && !slot.isUnsent();
-        (slot.isStopWanted ? slot.stopSentAt : slot.startSentAt) = now;
-        (slot.isStopWanted ? slot.isStopPending : slot.isStartPending) = true;
-        if (kind == SessionCall::Kind::Start)
+        if (kind == SessionCall::Kind::Start) {
+            slot.startSentAt = now;
+            ++slot.pendingStarts;
             ++m_pendingStarts;
+        } else {
+            slot.stopSentAt = now;
+            slot.isStopPending = true;
+        }
         calls.push_back(makeRunCall(kind, run, now));
         calls.back().context.isRepeated = isRepeated;
+        slot.isStartRepeated = slot.isStartRepeated || isRepeated;
         calls.back().context.isGivenUp = std::exchange(slot.isGivenUp, false);
     }
     if (isPollDue(now))
@@ -196,7 +228,7 @@
 
 DueCall WorkerSession::makeRunCall(SessionCall::Kind kind, const RunKey& run, absl::Time now)
 {
-    DueCall due { { kind, run, now, calledProcessStart() }, makeCall(callTimeout) };
+    DueCall due { { kind, run, now, calledProcessStart() }, makeCall(commandCallTimeout) };
     if (kind == SessionCall::Kind::Stop) {
         due.call.command = StopRun { run };
         m_commands.recordSent(due.context);
@@ -212,7 +244,7 @@
 {
     absl::Time sentAt = absl::InfiniteFuture();
     for (const auto& [run, slot] : m_runs) {
-        if (slot.isStartPending)
+        if (slot.pendingStarts > 0)
             sentAt = std::min(sentAt, slot.startSentAt);
     }
     return sentAt;
@@ -235,14 +267,16 @@
 
 DueCall WorkerSession::makePoll(absl::Time now)
 {
-    const absl::Duration wait = nextPollWait();
-    DueCall due { { SessionCall::Kind::Poll, RunKey(), now, calledProcessStart() }, makeCall(wait + callTimeout) };
+    const absl::Duration wait = nextPollWait(now);
+    DueCall due { { SessionCall::Kind::Poll, RunKey(), now, calledProcessStart() },
+        makeCall(wait + commandCallTimeout) };
     m_sentAcknowledgedEnd = nextAcknowledgement();
     due.call.command = PollRuns { m_sentAcknowledgedEnd, wait };
     // The lease of a worker that does not reply is not renewed, so that it expires: the renewal might arrive even
     // though the reply does not.
     if (m_failedCalls == 0 && !hasRecordedLapse())
         grantLease(due, now);
+    due.context.wait = wait;
     due.context.acknowledgedEnd = m_sentAcknowledgedEnd;
     m_commands.recordSent(due.context);
     m_isPollPending = true;
--- a/src/batch/worker/worker_session_reply_cmd.cpp
+++ b/src/batch/worker/worker_session_reply_cmd.cpp
@@ -31,7 +31,7 @@
     if (context.kind == SessionCall::Kind::Start)
         --m_pendingStarts;
     if (context.kind == SessionCall::Kind::Start && slot != m_runs.end())
-        slot->second.isStartPending = false;
+        --slot->second.pendingStarts;
     if (context.kind == SessionCall::Kind::Stop && slot != m_runs.end())
         slot->second.isStopPending = false;
     const bool isPollRefused = context.kind == SessionCall::Kind::Poll && reply.refusal != WorkerRefusal::None;
@@ -44,7 +44,10 @@
         return update;
     }
     const std::int64_t repliedBy = replyingProcess(reply, now);
-    m_commands.recordReply(context, repliedBy, now);
+    if (mayBeOneOfTwoRuns(context, reply, repliedBy))
+        m_commands.recordReplyOfUnknown(context, now);
+    else
+        m_commands.recordReply(context, repliedBy, now);
     // The reply comes from an earlier process of the worker. One that does not name its process is taken for a reply of
     // the called one.
     const std::int64_t namedProcess = reply.processStartMs != 0 ? reply.processStartMs : context.processStartMs;
@@ -55,6 +58,8 @@
         return update;
     }
     recordAnswer(context, reply, now, update);
+    if (repliedBy != 0 && repliedBy == m_processStartMs && isProcessCertain())
+        m_repliedSentAt = std::max(m_repliedSentAt, context.sentAt);
     switch (context.kind) {
     case SessionCall::Kind::Start:
         handleStartReply(context, reply, repliedBy, now, update);
@@ -69,6 +74,16 @@
     return update;
 }
 
+// An unknown process has executed the start, and the present one may have executed an earlier sending: what the present
+// one lists says nothing of the other run.
+bool WorkerSession::mayBeOneOfTwoRuns(
+    const SessionCall& context, const WorkerReply& reply, std::int64_t repliedBy) const
+{
+    const auto slot = m_runs.find(context.run);
+    return context.kind == SessionCall::Kind::Start && reply.refusal == WorkerRefusal::None && repliedBy == 0
+        && slot != m_runs.end() && slot->second.isStartRepeated;
+}
+
 void WorkerSession::handleFailure(
     const SessionCall& context, const WorkerReply& reply, absl::Time now, SessionUpdate& update)
 {
@@ -83,7 +98,15 @@
         update.unansweredRenewal = context.processStartMs;
     if (const auto found = m_runs.find(context.run); context.kind == SessionCall::Kind::Stop && found != m_runs.end())
         ++found->second.unansweredStops;
-    recordFailedCall(reply.status, update);
+    if (!mayBeExecuted || context.acknowledgedEnd != 0 || !hasRepliedSince(context))
+        recordFailedCall(context, reply.status, update);
+}
+
+// The loss of one command or of its reply does not show that the worker is silent if the process has replied to a
+// later one.
+bool WorkerSession::hasRepliedSince(const SessionCall& context) const
+{
+    return context.sentAt + context.wait <= m_repliedSentAt;
 }
 
 void WorkerSession::handleFailedStart(const SessionCall& context, const WorkerReply& reply, SessionUpdate& update)
@@ -127,10 +150,12 @@
     return !isListed() && m_runs.empty() && !m_isPollPending && m_commands.lastEffectAt() <= now;
 }
 
-void WorkerSession::recordFailedCall(const absl::Status& status, SessionUpdate& update)
+void WorkerSession::recordFailedCall(const SessionCall& context, const absl::Status& status, SessionUpdate& update)
 {
     const ErrorKind kind = errorKindOf(status);
     m_isUnreachable = kind == ErrorKind::OwnerUnreachable || kind == ErrorKind::PeerGone;
+    if (kind == ErrorKind::OwnerUnreachable)
+        m_refusedSentAt = std::max(m_refusedSentAt, context.sentAt);
     update.isLost = m_failedCalls == 0;
     ++m_failedCalls;
     // The worker takes no work until it has replied to a poll; what was not sent need not wait for that.
@@ -142,6 +167,8 @@
     const SessionCall& context, const WorkerReply& reply, absl::Time now, SessionUpdate& update)
 {
     m_claim.recordReply(context.sentAt);
+    if (reply.processStartMs != 0)
+        m_commands.settleRepliesBefore(context.sentAt, reply.processStartMs);
     applyProcessStart(reply.processStartMs, now, update.ended);
     // The row may have named a later process before the worker's first reply.
     suspectRestart(m_entry.processStartMs);
