--- a/review/standin_3.py
+++ b/review/standin_3.py
@@ -246,7 +246,7 @@
         self.remaining_end = None
         self.tasks = []
         self.changed = asyncio.Condition()
-        # The demand of each task by job, which the script fills in: {job: (cpu, memMb, gpu)}.
+        # What each task needs, by job and step: {(job, step): (cpu, memMb, gpu)}.
         self.demands = {}
         self.over_capacity = []
         # Called with (path, body) before a call: "hang" does nothing and doesn't answer.
@@ -345,7 +345,8 @@
         return 200, self.lists()
 
     def used(self):
-        return [sum(self.demands[task.split(".")[0]][i] for task in self.running) for i in range(3)]
+        needs = [self.demands[task.split(".")[0], int(task.split(".")[2])] for task in self.running]
+        return [sum(need[i] for need in needs) for i in range(3)]
 
     def start_run(self, body):
         task, attempt = body["task"], body["attempt"]
@@ -361,7 +362,7 @@
                               time.monotonic()]
         self.record.add(f"worker {self.name}: {task} run {attempt} starts (fence {body['fenceToken']})")
         needed = [self.capacity["cpu"], self.capacity["memMb"], self.capacity["gpu"]]
-        used = self.used() if self.demands else [0, 0, 0]
+        used = self.used()
         if any(u > n for u, n in zip(used, needed)):
             self.over_capacity.append(task)
             self.record.add(f"worker {self.name}: LIMIT: runs need {used} (cpu, memMb, gpu) of {needed}: "
@@ -508,7 +509,8 @@
         raise RuntimeError(f"not in time: {what}")
 
     async def submit(self, node, job, step, milliseconds, queue="batch", extra=()):
-        self.demands[job] = (step.get("cpu", 0), step.get("memMb", 0), step.get("gpu", 0))
+        for number, each in enumerate([step, *extra]):
+            self.demands[job, number] = (each.get("cpu", 0), each.get("memMb", 0), each.get("gpu", 0))
         body = {"spec": str(milliseconds), "phases": [step, *extra]}
         answer = await self.nodes[node].call("POST", f"/{queue}/{job}", body)
         self.record.add(f"client: POST {queue}/{job} at node-{node}: {answer}")
