--- a/review/standin_3.py
+++ b/review/standin_3.py
@@ -249,6 +249,8 @@
         # What each task needs, by job and step: {(job, step): (cpu, memMb, gpu)}.
         self.demands = {}
         self.over_capacity = []
+        # When each task was started last, by the time of day.
+        self.starts = {}
         # Called with (path, body) before a call: "hang" does nothing and doesn't answer.
         self.disturb = lambda path, body: None
 
@@ -358,6 +360,7 @@
         if self.clock() >= self.lease_end:
             return 409, {"clockMs": self.clock(), "reason": "late"}
         self.highest[task] = attempt
+        self.starts[task] = time.time()
         self.running[task] = [attempt, time.monotonic() + int(body["spec"]) / 1000, "done",
                               time.monotonic()]
         self.record.add(f"worker {self.name}: {task} run {attempt} starts (fence {body['fenceToken']})")
