--- a/review/standin_3.py
+++ b/review/standin_3.py
@@ -68,8 +68,8 @@
         self.server = None
         self.port = 0
 
-    async def start(self):
-        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+    async def start(self, port=0):
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", port)
         self.port = self.server.sockets[0].getsockname()[1]
         return self
 
@@ -229,10 +229,10 @@
 class Worker:
     """A worker, from its start until it leaves. The number of milliseconds in a job's `spec` is its tasks' time."""
 
-    def __init__(self, store, record, name, gpu=8, cpu=128000, mem=262144, kind="kind-1"):
+    def __init__(self, store, record, name, gpu=8, cpu=128000, mem=262144, kind="kind-1", born=None):
         self.store, self.record, self.name, self.kind = store, record, name, kind
         self.capacity = {"cpu": cpu, "memMb": mem, "gpu": gpu}
-        self.born = int(time.time() * 1000)
+        self.born = int(time.time() * 1000) if born is None else born
         self.start_time = time.monotonic()
         self.fence = 0
         self.lease_end = 0
@@ -254,8 +254,8 @@
         # Called with (path, body) before a call: "hang" does nothing and doesn't answer.
         self.disturb = lambda path, body: None
 
-    async def start(self):
-        self.server = await HttpServer(self.handle).start()
+    async def start(self, port=0):
+        self.server = await HttpServer(self.handle).start(port)
         self.tasks = [asyncio.create_task(self.beat()), asyncio.create_task(self.work())]
         return self
 
@@ -286,6 +286,22 @@
         await self.report()
         self.record.add(f"worker {self.name} is draining")
 
+    def crash(self):
+        """The worker's process ends without a word."""
+        for task in self.tasks:
+            task.cancel()
+        self.server.stop()
+        self.record.add(f"worker {self.name} crashes; ended there: {sorted(self.running)}")
+        self.running = {}
+
+    async def restart(self, born):
+        """The worker has crashed and starts again under its id and at its address, and knows nothing of before."""
+        again = Worker(self.store, self.record, self.name, self.capacity["gpu"], self.capacity["cpu"],
+                       self.capacity["memMb"], self.kind, born)
+        again.demands = self.demands
+        self.record.add(f"worker {self.name} starts again, born {born} (before: {self.born})")
+        return await again.start(self.server.port)
+
     async def leave(self):
         """The worker is gone: what runs there ends, and its entry is removed."""
         for task in self.tasks:
