--- a/review/standin_3.py
+++ b/review/standin_3.py
@@ -302,11 +302,15 @@
         self.record.add(f"worker {self.name} starts again, born {born} (before: {self.born})")
         return await again.start(self.server.port)
 
-    async def leave(self):
-        """The worker is gone: what runs there ends, and its entry is removed."""
+    async def leave(self, is_silent=False):
+        """The worker is gone: what runs there ends, and its entry is removed. Its address refuses connections from
+        then on, or nothing answers there, as at a machine without power."""
         for task in self.tasks:
             task.cancel()
-        self.server.stop()
+        if is_silent:
+            self.disturb = lambda path, body: "hang"
+        else:
+            self.server.stop()
         self.record.add(f"worker {self.name} has left; ended there: {sorted(self.running)}")
         self.running = {}
         await self.store.write({}, [f"servers/{self.name}"])
