--- a/review/14/case.py
+++ b/review/14/case.py
@@ -2,6 +2,7 @@
 import asyncio
 import os
 import sys
+import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), ".."))
 from standin_3 import run_case  # noqa: E402
@@ -38,7 +39,9 @@
 
     if has_trouble:
         platform.store.disturb = lose_progress
-    await platform.submit(other, WITHDRAWN, large(128000), TASK_MS)
+    # A job with a due time is not counted as waiting, so that the first write has nothing but its progress.
+    due = {"startAtMs": int(time.time() * 1000) - 1000}
+    await platform.submit(other, WITHDRAWN, large(128000), TASK_MS, fields=due)
     await asyncio.sleep(0.05)
     # A job with a small task that starts and a large one that has to wait for room.
     await platform.submit(other, TWO_STEPS, SMALL, TASK_MS, extra=[large(60000)])
