--- a/review/standin_3.py
+++ b/review/standin_3.py
@@ -487,8 +487,8 @@
 class Platform:
     """A small deployment: the store, workers and three nodes."""
 
-    def __init__(self, case_folder):
-        self.record = Record(os.path.join(case_folder, "record.txt"))
+    def __init__(self, case_folder, record_name):
+        self.record = Record(os.path.join(case_folder, record_name))
         self.folder = tempfile.mkdtemp(prefix="mangohall-review-")
         self.nodes = []
         self.workers = {}
@@ -560,17 +560,19 @@
             shutil.rmtree(self.folder, ignore_errors=True)
 
 
-def run_case(case_file, scenario):
+def run_case(case_file, scenario, record_name="record.txt"):
     """Runs `scenario(platform, has_trouble)`, which returns whether the rule was broken. Exits with 0, 1 or 2."""
     async def main():
-        platform = Platform(os.path.dirname(os.path.abspath(case_file)))
+        platform = Platform(os.path.dirname(os.path.abspath(case_file)), record_name)
         try:
             return await asyncio.wait_for(scenario(platform, os.environ.get("TROUBLE", "1") != "0"), 115)
         finally:
             await platform.stop()
+    # SIGTERM ends the run as SIGINT does, with all processes that it has started.
+    signal.signal(signal.SIGTERM, lambda *_: os.kill(os.getpid(), signal.SIGINT))
     try:
         broken = asyncio.run(main())
-    except Exception as error:  # the case could not run
+    except (Exception, KeyboardInterrupt, asyncio.CancelledError) as error:  # the case could not run
         print(f"the case could not run: {error!r}")
         raise SystemExit(2)
     raise SystemExit(1 if broken else 0)
