--- a/review/standin_3.py
+++ b/review/standin_3.py
@@ -407,6 +407,7 @@
 
     def __init__(self, folder, number, store_port):
         self.number = number
+        self.folder, self.store_port = folder, store_port
         self.ports = free_ports(3)
         settings = {"node": f"node-{number}", "dataCentre": "here", "callers": f"127.0.0.1:{self.ports[0]}",
                     "readiness": f"127.0.0.1:{self.ports[1]}", "metrics": f"127.0.0.1:{self.ports[2]}",
@@ -507,6 +508,11 @@
         await self.wait_for(self.is_ready, 20, "the nodes are ready")
 
     async def is_ready(self):
+        # Another script may have taken a port in the meantime: the node has ended at once, and gets other ports.
+        for number, node in enumerate(self.nodes):
+            if node.process.poll() is not None:
+                self.nodes[number] = Node(node.folder, node.number, node.store_port)
+                self.nodes[number].start()
         answers = [await node.call("GET", "/v1/readyz", port=1) for node in self.nodes]
         return all(answer is not None and answer[0] == 200 for answer in answers) and self.owner() is not None
 
@@ -568,8 +574,11 @@
             return await asyncio.wait_for(scenario(platform, os.environ.get("TROUBLE", "1") != "0"), 115)
         finally:
             await platform.stop()
-    # SIGTERM ends the run as SIGINT does, with all processes that it has started.
-    signal.signal(signal.SIGTERM, lambda *_: os.kill(os.getpid(), signal.SIGINT))
+    def interrupt(*_):
+        raise KeyboardInterrupt
+
+    # SIGTERM ends the run with all processes that it has started.
+    signal.signal(signal.SIGTERM, interrupt)
     try:
         broken = asyncio.run(main())
     except (Exception, KeyboardInterrupt, asyncio.CancelledError) as error:  # the case could not run
