Feature: the log says that an owner is behind, and whose delay ended a call

New: ownerBehind (share, late wake-ups, delayed calls, starts not sent), senderDelayMs of startUnanswered, renewalUnanswered and workerLost, share of ownershipTaken.

--- a/src/adapters/http/curl_http_client_base.cpp
+++ b/src/adapters/http/curl_http_client_base.cpp
@@ -86,12 +86,21 @@
         processTimers();
         endCompletedTransfers();
         endTimedOutTransfers();
-        processReadySockets(m_poller.wait(nextWait()));
+        waitAndRead();
     }
     while (!m_transfers.empty())
         end(m_transfers.begin()->first, makeError(ErrorKind::OutcomeUnknown, "the client is stopping"));
 }
 
+void CurlHttpClient::waitAndRead()
+{
+    const absl::Span<const SocketPoller::Ready> ready = m_poller.wait(nextWait());
+    const absl::Time waitedUntil = m_clock.now();
+    processReadySockets(ready);
+    if (!m_poller.mayHaveMore())
+        m_readUntil = waitedUntil;
+}
+
 bool CurlHttpClient::acceptIncoming()
 {
     std::vector<TransferPointer> incoming;
@@ -108,6 +117,7 @@
 
 void CurlHttpClient::addTransfer(TransferPointer transfer)
 {
+    transfer->markAccepted();
     const std::uint64_t id = transfer->id();
     const std::string host = transfer->host();
     m_deadlineChecks.insert({ transfer->deadline(), id });
@@ -185,7 +195,9 @@
             continue;
         }
         shutDownIdleConnections(transfer);
-        end(id, makeError(ErrorKind::TimedOut, absl::StrCat(transfer.host(), ": no response within the timeout")));
+        const absl::Status status
+            = makeError(ErrorKind::TimedOut, absl::StrCat(transfer.host(), ": no response within the timeout"));
+        end(id, markSenderDelay(status, transfer.senderDelay(m_readUntil)));
     }
 }
 
--- a/src/adapters/http/curl_http_client_base.h
+++ b/src/adapters/http/curl_http_client_base.h
@@ -75,6 +75,8 @@
     void enqueue(const HttpRequest& request, Piece piece, Done done);
     // Main function of the client's thread.
     void run();
+    // Waits for sockets, or for the next timer, and processes the ready ones.
+    void waitAndRead();
     // Adds the transfers of m_incoming. Returns false once the client is stopping.
     bool acceptIncoming();
     // Registers a transfer and starts it if its host has a free connection.
@@ -123,6 +125,8 @@
     absl::flat_hash_map<std::string, HostQueue> m_hostQueues;
     // One deadline check for each unfinished transfer, in order of time.
     std::set<DeadlineCheck> m_deadlineChecks;
+    // Everything that had arrived by this time has been read.
+    absl::Time m_readUntil = absl::InfinitePast();
     // Unused handles of the library, kept for later transfers.
     std::vector<CURL*> m_freeHandles;
     std::thread m_thread;
--- a/src/adapters/http/curl_transfer_base.cpp
+++ b/src/adapters/http/curl_transfer_base.cpp
@@ -33,7 +33,9 @@
     , m_clock(clock)
     , m_onBodyPart(std::move(piece))
     , m_onResponse(std::move(done))
-    , m_deadline(clock.now() + request.timeout)
+    , m_createdAt(clock.now())
+    , m_acceptedAt(m_createdAt)
+    , m_deadline(m_createdAt + request.timeout)
 {
 }
 
--- a/src/adapters/http/curl_transfer_base.h
+++ b/src/adapters/http/curl_transfer_base.h
@@ -29,6 +29,13 @@
     const std::string& host() const { return m_host; }
     // Time at which the transfer times out.
     absl::Time deadline() const { return m_deadline; }
+    // Records that the client's thread has taken the transfer over.
+    void markAccepted() { m_acceptedAt = m_clock.now(); }
+    // How long the client itself has delayed the transfer, if its thread has read what had arrived by `readUntil`.
+    absl::Duration senderDelay(absl::Time readUntil) const
+    {
+        return (m_acceptedAt - m_createdAt) + std::max(m_deadline - readUntil, absl::ZeroDuration());
+    }
     // Whether it is too late to send the request.
     bool isTooLateToSend() const { return m_clock.now() >= std::min(m_deadline, m_request.sendUntil); }
     // Socket of the transfer's connection; -1 until it is connected.
@@ -70,6 +77,8 @@
     const Clock& m_clock;
     HttpClient::Piece m_onBodyPart;
     HttpClient::Done m_onResponse;
+    const absl::Time m_createdAt;
+    absl::Time m_acceptedAt;
     absl::Time m_deadline;
     // Owned by the client.
     CURL* m_handle = nullptr;
--- a/src/adapters/http/socket_poller_base.cpp
+++ b/src/adapters/http/socket_poller_base.cpp
@@ -78,6 +78,7 @@
     // Rounded up, so that the wait does not end before the given time.
     const auto milliseconds = static_cast<int>(absl::ToInt64Milliseconds(absl::Ceil(longest, absl::Milliseconds(1))));
     const int count = ::epoll_wait(m_epollDescriptor, events.data(), static_cast<int>(events.size()), milliseconds);
+    m_mayHaveMore = count == static_cast<int>(events.size());
     m_ready.clear();
     for (int i = 0; i < count; ++i) {
         const epoll_event& event = events[static_cast<std::size_t>(i)];
--- a/src/adapters/http/socket_poller_base.h
+++ b/src/adapters/http/socket_poller_base.h
@@ -41,6 +41,8 @@
     // Waits until a socket is ready, `wake` is called, or the time has elapsed. Returns the ready sockets, possibly
     // none; the span is valid until the next call.
     absl::Span<const Ready> wait(absl::Duration longest);
+    // Whether more sockets may have been ready than the last wait could return.
+    bool mayHaveMore() const { return m_mayHaveMore; }
 
 private:
     // Resets the counter of the wake-up event.
@@ -51,6 +53,7 @@
     const int m_wakeDescriptor;
     // Result of the last wait.
     std::vector<Ready> m_ready;
+    bool m_mayHaveMore = false;
 };
 
 } // namespace mangohall
--- a/src/adapters/observe/decision_log_base.cpp
+++ b/src/adapters/observe/decision_log_base.cpp
@@ -31,7 +31,7 @@
     "workerLost", "ownershipTaken", "ownershipLost", "manifestTaken", "storeLost", "storeRegained", "recordUnreadable",
     "startSent", "startUnanswered", "startBarred", "workerListOld", "workerListCurrent", "renewalUnanswered",
     "recordRefused", "jobHeld", "guaranteeMet", "workerQuarantined", "evacuationBegun", "evacuationEnded",
-    "evacuationsOld", "evacuationsCurrent", "runUnsettled", "jobDeferred" };
+    "evacuationsOld", "evacuationsCurrent", "runUnsettled", "jobDeferred", "ownerBehind" };
 
 // Whether the decision is about a single run or request, of which a busy node handles hundreds a second.
 bool isFrequent(DecisionEffect::Kind kind)
@@ -77,6 +77,17 @@
     line["jobsAgeMs"] = absl::ToInt64Milliseconds(allocation.jobsAge);
 }
 
+void setOwnerLoad(nlohmann::json& line, const OwnerLoadStats& load)
+{
+    line["share"] = load.processorShare;
+    line["wakeDelayMs"] = absl::ToInt64Milliseconds(load.wakeDelay);
+    line["delayedCalls"] = load.delayedCalls;
+    line["callDelayMs"] = absl::ToInt64Milliseconds(load.callDelay);
+    line["pendingCalls"] = load.pendingCalls;
+    line["unsentStarts"] = load.unsentStarts;
+    line["oldestUnsentMs"] = absl::ToInt64Milliseconds(load.oldestUnsentStart);
+}
+
 void setUnlessInfinite(nlohmann::json& line, const char* field, absl::Duration duration)
 {
     if (duration != absl::InfiniteDuration())
@@ -110,6 +121,11 @@
     if (decision.rowProcessStartMs != 0)
         line["entryProcess"] = decision.rowProcessStartMs;
     setUnlessInfinite(line, "ageMs", decision.age);
+    setUnlessInfinite(line, "senderDelayMs", decision.senderDelay);
+    if (decision.processorShare != 0)
+        line["share"] = decision.processorShare;
+    if (decision.ownerLoad)
+        setOwnerLoad(line, *decision.ownerLoad);
     if (decision.allocation)
         setAllocation(line, *decision.allocation);
     if (decision.startTimes)
--- a/src/adapters/observe/decision_log_base.h
+++ b/src/adapters/observe/decision_log_base.h
@@ -56,7 +56,7 @@
     };
 
     // The number of enumerators of `DecisionEffect::Kind`.
-    static constexpr std::size_t kindCount = static_cast<std::size_t>(DecisionEffect::Kind::JobDeferred) + 1;
+    static constexpr std::size_t kindCount = static_cast<std::size_t>(DecisionEffect::Kind::OwnerBehind) + 1;
 
     // Adds the name of the node and the time to the line and logs it.
     void write(nlohmann::json line, absl::Time now) const;
--- a/src/batch/node/event_type.h
+++ b/src/batch/node/event_type.h
@@ -167,6 +167,23 @@
     absl::Duration lastPlacement = absl::InfiniteDuration();
 };
 
+// How far an owner is behind with its work.
+struct OwnerLoadStats {
+    // The share of a processor that the node may use.
+    double processorShare = 0;
+    // The longest time by which the owner was woken late since the last report.
+    absl::Duration wakeDelay = absl::ZeroDuration();
+    // The calls to workers without a reply since then that the node itself had delayed noticeably, and the longest such
+    // delay.
+    std::int64_t delayedCalls = 0;
+    absl::Duration callDelay = absl::ZeroDuration();
+    // The calls to workers that have not ended.
+    std::size_t pendingCalls = 0;
+    // The runs whose start could be sent and was not, and how long the first of them has waited.
+    std::size_t unsentStarts = 0;
+    absl::Duration oldestUnsentStart = absl::ZeroDuration();
+};
+
 // A decision, or a change that the node has detected, for logs and metrics. Empty fields are left out of the log.
 struct DecisionEffect {
     // The decision log names the kinds by their position.
@@ -224,6 +241,8 @@
         RunUnsettled,
         // The owner has too little memory left for a job, which stays in the store until there is room.
         JobDeferred,
+        // The owner does not keep up with its work.
+        OwnerBehind,
     };
     Kind kind = Kind::Submitted;
     std::string job;
@@ -242,6 +261,12 @@
     std::int64_t rowProcessStartMs = 0;
     // The age of the input to the decision, or the time that the operation took; infinite if neither applies.
     absl::Duration age = absl::InfiniteDuration();
+    // For a call without a reply: how long this node itself was late to send it or to read a reply; infinite otherwise.
+    absl::Duration senderDelay = absl::InfiniteDuration();
+    // The share of a processor that a new owner may use; 0 for other decisions.
+    double processorShare = 0;
+    // Present for an owner that is behind only.
+    absl::optional<OwnerLoadStats> ownerLoad;
     // Present for allocation rounds only.
     absl::optional<AllocationStats> allocation;
     // Present for guarantees that are met only.
--- a/src/batch/owner/owner_load_cmd.cpp
+++ b/src/batch/owner/owner_load_cmd.cpp
@@ -25,6 +25,7 @@
     decision.kind = update.isTaken ? DecisionEffect::Kind::OwnershipTaken : DecisionEffect::Kind::OwnershipLost;
     decision.reason = update.reason;
     decision.epoch = m_ownership.epoch();
+    decision.processorShare = update.isTaken ? m_settings.processorShare : 0;
     m_outbox.log(std::move(decision));
     m_jobs.clear();
     m_workers.reset(m_ownership.epoch(), now);
--- a/src/batch/owner/owner_log_cmd.cpp
+++ b/src/batch/owner/owner_log_cmd.cpp
@@ -18,22 +18,28 @@
 
 void OwnerPart::logRun(DecisionEffect::Kind kind, const RunKey& run, const WorkerName& worker,
     absl::string_view outcome, absl::string_view reason, absl::Duration age)
+{
+    DecisionEffect decision = describeRun(kind, run, worker);
+    decision.outcome = std::string(outcome);
+    decision.reason = std::string(reason);
+    decision.age = age;
+    m_outbox.log(std::move(decision));
+}
+
+DecisionEffect OwnerPart::describeRun(DecisionEffect::Kind kind, const RunKey& run, const WorkerName& worker) const
 {
     DecisionEffect decision;
     decision.kind = kind;
     decision.job = run.task.job.str();
     decision.run = runName(run);
     decision.worker = worker.str();
-    decision.outcome = std::string(outcome);
-    decision.reason = std::string(reason);
-    decision.age = age;
     decision.epoch = m_ownership.epoch();
     const auto session = m_workers.sessions().find(worker);
     if (session != m_workers.sessions().end()) {
         decision.workerProcessStartMs = session->second.processStartMs();
         decision.rowProcessStartMs = session->second.entry().processStartMs;
     }
-    m_outbox.log(std::move(decision));
+    return decision;
 }
 
 void OwnerPart::logJobEnd(const JobEntry& entry, absl::Time now)
@@ -142,6 +148,18 @@
     m_outbox.log(std::move(decision));
 }
 
+void OwnerPart::reviewLoad(absl::Time now)
+{
+    absl::optional<OwnerLoadStats> stats = m_load.review(m_workers, now);
+    if (!stats)
+        return;
+    DecisionEffect decision;
+    decision.kind = DecisionEffect::Kind::OwnerBehind;
+    decision.epoch = m_ownership.epoch();
+    decision.ownerLoad = *stats;
+    m_outbox.log(std::move(decision));
+}
+
 void OwnerPart::logGuaranteeMet(JobEntry& entry, absl::Time now)
 {
     if (!entry.isGuaranteeLogged || entry.isGuaranteeMetLogged || !entry.progress.haveFirstTasksBegun())
@@ -176,8 +194,10 @@
     if (update.session.unansweredStart) {
         const RunKey& run = *update.session.unansweredStart;
         const absl::Duration left = m_workers.find(update.worker)->startsMayComeUntil(run) - now;
-        logRun(DecisionEffect::Kind::StartUnanswered, run, update.worker, "",
-            absl::StrCat("may be executed within ", absl::ToInt64Milliseconds(left), " ms"));
+        DecisionEffect decision = describeRun(DecisionEffect::Kind::StartUnanswered, run, update.worker);
+        decision.reason = absl::StrCat("may be executed within ", absl::ToInt64Milliseconds(left), " ms");
+        decision.senderDelay = update.session.senderDelay;
+        m_outbox.log(std::move(decision));
     }
     if (update.session.barredStart)
         logRun(DecisionEffect::Kind::StartBarred, *update.session.barredStart, update.worker);
@@ -200,6 +220,7 @@
     decision.worker = update.worker.str();
     decision.epoch = m_ownership.epoch();
     decision.workerProcessStartMs = *update.session.unansweredRenewal;
+    decision.senderDelay = update.session.senderDelay;
     m_outbox.log(std::move(decision));
 }
 
@@ -210,6 +231,8 @@
     decision.worker = update.worker.str();
     decision.epoch = m_ownership.epoch();
     decision.version = update.processStartMs;
+    if (update.session.isLost)
+        decision.senderDelay = update.session.senderDelay;
     m_outbox.log(std::move(decision));
 }
 
--- a/src/batch/owner/owner_part_base.h
+++ b/src/batch/owner/owner_part_base.h
@@ -8,6 +8,7 @@
 #include "batch/node/outbox_base.h"
 #include "batch/owner/allocation_input_func.h"
 #include "batch/owner/job_registry_base.h"
+#include "batch/owner/owner_load_base.h"
 #include "batch/owner/ownership_base.h"
 #include "batch/owner/progress_writer_base.h"
 #include "batch/owner/stop_reason_type.h"
@@ -125,6 +126,9 @@
     void logRun(DecisionEffect::Kind kind, const RunKey& run, const WorkerName& worker, absl::string_view outcome = "",
         absl::string_view reason = "", absl::Duration age = absl::InfiniteDuration())
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    // A decision about a run, with what the owner knows of its worker's process.
+    DecisionEffect describeRun(DecisionEffect::Kind kind, const RunKey& run, const WorkerName& worker) const
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void logAllocation(const Allocation& allocation, const AllocationInput& input, absl::Duration took, absl::Time now)
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void logGuarantees(const AllocationInput& input, absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
@@ -134,6 +138,8 @@
     absl::Time nextHeldRunReview() const ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void reviewHeldRuns(absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void logHeldRun(const JobEntry& entry, const HeldRun& held, absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    // Logs, at intervals, that the owner does not keep up with its work.
+    void reviewLoad(absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     // Logs once that all first tasks of a job have started that a guarantee covers.
     void logGuaranteeMet(JobEntry& entry, absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void logQuarantine(const WorkerName& worker, absl::Duration duration) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
@@ -179,6 +185,7 @@
     // When the last allocation round began.
     absl::Time m_allocatedAt ABSL_GUARDED_BY(m_mutex) = absl::InfinitePast();
     WorkPacer m_allocationPacer ABSL_GUARDED_BY(m_mutex);
+    OwnerLoad m_load ABSL_GUARDED_BY(m_mutex);
     // The last allocation round had tasks that wait for capacity.
     bool m_hasPendingSteps ABSL_GUARDED_BY(m_mutex) = false;
     // The node shuts down and gives up the ownership; the directory part has been notified once that is done.
--- a/src/batch/owner/owner_part_cmd.cpp
+++ b/src/batch/owner/owner_part_cmd.cpp
@@ -49,6 +49,7 @@
     , m_workers(settings.session)
     , m_writer(m_jobs)
     , m_allocationPacer(shortestAllocationPause)
+    , m_load(settings.processorShare)
 {
 }
 
@@ -62,7 +63,9 @@
     if (m_ownership.isOwner())
         advance(now);
     advanceDrain(now);
-    m_outbox.add(WakeAtEffect { nextDue(now) });
+    const absl::Time due = nextDue(now);
+    m_load.recordWakeTime(due);
+    m_outbox.add(WakeAtEffect { due });
     return m_outbox.take();
 }
 
@@ -77,6 +80,8 @@
         m_routes = routes->routes;
         m_directoryConfirmedAt = routes->confirmedAt;
         applyEvacuations(*routes, now);
+    } else if (std::holds_alternative<WakeEvent>(event)) {
+        m_load.recordWake(now);
     } else if (std::holds_alternative<DrainEvent>(event)) {
         m_isDraining = true;
         beginHandover(now);
@@ -241,6 +246,7 @@
     m_workers.setStartsUntil(m_directoryConfirmedAt + m_settings.maxEvacuationAge);
     m_workers.advance(*this, m_outbox, now);
     reviewHeldRuns(now);
+    reviewLoad(now);
 }
 
 absl::Time OwnerPart::nextDue(absl::Time now) const
--- a/src/batch/owner/owner_run_cmd.cpp
+++ b/src/batch/owner/owner_run_cmd.cpp
@@ -83,6 +83,7 @@
             m_ownership.lose(absl::StrCat(update.worker.text(), " has seen a larger epoch"), now), now);
         return;
     }
+    m_load.recordCallDelay(update.session.senderDelay);
     logStart(update, now);
     if (update.session.unansweredRenewal)
         logUnansweredRenewal(update);
--- a/src/batch/owner/worker_registry_base.cpp
+++ b/src/batch/owner/worker_registry_base.cpp
@@ -176,6 +176,20 @@
     return updates;
 }
 
+UnsentStarts WorkerRegistry::unsentStarts() const
+{
+    UnsentStarts unsent;
+    for (const auto& [name, session] : m_sessions) {
+        for (const auto& [run, slot] : session.runs()) {
+            if (slot.stage != RunSlot::Stage::Starting || !slot.isUnsent())
+                continue;
+            ++unsent.count;
+            unsent.oldestSince = std::min(unsent.oldestSince, slot.since);
+        }
+    }
+    return unsent;
+}
+
 bool WorkerRegistry::isStartPending() const
 {
     return std::any_of(m_calls.begin(), m_calls.end(),
--- a/src/batch/owner/worker_registry_base.h
+++ b/src/batch/owner/worker_registry_base.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <memory>
 #include <vector>
 
@@ -25,6 +26,13 @@
     SessionUpdate session;
 };
 
+// The runs whose placement is durable and whose start was not sent.
+struct UnsentStarts {
+    std::size_t count = 0;
+    // Since when the first of them waits; the infinite future if there is none.
+    absl::Time oldestSince = absl::InfiniteFuture();
+};
+
 // Provides the payload and checkpoint of a start command.
 class StartSource {
 public:
@@ -69,6 +77,8 @@
 
     // Drops and returns the runs whose start was not sent.
     std::vector<WorkerUpdate> takeUnsentRuns();
+    UnsentStarts unsentStarts() const;
+    std::size_t pendingCallCount() const { return m_calls.size(); }
     // Whether the reply to a start is still to come.
     bool isStartPending() const;
 
--- a/src/batch/worker/worker_session_base.h
+++ b/src/batch/worker/worker_session_base.h
@@ -54,6 +54,8 @@
     absl::optional<RunKey> unansweredStart;
     // The start, in Unix milliseconds, of the process that a poll without a reply was sent to, if it renews the lease.
     absl::optional<std::int64_t> unansweredRenewal;
+    // For a call without a reply: how long this node itself was late to send it or to read a reply.
+    absl::Duration senderDelay = absl::ZeroDuration();
     // A run that the worker has barred by a stop before its start was confirmed.
     absl::optional<RunKey> barredStart;
     // The worker has seen a larger epoch, so another node is the owner.
--- a/src/batch/worker/worker_session_reply_cmd.cpp
+++ b/src/batch/worker/worker_session_reply_cmd.cpp
@@ -87,6 +87,7 @@
 void WorkerSession::handleFailure(
     const SessionCall& context, const WorkerReply& reply, absl::Time now, SessionUpdate& update)
 {
+    update.senderDelay = senderDelayOf(reply.status);
     if (reply.refusal == WorkerRefusal::OtherProcess)
         m_claim.recordRefusal(context.sentAt);
     const bool mayBeExecuted = !reply.status.ok() && !isUndelivered(reply);
--- a/src/core/error_func.cpp
+++ b/src/core/error_func.cpp
@@ -1,6 +1,11 @@
 #include "core/error_func.h"
 
+#include <cstdint>
+#include <string>
+
 #include "absl/strings/cord.h"
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
 
 namespace mangohall {
 
@@ -10,6 +15,8 @@
 constexpr absl::string_view kindPayloadUrl = "mangohall/error-kind";
 // The type URL of an empty payload; a status that has it ends a request that was not sent.
 constexpr absl::string_view notSentPayloadUrl = "mangohall/not-sent";
+// The type URL under which a status carries the delay of its sender, in microseconds.
+constexpr absl::string_view senderDelayPayloadUrl = "mangohall/sender-delay";
 
 } // namespace
 
@@ -69,6 +76,21 @@
     return status.GetPayload(notSentPayloadUrl).has_value();
 }
 
+absl::Status markSenderDelay(absl::Status status, absl::Duration delay)
+{
+    status.SetPayload(senderDelayPayloadUrl, absl::Cord(absl::StrCat(absl::ToInt64Microseconds(delay))));
+    return status;
+}
+
+absl::Duration senderDelayOf(const absl::Status& status)
+{
+    const absl::optional<absl::Cord> payload = status.GetPayload(senderDelayPayloadUrl);
+    std::int64_t microseconds = 0;
+    if (!payload || !absl::SimpleAtoi(std::string(*payload), &microseconds))
+        return absl::ZeroDuration();
+    return absl::Microseconds(microseconds);
+}
+
 ErrorKind errorKindOf(const absl::Status& status)
 {
     if (status.ok())
--- a/src/core/error_func.h
+++ b/src/core/error_func.h
@@ -3,6 +3,7 @@
 
 #include "absl/status/status.h"
 #include "absl/strings/string_view.h"
+#include "absl/time/time.h"
 #include "absl/types/optional.h"
 #include "core/error_type.h"
 #include "core/table/error_table.h"
@@ -28,6 +29,12 @@
 absl::Status markNotSent(absl::Status status);
 bool isNotSent(const absl::Status& status);
 
+// Adds to the status, which is not OK, how long the sender itself was late: to send the request, or to read what had
+// arrived for it by its deadline.
+absl::Status markSenderDelay(absl::Status status, absl::Duration delay);
+// Zero unless `markSenderDelay` has added more.
+absl::Duration senderDelayOf(const absl::Status& status);
+
 // The kind of a status. A status that was not created by makeError has the kind Internal, unless it is OK.
 ErrorKind errorKindOf(const absl::Status& status);
 
--- a/tests/core/error_test.cpp
+++ b/tests/core/error_test.cpp
@@ -26,6 +26,13 @@
         EXPECT_EQ(errorKindOf(makeError(row.kind, "reason")), row.kind);
 }
 
+TEST(Error, KeepsTheDelayOfItsSender)
+{
+    const absl::Status status = makeError(ErrorKind::TimedOut, "reason");
+    EXPECT_EQ(senderDelayOf(status), absl::ZeroDuration());
+    EXPECT_EQ(senderDelayOf(markSenderDelay(status, absl::Milliseconds(120))), absl::Milliseconds(120));
+}
+
 TEST(Error, TreatsAnyOtherStatusAsInternal)
 {
     EXPECT_EQ(errorKindOf(absl::UnknownError("elsewhere")), ErrorKind::Internal);
