Fix: an owner sends more at once than its machine gets through in time

Cause: all starts of a round are sent at once, the link of the machine (2 or 10 Mbit/s) holds them up past the 0.8 s of their calls, each is sent again after 0.25 s, and well workers count as silent.

Now a window limits the starts on their way by how promptly workers reply (CommandWindow), a repetition waits for three times the reply time, placements run ahead by four windows at most (limitPlacements), commits that take long leave half of the link to calls, and the rate of polls goes with the share of the processor. What is not sent is not in doubt.

--- a/src/batch/owner/owner_load_base.cpp
+++ b/src/batch/owner/owner_load_base.cpp
@@ -41,8 +41,8 @@
     m_reviewedAt = now;
     const UnsentStarts unsent = workers.unsentStarts();
     m_stats.pendingCalls = workers.pendingCallCount();
-    m_stats.unsentStarts = unsent.count;
-    m_stats.oldestUnsentStart = unsent.count == 0 ? absl::ZeroDuration() : now - unsent.oldestSince;
+    m_stats.unsentStarts = unsent.released;
+    m_stats.oldestUnsentStart = unsent.released == 0 ? absl::ZeroDuration() : now - unsent.oldestSince;
     const bool wasBehind = isBehind();
     const OwnerLoadStats stats = m_stats;
     m_stats = OwnerLoadStats();
--- a/src/batch/owner/owner_part_cmd.cpp
+++ b/src/batch/owner/owner_part_cmd.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "batch/owner/start_allowance_func.h"
 #include "batch/policy/capacity_index_base.h"
 #include "core/error_func.h"
 
@@ -46,7 +47,7 @@
     , m_jobFollower(Collection::Jobs, jobWatchWait, absl::ZeroDuration(), CollectionFollower::ReadMode::Pages)
     , m_workerFollower(Collection::Workers, workerWatchWait, workerWatchPause)
     , m_jobs(settings.recordLimits, settings.jobMemoryBytes)
-    , m_workers(settings.session)
+    , m_workers(settings.session, settings.processorShare)
     , m_writer(m_jobs)
     , m_allocationPacer(shortestAllocationPause)
     , m_load(settings.processorShare)
@@ -179,6 +180,8 @@
     Allocation allocation;
     if (m_hasPendingSteps)
         allocation = m_policy->allocate(input.workers, input.pendingSteps, now);
+    for (const JobId& job : limitPlacements(allocation.placements, input.pendingSteps, m_workers.startAllowance()))
+        allocation.held.push_back({ job, HoldReason::OwnerBusy });
     const absl::Time ended = m_clock.now();
     m_allocationPacer.recordWork(begun, ended);
     if (!m_hasPendingSteps)
--- a/src/batch/owner/progress_writer_base.cpp
+++ b/src/batch/owner/progress_writer_base.cpp
@@ -14,6 +14,9 @@
 constexpr std::size_t entriesPerRemoval = 3;
 constexpr absl::Duration commitTimeout = absl::Milliseconds(900);
 constexpr absl::Duration retryPeriod = absl::Milliseconds(80);
+// A commit that takes no longer is followed by the next one at once.
+constexpr absl::Duration usualCommitTime = absl::Milliseconds(60);
+constexpr absl::Duration longestPause = absl::Milliseconds(400);
 // How long the progress of a job that the store has refused waits before it is written again.
 constexpr absl::Duration refusedJobPeriod = absl::Seconds(5);
 constexpr absl::Duration countsPeriod = absl::Milliseconds(500);
@@ -23,6 +26,12 @@
 // The state of an ended job can be queried for at least this long.
 constexpr absl::Duration endedJobRetention = absl::Minutes(3);
 
+// The pause after a commit that took so long: if the link is slow, commits leave half of it to the calls to workers.
+absl::Duration pauseAfter(absl::Duration commitTime)
+{
+    return std::clamp(commitTime - usualCommitTime, absl::ZeroDuration(), longestPause);
+}
+
 } // namespace
 
 void ProgressWriter::reset()
@@ -67,6 +76,7 @@
     addRemovals(commit, now);
     if (commit.writes.empty() && commit.removals.empty())
         return;
+    m_sentAt = now;
     m_call = outbox.toStore(std::move(commit), commitTimeout);
 }
 
@@ -141,8 +151,10 @@
 {
     m_call = 0;
     const ErrorKind kind = errorKindOf(reply.status);
-    if (kind == ErrorKind::None)
+    if (kind == ErrorKind::None) {
+        m_retryAt = now + pauseAfter(now - m_sentAt);
         return handleSuccess(reply.revision);
+    }
     m_retryAt = now + retryPeriod;
     if (kind == ErrorKind::RevisionConflict)
         return handleConflict(reply, now);
--- a/src/batch/owner/progress_writer_base.h
+++ b/src/batch/owner/progress_writer_base.h
@@ -43,7 +43,11 @@
     void setWrittenAdmission(const absl::optional<AdmissionLimit>& limit, Revision revision);
 
     // Writes from now on also at once what need not be written soon.
-    void setWritesAll() { m_writesAll = true; }
+    void setWritesAll()
+    {
+        m_writesAll = true;
+        m_retryAt = absl::InfinitePast();
+    }
     // Whether no commit is pending and no progress is left to write.
     bool hasWrittenAll() const { return m_call == 0 && !m_jobs.hasDirty() && !m_jobs.hasDirtyLater(); }
 
@@ -87,6 +91,8 @@
     std::size_t m_jobsPerCommit = maxJobsPerCommit;
     CallId m_call = 0;
     ExpectedRevision m_ownership;
+    // When the pending commit was sent, and when the next one may be sent.
+    absl::Time m_sentAt = absl::InfinitePast();
     absl::Time m_retryAt = absl::InfinitePast();
     std::vector<InFlight> m_inFlight;
     // The jobs that the pending commit removes.
--- a/src/batch/owner/run_name_func.cpp
+++ b/src/batch/owner/run_name_func.cpp
@@ -126,6 +126,8 @@
         return "awaitsEvictions";
     case HoldReason::Reserved:
         return "reserved";
+    case HoldReason::OwnerBusy:
+        return "ownerBusy";
     case HoldReason::AwaitsRack:
         break;
     }
--- a/src/batch/owner/worker_registry_base.cpp
+++ b/src/batch/owner/worker_registry_base.cpp
@@ -11,7 +11,10 @@
 
 // The more workers are polled, the longer each poll waits, so that the polls take a bounded share of the processor.
 constexpr double maxPollsPerSecond = 400;
+constexpr double pollsPerSecondPerShare = 800;
 constexpr absl::Duration longestPollWait = absl::Seconds(2);
+// Runs are placed ahead of their starts, up to this many times what may be on its way at once.
+constexpr std::size_t windowsPlacedAhead = 4;
 
 } // namespace
 
@@ -23,6 +26,9 @@
     m_addresses.clear();
     m_calls.clear();
     m_pendingPolls = 0;
+    m_window.reset();
+    m_startQueue.clear();
+    m_isInStartQueue.clear();
     m_mayStart = true;
     m_startsHeld.clear();
     m_changed.clear();
@@ -113,23 +119,46 @@
     markDueChanged(now);
     for (const WorkerName& worker : m_initialPolls.takeAdmitted())
         markChanged(worker);
-    for (const WorkerName& worker : std::exchange(m_changed, {})) {
-        const auto found = m_sessions.find(worker);
-        const bool isGone = found == m_sessions.end() || found->second.isRemovable(now);
-        if (!isGone) {
-            makeCalls(worker, found->second, source, outbox, now);
-            continue;
-        }
-        if (found != m_sessions.end()) {
-            m_addresses.remove(found->second.address(), worker);
-            m_sessions.erase(found);
-        }
-        m_unanswered.erase(worker);
-        m_initialPolls.remove(worker);
-        m_due.set(worker, absl::InfiniteFuture());
+    sendWaitingStarts(source, outbox, now);
+    for (const WorkerName& worker : std::exchange(m_changed, {}))
+        examine(worker, m_startQueue.empty() ? m_window.room(now) : 0, source, outbox, now);
+}
+
+void WorkerRegistry::sendWaitingStarts(const StartSource& source, Outbox& outbox, absl::Time now)
+{
+    // A worker that needs more room than there is goes to the end of the queue.
+    for (std::size_t room = m_window.room(now); !m_startQueue.empty() && room > 0; room = m_window.room(now)) {
+        const WorkerName worker = std::move(m_startQueue.front());
+        m_startQueue.pop_front();
+        m_isInStartQueue.erase(worker);
+        m_changed.erase(worker);
+        examine(worker, room, source, outbox, now);
     }
 }
 
+void WorkerRegistry::examine(
+    const WorkerName& worker, std::size_t startRoom, const StartSource& source, Outbox& outbox, absl::Time now)
+{
+    const auto found = m_sessions.find(worker);
+    const bool isGone = found == m_sessions.end() || found->second.isRemovable(now);
+    if (!isGone) {
+        makeCalls(worker, found->second, startRoom, source, outbox, now);
+        return;
+    }
+    if (found != m_sessions.end()) {
+        m_addresses.remove(found->second.address(), worker);
+        m_sessions.erase(found);
+    }
+    m_unanswered.erase(worker);
+    m_initialPolls.remove(worker);
+    m_due.set(worker, absl::InfiniteFuture());
+}
+
+absl::Time WorkerRegistry::nextDue() const
+{
+    return m_startQueue.empty() ? m_due.next() : std::min(m_due.next(), m_window.nextRoomAt());
+}
+
 void WorkerRegistry::setMayStart(bool mayStart)
 {
     m_mayStart = mayStart;
@@ -181,15 +210,24 @@
     UnsentStarts unsent;
     for (const auto& [name, session] : m_sessions) {
         for (const auto& [run, slot] : session.runs()) {
+            if (slot.stage == RunSlot::Stage::Reserved)
+                ++unsent.reserved;
             if (slot.stage != RunSlot::Stage::Starting || !slot.isUnsent())
                 continue;
-            ++unsent.count;
+            ++unsent.released;
             unsent.oldestSince = std::min(unsent.oldestSince, slot.since);
         }
     }
     return unsent;
 }
 
+std::int64_t WorkerRegistry::startAllowance() const
+{
+    const UnsentStarts unsent = unsentStarts();
+    return static_cast<std::int64_t>(m_window.size() * windowsPlacedAhead)
+        - static_cast<std::int64_t>(unsent.released + unsent.reserved);
+}
+
 bool WorkerRegistry::isStartPending() const
 {
     return std::any_of(m_calls.begin(), m_calls.end(),
@@ -198,12 +236,13 @@
 
 absl::Duration WorkerRegistry::nextPollWait() const
 {
-    const absl::Duration wait = absl::Seconds(m_pendingPolls / maxPollsPerSecond);
+    const double rate = std::min(maxPollsPerSecond, pollsPerSecondPerShare * m_processorShare);
+    const absl::Duration wait = absl::Seconds(m_pendingPolls / rate);
     return std::clamp(wait, m_settings.pollWait, longestPollWait);
 }
 
-void WorkerRegistry::makeCalls(
-    const WorkerName& worker, WorkerSession& session, const StartSource& source, Outbox& outbox, absl::Time now)
+void WorkerRegistry::makeCalls(const WorkerName& worker, WorkerSession& session, std::size_t startRoom,
+    const StartSource& source, Outbox& outbox, absl::Time now)
 {
     if (session.isListed() && !session.hasAnswered())
         m_unanswered.insert(worker);
@@ -219,6 +258,7 @@
     }
     session.setPollWait(nextPollWait());
     session.setMayStart(m_mayStart);
+    session.setStartLimits(startRoom, m_window.retryPeriod());
     if (!m_mayStart)
         m_startsHeld.insert(worker);
     for (DueCall& due : session.takeDueCalls(now)) {
@@ -228,19 +268,28 @@
         }
         if (due.context.isGivenUp)
             logStartGivenUp(session, due.context, outbox);
-        if (due.context.kind == SessionCall::Kind::Poll)
-            ++m_pendingPolls;
-        if (due.context.kind == SessionCall::Kind::Poll && isInitial)
-            m_initialPolls.recordPoll(worker);
         const bool isStart = due.context.kind == SessionCall::Kind::Start;
         due.call.sendUntil = isStart ? std::min(m_ownedUntil, m_startsUntil) : m_ownedUntil;
-        std::string address = due.call.address;
-        const CallId call = outbox.toWorker(std::move(due.call));
-        m_calls.emplace(call, PendingCall { worker, std::move(address), due.context });
+        const PendingCall pending { worker, due.call.address, due.context };
+        recordCallSent(outbox.toWorker(std::move(due.call)), pending, isInitial, now);
     }
+    if (session.isStartLeftOut() && m_isInStartQueue.insert(worker).second)
+        m_startQueue.push_back(worker);
     m_due.set(worker, session.nextDue());
 }
 
+void WorkerRegistry::recordCallSent(CallId call, const PendingCall& pending, bool isInitial, absl::Time now)
+{
+    m_calls.emplace(call, pending);
+    if (pending.context.kind != SessionCall::Kind::Poll) {
+        m_window.recordSent(call, now);
+        return;
+    }
+    ++m_pendingPolls;
+    if (isInitial)
+        m_initialPolls.recordPoll(pending.worker);
+}
+
 void WorkerRegistry::logStartSent(const WorkerSession& session, const SessionCall& context, Outbox& outbox) const
 {
     DecisionEffect decision;
@@ -275,6 +324,10 @@
     if (pending.context.kind == SessionCall::Kind::Poll) {
         --m_pendingPolls;
         m_initialPolls.recordReply(pending.worker);
+    } else if (reply.status.ok()) {
+        m_window.recordReply(call, pending.context.sentAt, now);
+    } else {
+        m_window.recordFailure(call, pending.context.sentAt);
     }
     WorkerUpdate update { pending.worker, 0, {} };
     WorkerSession* session = find(pending.worker);
--- a/src/batch/owner/worker_registry_base.h
+++ b/src/batch/owner/worker_registry_base.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
+#include <deque>
 #include <memory>
 #include <vector>
 
@@ -10,6 +12,7 @@
 #include "batch/evacuation/evacuation_set_base.h"
 #include "batch/node/outbox_base.h"
 #include "batch/owner/address_index_base.h"
+#include "batch/owner/command_window_base.h"
 #include "batch/owner/due_index_base.h"
 #include "batch/owner/initial_poll_queue_base.h"
 #include "batch/store/collection_follower_base.h"
@@ -26,10 +29,12 @@
     SessionUpdate session;
 };
 
-// The runs whose placement is durable and whose start was not sent.
+// The runs whose start was not sent.
 struct UnsentStarts {
-    std::size_t count = 0;
-    // Since when the first of them waits; the infinite future if there is none.
+    // The runs whose placement is durable, so that their start may be sent, and those whose placement is not.
+    std::size_t released = 0;
+    std::size_t reserved = 0;
+    // Since when the first of the released runs waits; the infinite future if there is none.
     absl::Time oldestSince = absl::InfiniteFuture();
 };
 
@@ -43,8 +48,12 @@
 // The registry of the workers that the owner knows, each with its session. Not safe to call from several threads.
 class WorkerRegistry {
 public:
-    explicit WorkerRegistry(SessionSettings settings)
+    // `processorShare` is the share of a processor that the node may use: with a smaller one, workers are called less
+    // often.
+    explicit WorkerRegistry(SessionSettings settings, double processorShare = 1)
         : m_settings(settings)
+        , m_processorShare(processorShare)
+        , m_window(processorShare)
     {
     }
 
@@ -90,7 +99,9 @@
     // with the number of all workers.
     void advance(const StartSource& source, Outbox& outbox, absl::Time now);
     // When `advance` has something to do next, as of its last call.
-    absl::Time nextDue() const { return m_due.next(); }
+    absl::Time nextDue() const;
+    // How many more runs may be placed, so that their starts are sent soon; negative if there are too many.
+    std::int64_t startAllowance() const;
 
     // Whether the call is a pending call to a worker.
     bool ownsCall(CallId call) const { return m_calls.contains(call); }
@@ -123,10 +134,21 @@
     absl::Duration nextPollWait() const;
     void logStartSent(const WorkerSession& session, const SessionCall& context, Outbox& outbox) const;
     void logStartGivenUp(const WorkerSession& session, const SessionCall& context, Outbox& outbox) const;
-    void makeCalls(
-        const WorkerName& worker, WorkerSession& session, const StartSource& source, Outbox& outbox, absl::Time now);
+    // Lets the workers send their starts that were left out, in order, as far as there is room.
+    void sendWaitingStarts(const StartSource& source, Outbox& outbox, absl::Time now);
+    // Sends the calls of a worker that are due, or removes a worker that is gone.
+    void examine(
+        const WorkerName& worker, std::size_t startRoom, const StartSource& source, Outbox& outbox, absl::Time now);
+    void makeCalls(const WorkerName& worker, WorkerSession& session, std::size_t startRoom, const StartSource& source,
+        Outbox& outbox, absl::Time now);
+    void recordCallSent(CallId call, const PendingCall& pending, bool isInitial, absl::Time now);
 
     const SessionSettings m_settings;
+    const double m_processorShare;
+    CommandWindow m_window;
+    // Workers with a start that was left out for lack of room, in the order in which they are served.
+    std::deque<WorkerName> m_startQueue;
+    absl::btree_set<WorkerName> m_isInStartQueue;
     Epoch m_epoch = 0;
     absl::Time m_ownedSince = absl::InfinitePast();
     absl::Time m_ownedUntil = absl::InfinitePast();
--- a/src/batch/policy/allocation_type.h
+++ b/src/batch/policy/allocation_type.h
@@ -95,6 +95,8 @@
     Reserved,
     // The racks that the step prefers have too little free capacity, and it still waits for them.
     AwaitsRack,
+    // The owner has placed as much as it can start soon.
+    OwnerBusy,
 };
 
 // A step of which no task was placed.
--- a/src/batch/worker/worker_session_base.h
+++ b/src/batch/worker/worker_session_base.h
@@ -2,7 +2,9 @@
 #pragma once
 
 #include <algorithm>
+#include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <string>
 #include <utility>
@@ -25,6 +27,9 @@
 // A worker's clock may be slow by less than this share, so that its lease lasts longer on the owner's clock.
 inline constexpr double maxClockDrift = 0.025;
 
+// Delay before a command that got no reply is sent again.
+inline constexpr absl::Duration commandRetryPeriod = absl::Milliseconds(250);
+
 // Settings of a worker session.
 struct SessionSettings {
     // The longest lease that a worker grants.
@@ -177,6 +182,15 @@
     void setPollWait(absl::Duration wait) { m_pollWait = wait; }
     // While this is off, no start is due.
     void setMayStart(bool mayStart) { m_mayStart = mayStart; }
+    // Sets how many starts the next `takeDueCalls` may return, and how long each waits for its reply before it is sent
+    // again.
+    void setStartLimits(std::size_t room, absl::Duration retryPeriod)
+    {
+        m_startRoom = room;
+        m_startRetryPeriod = retryPeriod;
+    }
+    // Whether the last `takeDueCalls` has left out a start for lack of room.
+    bool isStartLeftOut() const;
     // Sets whether the worker's data centre is being evacuated: if so, the worker gets no start, not even a repeated
     // one, and its runs go on.
     void setEvacuated(bool isEvacuated) { m_isEvacuated = isEvacuated; }
@@ -309,8 +323,10 @@
     void grantLease(DueCall& due, absl::Time now);
     // Delay before a stop is repeated that got no reply.
     static absl::Duration stopRetryPeriod(int unansweredStops);
-    // When the next start or stop command of the run is due.
+    // When the next start or stop command of the run is due; the infinite future for a start that was left out.
     absl::Time commandDueAt(const RunSlot& slot) const;
+    // When the next start command of the run is due, if there is room for it.
+    absl::Time startDueAt(const RunSlot& slot) const;
 
     // The last row of the worker, which may be that of an earlier process or of another writer.
     WorkerEntry m_entry;
@@ -350,6 +366,10 @@
 
     absl::Duration m_pollWait;
     bool m_mayStart = true;
+    // How many starts may be sent, and when that was last considered.
+    std::size_t m_startRoom = std::numeric_limits<std::size_t>::max();
+    absl::Time m_callsTakenAt = absl::InfinitePast();
+    absl::Duration m_startRetryPeriod = commandRetryPeriod;
     bool m_isEvacuated = false;
     // Kept up to date by `updateHasRecordedLapse`, as looking at all runs for each of them would take too long.
     bool m_hasRecordedLapse = false;
--- a/src/batch/worker/worker_session_call_cmd.cpp
+++ b/src/batch/worker/worker_session_call_cmd.cpp
@@ -8,8 +8,6 @@
 
 namespace {
 
-// Delay before a command that got no reply is sent again.
-constexpr absl::Duration commandRetryPeriod = absl::Milliseconds(250);
 // A start that is not confirmed within this time is stopped instead of being repeated.
 constexpr absl::Duration startConfirmationTimeout = absl::Seconds(8);
 // How often that delay doubles for stops: up to 4 s.
@@ -127,6 +125,21 @@
         const bool isDone = slot.isStopPending || slot.isStopConfirmed || slot.end.number != 0;
         return isDone ? absl::InfiniteFuture() : slot.stopSentAt + stopRetryPeriod(slot.unansweredStops);
     }
+    const absl::Time due = startDueAt(slot);
+    return m_startRoom == 0 && due <= m_callsTakenAt ? absl::InfiniteFuture() : due;
+}
+
+bool WorkerSession::isStartLeftOut() const
+{
+    return m_startRoom == 0 && std::any_of(m_runs.begin(), m_runs.end(), [this](const auto& entry) {
+        return !entry.second.isStopWanted && startDueAt(entry.second) <= m_callsTakenAt;
+    });
+}
+
+absl::Time WorkerSession::startDueAt(const RunSlot& slot) const
+{
+    if (!hasAddress() || m_claim.isTakenOver())
+        return absl::InfiniteFuture();
     // A start renews the lease, so none is sent to a worker that does not reply: its lease has to expire.
     const bool mayStart = m_mayStart && isProcessCertain() && m_processEntry && !isAcknowledgementPending()
         && !isClosedToStarts() && m_pendingStarts < maxPendingStarts && !hasRecordedLapse();
@@ -139,7 +152,7 @@
     // Another process may have other room.
     if (slot.placedProcessStartMs != m_processStartMs)
         return absl::InfiniteFuture();
-    return std::max({ slot.startSentAt + commandRetryPeriod, m_startsPausedUntil, acknowledgedBy });
+    return std::max({ slot.startSentAt + m_startRetryPeriod, m_startsPausedUntil, acknowledgedBy });
 }
 
 // A start that the worker has not confirmed may still be executed, so it is barred by a stop.
@@ -177,6 +190,7 @@
     if (m_hasRecordedLapse)
         updateHasRecordedLapse();
     m_commands.expire(now);
+    m_callsTakenAt = now;
     std::vector<DueCall> calls;
     for (auto& [run, slot] : m_runs) {
         if (commandDueAt(slot) > now)
@@ -184,6 +198,7 @@
         const auto kind = slot.isStopWanted ? SessionCall::Kind::Stop : SessionCall::Kind::Start;
         const bool isRepeated = !slot.isStopWanted && !slot.isUnsent();
         if (kind == SessionCall::Kind::Start) {
+            --m_startRoom;
             slot.startSentAt = now;
             ++slot.pendingStarts;
             ++m_pendingStarts;
--- a/tests/batch/batch_cluster_base.cpp
+++ b/tests/batch/batch_cluster_base.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "adapters/json/batch_record_json_func.h"
 #include "batch/policy/priority_policy_base.h"
 #include "core/error_func.h"
 #include "gtest/gtest.h"
@@ -36,6 +37,26 @@
     return manifest;
 }
 
+// About as many bytes as the platform's encoding of the message has.
+std::size_t bytesOf(const WorkerCall& call)
+{
+    constexpr std::size_t commandBytes = 300;
+    const auto* start = std::get_if<StartRun>(&call.command);
+    return commandBytes + (start == nullptr ? 0 : start->payload.size() + start->checkpoint.size());
+}
+
+std::size_t bytesOf(const StoreRequest& request)
+{
+    constexpr std::size_t requestBytes = 200;
+    const auto* commit = std::get_if<CommitRecords>(&request);
+    std::size_t bytes = requestBytes;
+    if (commit == nullptr)
+        return bytes;
+    for (const RecordWrite& write : commit->writes)
+        bytes += encodeRecord(write.value).size() * 4 / 3;
+    return bytes;
+}
+
 } // namespace
 
 BatchCluster::BatchCluster(int nodes, std::uint64_t seed)
@@ -72,6 +93,7 @@
     slot.process = std::make_shared<Process>();
     Process& process = *slot.process;
     process.processor = std::make_unique<Processor>(m_timeline, m_costs[node]);
+    process.link = Link(m_linkRates[node]);
     process.node = std::make_unique<Node>(settings, *process.processor,
         std::make_unique<CostlyPolicy>(std::make_unique<PriorityPolicy>(), *process.processor));
     slot.process->wakeAt.assign(slot.process->node->partCount(), absl::InfiniteFuture());
@@ -184,12 +206,11 @@
     if (const auto* wake = std::get_if<WakeAtEffect>(&effect)) {
         wakeAt(node, part, wake->at);
     } else if (const auto* store = std::get_if<StoreEffect>(&effect)) {
-        m_store.request(
-            nameOf(node), store->request, store->timeout, [reply, call = store->call](const StoreReply& answer) {
-                reply(StoreEvent { call, answer });
-            });
+        callStore(node, *store, [reply, call = store->call](const StoreReply& answer) {
+            reply(StoreEvent { call, answer });
+        });
     } else if (const auto* worker = std::get_if<WorkerEffect>(&effect)) {
-        m_workers.call(worker->request, [reply, call = worker->call](const WorkerReply& answer) {
+        callWorker(node, worker->request, [reply, call = worker->call](const WorkerReply& answer) {
             reply(WorkerEvent { call, answer });
         });
     } else if (const auto* answer = std::get_if<AnswerEffect>(&effect)) {
@@ -214,6 +235,42 @@
     }
 }
 
+void BatchCluster::callWorker(int node, const WorkerCall& call, SimulatedWorkers::Reply reply)
+{
+    const absl::Duration sending = m_nodes.at(node).process->link.send(bytesOf(call), m_timeline.now());
+    if (sending == absl::ZeroDuration()) {
+        m_workers.call(call, std::move(reply));
+        return;
+    }
+    if (sending >= call.timeout) {
+        WorkerReply none;
+        none.status = makeError(ErrorKind::TimedOut, "no answer in time");
+        m_timeline.after(call.timeout, [reply = std::move(reply), none] { reply(none); });
+        return;
+    }
+    WorkerCall sent = call;
+    sent.timeout -= sending;
+    m_timeline.after(sending, [this, sent, reply = std::move(reply)] { m_workers.call(sent, reply); });
+}
+
+void BatchCluster::callStore(int node, const StoreEffect& effect, BatchStore::Reply reply)
+{
+    const absl::Duration sending = m_nodes.at(node).process->link.send(bytesOf(effect.request), m_timeline.now());
+    if (sending == absl::ZeroDuration()) {
+        m_store.request(nameOf(node), effect.request, effect.timeout, std::move(reply));
+        return;
+    }
+    if (sending >= effect.timeout) {
+        StoreReply none;
+        none.status = makeError(ErrorKind::OutcomeUnknown, "no answer in time");
+        m_timeline.after(effect.timeout, [reply = std::move(reply), none] { reply(none); });
+        return;
+    }
+    m_timeline.after(sending, [this, node, effect, sending, reply = std::move(reply)] {
+        m_store.request(nameOf(node), effect.request, effect.timeout - sending, reply);
+    });
+}
+
 void BatchCluster::trace(int node, const DecisionEffect& decision) const
 {
     std::cerr << absl::FormatTime("%M:%E3S", m_timeline.now(), absl::UTCTimeZone()) << " node-" << node << " kind "
--- a/tests/batch/batch_cluster_base.h
+++ b/tests/batch/batch_cluster_base.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "batch/batch_store_base.h"
+#include "batch/link_base.h"
 #include "batch/node/node_base.h"
 #include "batch/processor_base.h"
 #include "batch/simulated_workers_base.h"
@@ -52,6 +53,9 @@
     // Sets the processor time that the node's work costs, from its next start on. The node handles one event after the
     // other.
     void setProcessorCost(int node, ProcessorCost cost) { m_costs[node] = cost; }
+    // Sets how many bytes a second the node's link sends, from its next start on; 0 for a link without a limit. Starts
+    // and commits take by far the most.
+    void setLinkRate(int node, double bytesPerSecond) { m_linkRates[node] = bytesPerSecond; }
     // Sets how old the evacuations may be for a node that starts runs, from its next start on.
     void setMaxEvacuationAge(absl::Duration age) { m_maxEvacuationAge = age; }
     // Sets the memory for jobs at an owner, from its next start on.
@@ -86,6 +90,7 @@
     struct Process {
         std::unique_ptr<Processor> processor;
         std::unique_ptr<Node> node;
+        Link link;
         // When each part wants to be woken.
         std::vector<absl::Time> wakeAt;
         // An event is being handled; later ones are queued.
@@ -106,6 +111,9 @@
     void handle(int node, PartIndex part, const Event& event);
     void finish(int node, PartIndex part, const Effects& effects);
     void perform(int node, PartIndex part, const Effect& effect);
+    // Sends the call once the link is free. One that its timeout ends before is not sent.
+    void callWorker(int node, const WorkerCall& call, SimulatedWorkers::Reply reply);
+    void callStore(int node, const StoreEffect& effect, BatchStore::Reply reply);
     void trace(int node, const DecisionEffect& decision) const;
     void wakeAt(int node, PartIndex part, absl::Time at);
 
@@ -116,6 +124,7 @@
     Manifest m_manifest;
     std::map<int, double> m_shares;
     std::map<int, ProcessorCost> m_costs;
+    std::map<int, double> m_linkRates;
     absl::Duration m_maxEvacuationAge = absl::InfiniteDuration();
     std::int64_t m_jobMemoryBytes = defaultJobMemoryBytes;
     std::map<int, NodeSlot> m_nodes;
