Fix: a reply that has arrived in time is thrown away if the client reads it late

A node whose thread was held up ended calls by their timeout before it read what lay on the sockets, so its own delay counted as the silence of workers and of the store. A request now ends by its timeout only once everything has been read that had arrived by then. It is still sent no later than its deadline.

--- a/src/adapters/http/curl_http_client_base.cpp
+++ b/src/adapters/http/curl_http_client_base.cpp
@@ -182,15 +182,16 @@
 
 void CurlHttpClient::endTimedOutTransfers()
 {
-    const absl::Time now = m_clock.now();
-    while (!m_deadlineChecks.empty() && m_deadlineChecks.begin()->at <= now) {
+    // A response may lie unread that has arrived later than this.
+    const absl::Time until = m_readUntil;
+    while (!m_deadlineChecks.empty() && m_deadlineChecks.begin()->at <= until) {
         const std::uint64_t id = m_deadlineChecks.begin()->id;
         m_deadlineChecks.erase(m_deadlineChecks.begin());
         const auto found = m_transfers.find(id);
         if (found == m_transfers.end())
             continue;
         const CurlTransfer& transfer = *found->second;
-        if (transfer.deadline() > now) {
+        if (transfer.deadline() > until) {
             m_deadlineChecks.insert({ transfer.deadline(), id });
             continue;
         }
--- a/src/adapters/http/curl_http_client_base.h
+++ b/src/adapters/http/curl_http_client_base.h
@@ -87,7 +87,7 @@
     void start(CurlTransfer& transfer);
     // Ends the transfers that the library has completed.
     void endCompletedTransfers();
-    // Ends with TimedOut all transfers whose deadline has passed.
+    // Ends with TimedOut all transfers without a response by their deadline.
     void endTimedOutTransfers();
     // Removes a transfer, reports its result and starts the next one that waits for the host.
     void end(std::uint64_t id, const absl::Status& status);
--- a/src/adapters/http/http_client_port.h
+++ b/src/adapters/http/http_client_port.h
@@ -25,7 +25,8 @@
     std::string url;
     std::vector<HttpHeader> headers;
     std::string body;
-    // Timeout of the whole exchange. For a stream, the longest time without received data.
+    // Timeout of the whole exchange. For a stream, the longest time without received data. A response that arrives in
+    // time counts also if the client is late to read it.
     absl::Duration timeout = absl::Seconds(2);
     // A response whose body is longer ends the request with BodyTooLarge, unless it is streamed.
     std::size_t maxResponseBytes = std::size_t { 64 } << 20U;
--- a/tests/adapters/http/curl_http_client_test.cpp
+++ b/tests/adapters/http/curl_http_client_test.cpp
@@ -7,6 +7,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "absl/synchronization/notification.h"
+#include "absl/time/clock.h"
 #include "adapters/http/holding_handler_base.h"
 #include "adapters/http/response_waiter_base.h"
 #include "core/error_func.h"
@@ -316,6 +317,31 @@
 }
 
 // Guards against work that waits for the outcome of a request that never left.
+// Guards against LOST: an owner that was late to read a worker's reply took the worker for silent.
+TEST_F(CurlHttpClientTest, ReadsAResponseThatArrivedInTimeAlsoIfItIsLateToDoSo)
+{
+    CurlHttpClient client(m_clock, CurlHttpClientOptions());
+    ResponseWaiter held;
+    HttpRequest request = makeRequest("/hold", "");
+    request.timeout = shortTimeout;
+    client.send(request, held.done());
+    const std::shared_ptr<Exchange> exchange = m_handler.take();
+    ResponseWaiter echoed;
+    absl::Notification isBusy;
+    client.send(
+        makeRequest("/echo", ""), [&isBusy, done = echoed.done()](const absl::StatusOr<HttpResponse>& response) {
+            isBusy.Notify();
+            absl::SleepFor(2 * shortTimeout);
+            done(response);
+        });
+    isBusy.WaitForNotification();
+    exchange->answer(textResponse("in time"));
+    const absl::StatusOr<HttpResponse> response = held.wait();
+    ASSERT_TRUE(response.ok()) << response.status();
+    EXPECT_EQ(response->body, "in time");
+    EXPECT_TRUE(echoed.wait().ok());
+}
+
 TEST_F(CurlHttpClientTest, TellsWhetherAFailedRequestWasSent)
 {
     CurlHttpClientOptions options;
