Fix: a client that is far behind ends no request, or ends one too early

The time until which everything counts as read was taken after the wait for sockets, so that a process that stands still in between threw away what had arrived meanwhile; it is taken before the wait now.

--- a/src/adapters/http/curl_http_client_base.cpp
+++ b/src/adapters/http/curl_http_client_base.cpp
@@ -13,6 +13,8 @@
 
 // Longest wait for sockets when nothing else is due.
 constexpr absl::Duration maxWait = absl::Seconds(60);
+// A request ends at the latest so long after its deadline.
+constexpr absl::Duration longestReadDelay = absl::Seconds(1);
 // Unused handles beyond this number are freed.
 constexpr std::size_t maxFreeHandles = 64;
 constexpr std::size_t maxGroups = 32;
@@ -94,11 +96,11 @@
 
 void CurlHttpClient::waitAndRead()
 {
-    const absl::Span<const SocketPoller::Ready> ready = m_poller.wait(nextWait());
-    const absl::Time waitedUntil = m_clock.now();
-    processReadySockets(ready);
+    const absl::Duration longest = nextWait();
+    const absl::Time waitedSince = m_clock.now();
+    processReadySockets(m_poller.wait(longest));
     if (!m_poller.mayHaveMore())
-        m_readUntil = waitedUntil;
+        m_readUntil = waitedSince;
 }
 
 bool CurlHttpClient::acceptIncoming()
@@ -182,8 +184,9 @@
 
 void CurlHttpClient::endTimedOutTransfers()
 {
-    // A response may lie unread that has arrived later than this.
-    const absl::Time until = m_readUntil;
+    // A response may lie unread that has arrived later than this; a client that is behind for long does not wait for
+    // it.
+    const absl::Time until = std::max(m_readUntil, m_clock.now() - longestReadDelay);
     while (!m_deadlineChecks.empty() && m_deadlineChecks.begin()->at <= until) {
         const std::uint64_t id = m_deadlineChecks.begin()->id;
         m_deadlineChecks.erase(m_deadlineChecks.begin());
