Fix: stops to silent workers take the room of starts

Stops counted in the window of starts and were not limited by it: after a cut of many workers their stops, sent again and again, would have held the window at its least size and full, so that no start went to a well worker. Only starts count now.

--- a/src/batch/owner/command_window_base.h
+++ b/src/batch/owner/command_window_base.h
@@ -9,7 +9,7 @@
 
 namespace mangohall::batch {
 
-// Limits the starts and stops that are on their way to workers at once, so that an owner whose processor or link is
+// Limits the starts that are on their way to workers at once, so that an owner whose processor or link is
 // slow sends no more than gets through in time. The window grows while replies come promptly, and shrinks while most of
 // them come late. A call counts for a short while only: one to a silent worker holds up no other. Not safe to call from
 // several threads.
@@ -26,7 +26,7 @@
 
     // The present limit.
     std::size_t size() const { return static_cast<std::size_t>(m_size); }
-    // How many more commands may be sent now.
+    // How many more starts may be sent now.
     std::size_t room(absl::Time now);
     // When there may be room without a further reply; the infinite future if no call counts.
     absl::Time nextRoomAt() const;
--- a/src/batch/owner/worker_registry_base.cpp
+++ b/src/batch/owner/worker_registry_base.cpp
@@ -281,15 +281,29 @@
 void WorkerRegistry::recordCallSent(CallId call, const PendingCall& pending, bool isInitial, absl::Time now)
 {
     m_calls.emplace(call, pending);
-    if (pending.context.kind != SessionCall::Kind::Poll) {
+    if (pending.context.kind == SessionCall::Kind::Start)
         m_window.recordSent(call, now);
+    if (pending.context.kind != SessionCall::Kind::Poll)
         return;
-    }
     ++m_pendingPolls;
     if (isInitial)
         m_initialPolls.recordPoll(pending.worker);
 }
 
+void WorkerRegistry::recordCallEnd(CallId call, const PendingCall& pending, bool hasReply, absl::Time now)
+{
+    if (pending.context.kind == SessionCall::Kind::Poll) {
+        --m_pendingPolls;
+        m_initialPolls.recordReply(pending.worker);
+    }
+    if (pending.context.kind != SessionCall::Kind::Start)
+        return;
+    if (hasReply)
+        m_window.recordReply(call, pending.context.sentAt, now);
+    else
+        m_window.recordFailure(call, pending.context.sentAt);
+}
+
 void WorkerRegistry::logStartSent(const WorkerSession& session, const SessionCall& context, Outbox& outbox) const
 {
     DecisionEffect decision;
@@ -321,14 +335,7 @@
     const auto found = m_calls.find(call);
     const PendingCall pending = std::move(found->second);
     m_calls.erase(found);
-    if (pending.context.kind == SessionCall::Kind::Poll) {
-        --m_pendingPolls;
-        m_initialPolls.recordReply(pending.worker);
-    } else if (reply.status.ok()) {
-        m_window.recordReply(call, pending.context.sentAt, now);
-    } else {
-        m_window.recordFailure(call, pending.context.sentAt);
-    }
+    recordCallEnd(call, pending, reply.status.ok(), now);
     WorkerUpdate update { pending.worker, 0, {} };
     WorkerSession* session = find(pending.worker);
     if (session == nullptr)
--- a/src/batch/owner/worker_registry_base.h
+++ b/src/batch/owner/worker_registry_base.h
@@ -142,6 +142,7 @@
     void makeCalls(const WorkerName& worker, WorkerSession& session, std::size_t startRoom, const StartSource& source,
         Outbox& outbox, absl::Time now);
     void recordCallSent(CallId call, const PendingCall& pending, bool isInitial, absl::Time now);
+    void recordCallEnd(CallId call, const PendingCall& pending, bool hasReply, absl::Time now);
 
     const SessionSettings m_settings;
     const double m_processorShare;
