Fix: a start that has waited long for its sending is given up at once

Found in review. The time after which a start that is not confirmed is stopped counted from the release of the run, and starts may wait unsent since they are limited. It counts from the first sending now.

--- a/src/batch/worker/run_slot_type.h
+++ b/src/batch/worker/run_slot_type.h
@@ -60,7 +60,7 @@
     Stage stage = Stage::Reserved;
     // The resources that the run uses.
     Resources demand;
-    // When the run was reserved, released or adopted, or when its stop was requested.
+    // When the run was reserved, released, first sent or adopted, or when its stop was requested.
     absl::Time since;
     // When the last start and the last stop command were sent.
     absl::Time startSentAt = absl::InfinitePast();
--- a/src/batch/worker/worker_session_call_cmd.cpp
+++ b/src/batch/worker/worker_session_call_cmd.cpp
@@ -199,6 +199,8 @@
         const bool isRepeated = !slot.isStopWanted && !slot.isUnsent();
         if (kind == SessionCall::Kind::Start) {
             --m_startRoom;
+            if (!isRepeated)
+                slot.since = now;
             slot.startSentAt = now;
             ++slot.pendingStarts;
             ++m_pendingStarts;
