Fix: a pause after a slow commit keeps the last records of a handover back

Found in review. An owner that hands over has 0.4 s; a commit that was pending as it began could be followed by a pause as long, so that ends and placements were left unwritten. No pause follows while all is to be written. A commit without a reply is sent again with half of its jobs, as it may be too large for the link.

--- a/src/batch/owner/progress_writer_base.cpp
+++ b/src/batch/owner/progress_writer_base.cpp
@@ -40,6 +40,7 @@
     m_inFlight.clear();
     m_removals.clear();
     m_isWritingCounts = false;
+    m_writesAll = false;
     m_jobsPerCommit = maxJobsPerCommit;
     m_countsRevision = 0;
     m_writtenCounts = QueueCounts();
@@ -152,7 +153,7 @@
     m_call = 0;
     const ErrorKind kind = errorKindOf(reply.status);
     if (kind == ErrorKind::None) {
-        m_retryAt = now + pauseAfter(now - m_sentAt);
+        m_retryAt = m_writesAll ? now : now + pauseAfter(now - m_sentAt);
         return handleSuccess(reply.revision);
     }
     m_retryAt = now + retryPeriod;
@@ -160,6 +161,8 @@
         return handleConflict(reply, now);
     if (kind == ErrorKind::InvalidValue)
         return handleInvalid(now);
+    // The commit may have been too large for the link.
+    m_jobsPerCommit = std::max<std::size_t>(1, m_inFlight.size() / 2);
     requeue();
     WriteUpdate update;
     update.isFailed = true;
