Fix: runs are evicted for tasks that the owner does not start yet

Found in review. Placements above the limit were removed and the evictions of the same round were not, so that room stood idle while the owner was behind. Then only jobs under a guarantee evict.

--- a/src/batch/owner/owner_part_cmd.cpp
+++ b/src/batch/owner/owner_part_cmd.cpp
@@ -180,8 +180,7 @@
     Allocation allocation;
     if (m_hasPendingSteps)
         allocation = m_policy->allocate(input.workers, input.pendingSteps, now);
-    for (const JobId& job : limitPlacements(allocation.placements, input.pendingSteps, m_workers.startAllowance()))
-        allocation.held.push_back({ job, HoldReason::OwnerBusy });
+    limitAllocation(allocation, input.pendingSteps, m_workers.startAllowance());
     const absl::Time ended = m_clock.now();
     m_allocationPacer.recordWork(begun, ended);
     if (!m_hasPendingSteps)
--- a/tests/batch/start_allowance_test.cpp
+++ b/tests/batch/start_allowance_test.cpp
@@ -19,7 +19,7 @@
         step.job = JobId(job);
         step.spec = isGang ? &m_gangSpec : &m_spec;
         for (std::int32_t index = 0; index < tasksPerStep; ++index)
-            m_placements.push_back({ { step.job, { 0, 0, index } }, WorkerName(absl::StrCat("w", index)) });
+            m_allocation.placements.push_back({ { step.job, { 0, 0, index } }, WorkerName(absl::StrCat("w", index)) });
         m_steps.push_back(step);
         return m_steps.back();
     }
@@ -27,7 +27,7 @@
     int placementsOf(const std::string& job) const
     {
         int count = 0;
-        for (const Placement& placement : m_placements)
+        for (const Placement& placement : m_allocation.placements)
             count += placement.task.job == JobId(job) ? 1 : 0;
         return count;
     }
@@ -35,7 +35,7 @@
     StepSpec m_spec;
     StepSpec m_gangSpec;
     std::vector<PendingStep> m_steps;
-    std::vector<Placement> m_placements;
+    Allocation m_allocation;
 };
 
 TEST_F(StartAllowance, RemovesTheLastPlacementsAndTellsOfThem)
@@ -43,18 +43,20 @@
     addStep("a");
     addStep("b");
     addStep("c").wantsReason = true;
-    const std::vector<JobId> removed = limitPlacements(m_placements, m_steps, 7);
+    limitAllocation(m_allocation, m_steps, 7);
     EXPECT_EQ(placementsOf("a"), 5);
     EXPECT_EQ(placementsOf("b"), 2);
     EXPECT_EQ(placementsOf("c"), 0);
-    EXPECT_EQ(removed, std::vector<JobId> { JobId("c") });
+    ASSERT_EQ(m_allocation.held.size(), 1U);
+    EXPECT_EQ(m_allocation.held[0].job, JobId("c"));
+    EXPECT_EQ(m_allocation.held[0].reason, HoldReason::OwnerBusy);
 }
 
 TEST_F(StartAllowance, KeepsGangsWhole)
 {
     addStep("a", true);
     addStep("b", true);
-    limitPlacements(m_placements, m_steps, 3);
+    limitAllocation(m_allocation, m_steps, 3);
     EXPECT_EQ(placementsOf("a"), 5);
     EXPECT_EQ(placementsOf("b"), 0);
 }
@@ -63,10 +65,23 @@
 {
     addStep("a");
     addStep("b").isGuaranteed = true;
-    limitPlacements(m_placements, m_steps, -10);
+    limitAllocation(m_allocation, m_steps, -10);
     EXPECT_EQ(placementsOf("a"), 0);
     EXPECT_EQ(placementsOf("b"), 5);
 }
 
+// Guards against runs that are evicted for tasks which the owner does not start yet.
+TEST_F(StartAllowance, EvictsOnlyForGuaranteedJobsOnceItIsUsedUp)
+{
+    addStep("a");
+    addStep("b").isGuaranteed = true;
+    m_allocation.evictions = { { RunKey(), WorkerName("w"), JobId("a") }, { RunKey(), WorkerName("w"), JobId("b") } };
+    limitAllocation(m_allocation, m_steps, 100);
+    EXPECT_EQ(m_allocation.evictions.size(), 2U);
+    limitAllocation(m_allocation, m_steps, 0);
+    ASSERT_EQ(m_allocation.evictions.size(), 1U);
+    EXPECT_EQ(m_allocation.evictions[0].beneficiary, JobId("b"));
+}
+
 } // namespace
 } // namespace mangohall::batch
