Fix: the ownership stays at a machine that is too small for it

Cause: the choice is made once, at the claim, and nothing corrects it.

The holder's record now says the share of its machine. A node with at least twice as much asks for the ownership through a record under a lease of its own, to the holder's epoch; the holder hands over as in a planned stop, and the node that has asked claims first. The claim itself is as it was, so there are never two owners.

--- a/src/adapters/json/batch_record_json_func.cpp
+++ b/src/adapters/json/batch_record_json_func.cpp
@@ -321,7 +321,12 @@
     json operator()(const AdmissionLimit& limit) const { return toJson(limit); }
     json operator()(const HolderRecord& holder) const
     {
-        return { { "node", holder.node.str() }, { "epoch", holder.epoch } };
+        return { { "node", holder.node.str() }, { "epoch", holder.epoch }, { "share", holder.processorShare } };
+    }
+    json operator()(const CandidateRecord& candidate) const
+    {
+        return { { "node", candidate.node.str() }, { "share", candidate.processorShare },
+            { "epoch", candidate.ownerEpoch } };
     }
     json operator()(const EpochRecord& epoch) const
     {
@@ -340,10 +345,13 @@
     FieldReader reader(source);
     const NodeName node(reader.text("node"));
     const Epoch epoch = reader.integer("epoch");
+    const double processorShare = reader.number("share");
     if (!reader.status().ok())
         return reader.status();
+    if (collection == Collection::Candidate)
+        return RecordValue(CandidateRecord { node, processorShare, epoch });
     if (collection == Collection::Holder)
-        return RecordValue(HolderRecord { node, epoch });
+        return RecordValue(HolderRecord { node, epoch, processorShare });
     return RecordValue(EpochRecord { epoch, node });
 }
 
@@ -381,6 +389,7 @@
         return admissionFromJson(*parsed);
     case Collection::Holder:
     case Collection::Epoch:
+    case Collection::Candidate:
         return ownerFromJson(collection, *parsed);
     case Collection::Manifest:
     case Collection::Evacuations:
--- a/src/batch/owner/owner_load_cmd.cpp
+++ b/src/batch/owner/owner_load_cmd.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr absl::Duration listTimeout = absl::Seconds(2);
+constexpr absl::Duration requestPause = absl::Seconds(10);
 constexpr absl::Duration memoryReviewPeriod = absl::Milliseconds(500);
 // How long the details of an ended job are kept, for what its workers still list of it.
 constexpr absl::Duration settledJobPeriod = absl::Seconds(10);
@@ -27,6 +28,10 @@
     decision.epoch = m_ownership.epoch();
     decision.processorShare = update.isTaken ? m_settings.processorShare : 0;
     m_outbox.log(std::move(decision));
+    // A node that has lost the ownership by itself does not ask for it at once.
+    if (update.isLost && !m_isYielding)
+        m_request.pauseUntil(now + requestPause);
+    m_isYielding = false;
     m_jobs.clear();
     m_workers.reset(m_ownership.epoch(), now);
     m_writer.reset();
--- a/src/batch/owner/owner_part_base.h
+++ b/src/batch/owner/owner_part_base.h
@@ -10,6 +10,7 @@
 #include "batch/owner/job_registry_base.h"
 #include "batch/owner/owner_load_base.h"
 #include "batch/owner/ownership_base.h"
+#include "batch/owner/ownership_request_base.h"
 #include "batch/owner/progress_writer_base.h"
 #include "batch/owner/stop_reason_type.h"
 #include "batch/owner/worker_registry_base.h"
@@ -119,8 +120,12 @@
     void beginHandover(absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     // Whether a draining owner has heard of its starts and has written what it knows, or has no more time for that.
     bool isHandoverDone(absl::Time now) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    // Hands over to a node on a larger machine that asks for the ownership.
+    void advanceYield(absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     // Gives up the ownership of a draining node, and notifies the directory part once that is done.
     void advanceDrain(absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    // Whether the owner starts nothing any more, because it drains or hands over.
+    bool isHandingOver() const ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex) { return m_isDraining || m_isYielding; }
     absl::Time nextDue(absl::Time now) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void logJobEnd(const JobEntry& entry, absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void logRun(DecisionEffect::Kind kind, const RunKey& run, const WorkerName& worker, absl::string_view outcome = "",
@@ -162,6 +167,7 @@
     Outbox m_outbox ABSL_GUARDED_BY(m_mutex);
     SeededRandom m_random ABSL_GUARDED_BY(m_mutex);
     Ownership m_ownership ABSL_GUARDED_BY(m_mutex);
+    OwnershipRequest m_request ABSL_GUARDED_BY(m_mutex);
     Loading m_loading ABSL_GUARDED_BY(m_mutex);
     CollectionFollower m_jobFollower ABSL_GUARDED_BY(m_mutex);
     CollectionFollower m_workerFollower ABSL_GUARDED_BY(m_mutex);
@@ -191,7 +197,9 @@
     // The node shuts down and gives up the ownership; the directory part has been notified once that is done.
     bool m_isDraining ABSL_GUARDED_BY(m_mutex) = false;
     bool m_isDrained ABSL_GUARDED_BY(m_mutex) = false;
-    // When a draining owner gives up the ownership at the latest; the infinite past before it has begun to drain.
+    // The owner hands over to a node that has asked for the ownership.
+    bool m_isYielding ABSL_GUARDED_BY(m_mutex) = false;
+    // When an owner that hands over gives up the ownership at the latest; the infinite past before it has begun to.
     absl::Time m_handoverEndsAt ABSL_GUARDED_BY(m_mutex) = absl::InfinitePast();
 };
 
--- a/src/batch/owner/owner_part_cmd.cpp
+++ b/src/batch/owner/owner_part_cmd.cpp
@@ -43,7 +43,8 @@
     , m_clock(clock)
     , m_policy(std::move(policy))
     , m_random(settings.seed)
-    , m_ownership(settings.self, claimDelayOf(settings.processorShare), m_random)
+    , m_ownership(settings.self, claimDelayOf(settings.processorShare), settings.processorShare, m_random)
+    , m_request(settings.self, settings.processorShare, m_random)
     , m_jobFollower(Collection::Jobs, jobWatchWait, absl::ZeroDuration(), CollectionFollower::ReadMode::Pages)
     , m_workerFollower(Collection::Workers, workerWatchWait, workerWatchPause)
     , m_jobs(settings.recordLimits, settings.jobMemoryBytes)
@@ -60,7 +61,9 @@
     // A node whose process was suspended finds its lease expired before it does anything else.
     applyOwnershipUpdate(m_ownership.checkLease(now), now);
     handleEvent(event, now);
+    advanceYield(now);
     m_ownership.advance(m_outbox, now);
+    m_request.advance(m_ownership.holder(), m_ownership.candidate(), m_outbox, now);
     if (m_ownership.isOwner())
         advance(now);
     advanceDrain(now);
@@ -85,12 +88,17 @@
         m_load.recordWake(now);
     } else if (std::holds_alternative<DrainEvent>(event)) {
         m_isDraining = true;
+        m_request.stop();
         beginHandover(now);
     }
 }
 
 void OwnerPart::handleStoreReply(const StoreEvent& event, absl::Time now)
 {
+    if (m_request.ownsCall(event.call)) {
+        m_request.handleReply(event.reply, now);
+        return;
+    }
     if (m_ownership.ownsCall(event.call)) {
         applyOwnershipUpdate(m_ownership.handleReply(event.call, event.reply, now), now);
         return;
@@ -127,7 +135,7 @@
 
 void OwnerPart::reviewStarts(absl::Time now)
 {
-    if (m_isDraining) {
+    if (isHandingOver()) {
         // A claim that was pending when the drain began may have succeeded since.
         m_workers.setMayStart(false);
         return;
@@ -158,7 +166,7 @@
 absl::Time OwnerPart::nextAllocation(absl::Time now) const
 {
     // The next reply about the workers, or the evacuations, is an event of its own.
-    if (!isWorkerListCurrent(now) || !areEvacuationsCurrent(now) || m_isDraining)
+    if (!isWorkerListCurrent(now) || !areEvacuationsCurrent(now) || isHandingOver())
         return absl::InfiniteFuture();
     absl::Time due = absl::InfiniteFuture();
     if (m_isAllocationDue)
@@ -254,6 +262,7 @@
 absl::Time OwnerPart::nextDue(absl::Time now) const
 {
     absl::Time due = m_ownership.nextDue();
+    due = std::min(due, m_request.nextDue());
     if (!m_ownership.isOwner())
         return std::max(due, now);
     due = std::min(due, m_workerFollower.nextDue());
@@ -262,7 +271,7 @@
     if (!m_loading.isDone)
         return std::max(std::min(due, std::max(m_loading.retryAt, now + loadRetryPeriod)), now);
     due = std::min({ due, m_writer.nextDue(), m_workers.nextDue(), m_jobs.nextDue(), nextHeldRunReview() });
-    if (m_isDraining)
+    if (isHandingOver())
         due = std::min(due, m_handoverEndsAt);
     return std::max(std::min(due, nextAllocation(now)), now);
 }
--- a/src/batch/owner/owner_run_cmd.cpp
+++ b/src/batch/owner/owner_run_cmd.cpp
@@ -292,7 +292,7 @@
         return;
     if (!entry->progress.isCurrentRun(placed.run.task.task, placed.run.attempt, placed.worker))
         stopRun(placed.run, placed.worker, StopReason::Superseded, now);
-    else if (m_isDraining)
+    else if (isHandingOver())
         stopRun(placed.run, placed.worker, StopReason::OwnerStops, now);
     else if (!session->acceptsWork(now))
         stopRun(placed.run, placed.worker, StopReason::WorkerUnavailable, now);
--- a/src/batch/owner/ownership_base.cpp
+++ b/src/batch/owner/ownership_base.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "batch/owner/ownership_request_base.h"
 #include "core/error_func.h"
 
 namespace mangohall::batch {
@@ -22,14 +23,19 @@
 // claim first, but no longer than this.
 constexpr double claimDelayPerGrantTime = 10;
 constexpr absl::Duration longestGrantDelay = absl::Milliseconds(400);
+// A node that has asked for the ownership claims it so much earlier than others.
+constexpr absl::Duration candidateHeadStart = absl::Milliseconds(500);
+// How long a node that has given up the ownership for another one leaves it to others.
+constexpr absl::Duration yieldPause = absl::Seconds(3);
 // Delay before a failed call is repeated, or before the next claim after a failed one.
 constexpr absl::Duration retryPeriod = absl::Milliseconds(250);
 
 } // namespace
 
-Ownership::Ownership(NodeName self, absl::Duration claimDelay, RandomSource& random)
+Ownership::Ownership(NodeName self, absl::Duration claimDelay, double processorShare, RandomSource& random)
     : m_self(std::move(self))
     , m_claimDelay(claimDelay)
+    , m_processorShare(processorShare)
     , m_random(random)
     , m_follower(Collection::Holder, holderWatchWait)
 {
@@ -37,7 +43,10 @@
 
 absl::Duration Ownership::nextClaimDelay()
 {
-    return m_claimDelay + claimSpread * m_random.uniform();
+    if (isCandidate())
+        return absl::ZeroDuration();
+    const absl::Duration headStart = m_candidate ? candidateHeadStart : absl::ZeroDuration();
+    return m_claimDelay + headStart + claimSpread * m_random.uniform();
 }
 
 absl::Time Ownership::leaseEnd() const
@@ -54,7 +63,7 @@
         sendStep(Step::Revoking, RevokeLease { std::exchange(m_leaseToRevoke, 0) }, outbox, now);
         return;
     }
-    if (m_call != 0 || now < m_nextTryAt || !m_isHolderKnown)
+    if (m_call != 0 || now < m_nextTryAt || !m_isHolderKnown || (!m_isOwner && now < m_mayClaimAt))
         return;
     if (m_isOwner)
         sendStep(Step::Renewing, RenewLease { m_lease }, outbox, now);
@@ -72,7 +81,7 @@
     if (m_isOwner)
         due = std::min(due, leaseEnd());
     if (m_call == 0 && m_isHolderKnown && (m_isOwner || !m_holder))
-        due = std::min(due, m_nextTryAt);
+        due = std::min(due, m_isOwner ? m_nextTryAt : std::max(m_nextTryAt, m_mayClaimAt));
     return due;
 }
 
@@ -92,8 +101,8 @@
     const RecordKey epoch { Collection::Epoch, "" };
     CommitRecords commit;
     commit.expected = { { holder, 0 }, { epoch, m_knownEpochRevision } };
-    commit.writes
-        = { { holder, HolderRecord { m_self, m_epoch }, m_lease }, { epoch, EpochRecord { m_epoch, m_self }, 0 } };
+    commit.writes = { { holder, HolderRecord { m_self, m_epoch, m_processorShare }, m_lease },
+        { epoch, EpochRecord { m_epoch, m_self }, 0 } };
     m_claimLease = m_lease;
     sendStep(Step::Claiming, std::move(commit), outbox, now);
 }
@@ -123,16 +132,25 @@
 
 void Ownership::applyRecords(const CollectionUpdate& update, absl::Time now)
 {
+    const bool mayBeVacant = update.isComplete && (m_holder || !m_isHolderKnown);
     if (update.isComplete) {
-        if (m_holder || !std::exchange(m_isHolderKnown, true))
-            m_nextTryAt = now + nextClaimDelay();
+        m_isHolderKnown = true;
         m_holder = absl::nullopt;
+        m_candidate = absl::nullopt;
     }
+    for (const Record& record : update.records) {
+        if (record.key.collection == Collection::Candidate)
+            applyCandidate(record);
+    }
+    if (mayBeVacant)
+        m_nextTryAt = now + nextClaimDelay();
     for (const Record& record : update.records) {
         if (record.key.collection == Collection::Holder) {
             applyHolder(record, now);
             continue;
         }
+        if (record.key.collection == Collection::Candidate)
+            continue;
         m_knownEpochRevision = std::max(m_knownEpochRevision, record.revision);
         if (const auto* epoch = std::get_if<EpochRecord>(&record.value))
             m_knownEpoch = std::max(m_knownEpoch, epoch->epoch);
@@ -151,6 +169,24 @@
         m_nextTryAt = now + nextClaimDelay();
 }
 
+void Ownership::applyCandidate(const Record& record)
+{
+    const auto* candidate = std::get_if<CandidateRecord>(&record.value);
+    m_candidate = candidate == nullptr ? absl::nullopt : absl::make_optional(*candidate);
+}
+
+bool Ownership::shouldYield() const
+{
+    return m_isOwner && m_candidate && m_candidate->ownerEpoch == m_epoch
+        && shouldSucceed(m_candidate->processorShare, m_processorShare);
+}
+
+OwnershipUpdate Ownership::yield(absl::Time now)
+{
+    m_mayClaimAt = now + yieldPause;
+    return lose("a node on a larger machine asks for it", now);
+}
+
 OwnershipUpdate Ownership::handleGrantReply(const StoreReply& reply, absl::Time now)
 {
     if (!reply.status.ok()) {
@@ -159,7 +195,8 @@
     }
     m_lease = reply.lease;
     m_leaseConfirmedAt = m_sentAt;
-    m_nextTryAt = now + std::min((now - m_sentAt) * claimDelayPerGrantTime, longestGrantDelay);
+    const absl::Duration delay = std::min((now - m_sentAt) * claimDelayPerGrantTime, longestGrantDelay);
+    m_nextTryAt = now + (isCandidate() ? absl::ZeroDuration() : delay);
     return {};
 }
 
@@ -207,7 +244,8 @@
     m_epochRevision = epochRevision;
     m_knownEpoch = m_epoch;
     m_knownEpochRevision = epochRevision;
-    m_holder = HolderRecord { m_self, m_epoch };
+    m_holder = HolderRecord { m_self, m_epoch, m_processorShare };
+    m_candidate = absl::nullopt;
     m_nextTryAt = m_leaseConfirmedAt + renewPeriod;
     OwnershipUpdate update;
     update.isTaken = true;
--- a/src/batch/owner/ownership_base.h
+++ b/src/batch/owner/ownership_base.h
@@ -23,8 +23,9 @@
 // epoch's record to be unchanged, so safety does not depend on the lease. Not safe to call from several threads.
 class Ownership {
 public:
-    // `claimDelay` is added before each claim. Nodes with more processor have a shorter delay.
-    Ownership(NodeName self, absl::Duration claimDelay, RandomSource& random);
+    // `claimDelay` is added before each claim. Nodes with more processor have a shorter delay. `processorShare` is the
+    // share of a processor that the node may use, which its record says.
+    Ownership(NodeName self, absl::Duration claimDelay, double processorShare, RandomSource& random);
 
     // Sends the calls that are due.
     void advance(Outbox& outbox, absl::Time now);
@@ -40,6 +41,10 @@
 
     // Gives up the ownership because another owner exists. Does nothing if this node is not the owner.
     OwnershipUpdate lose(absl::string_view reason, absl::Time now);
+    // Whether a call of this object is pending, other than that of following the records.
+    bool isCallPending() const { return m_call != 0; }
+    // Gives up the ownership in favour of the candidate. This node claims it again only if no other node takes it.
+    OwnershipUpdate yield(absl::Time now);
     // Revokes the lease, so that another node can take the ownership at once. This node never claims it again.
     void resign(Outbox& outbox);
     bool hasResigned() const { return m_isResigning && m_call == 0 && !m_isOwner; }
@@ -48,6 +53,11 @@
     // When this node has to give up the ownership unless the lease is renewed.
     absl::Time leaseEnd() const;
     Epoch epoch() const { return m_epoch; }
+    // The records of the holder and of the node that asks for the ownership, as last read; none if there is none.
+    const absl::optional<HolderRecord>& holder() const { return m_holder; }
+    const absl::optional<CandidateRecord>& candidate() const { return m_candidate; }
+    // Whether this node owns the jobs and another one asks for them that should have them.
+    bool shouldYield() const;
     // The expectation that every write of this owner has to contain.
     ExpectedRevision expectation() const { return { { Collection::Epoch, "" }, m_epochRevision }; }
 
@@ -63,6 +73,8 @@
 
     void applyRecords(const CollectionUpdate& update, absl::Time now);
     void applyHolder(const Record& record, absl::Time now);
+    void applyCandidate(const Record& record);
+    bool isCandidate() const { return m_candidate && m_candidate->node == m_self; }
     OwnershipUpdate handleGrantReply(const StoreReply& reply, absl::Time now);
     OwnershipUpdate handleClaimReply(const StoreReply& reply, absl::Time now);
     OwnershipUpdate handleRenewalReply(const StoreReply& reply, absl::Time now);
@@ -79,11 +91,13 @@
 
     const NodeName m_self;
     const absl::Duration m_claimDelay;
+    const double m_processorShare;
     RandomSource& m_random;
     CollectionFollower m_follower;
     // Whether the holder and the epoch have been read; the holder, if there is one, and the epoch as last read.
     bool m_isHolderKnown = false;
     absl::optional<HolderRecord> m_holder;
+    absl::optional<CandidateRecord> m_candidate;
     Epoch m_knownEpoch = 0;
     Revision m_knownEpochRevision = 0;
 
@@ -92,6 +106,8 @@
     // When the pending call was sent.
     absl::Time m_sentAt = absl::InfinitePast();
     absl::Time m_nextTryAt = absl::InfinitePast();
+    // No claim is made before, so that the candidate comes first.
+    absl::Time m_mayClaimAt = absl::InfinitePast();
     // The lease of this node; 0 if there is none.
     std::int64_t m_lease = 0;
     // The lease of the last claim, with which the record that it writes is deleted.
--- a/src/batch/store/record_type.h
+++ b/src/batch/store/record_type.h
@@ -40,6 +40,8 @@
     Holder,
     // The epoch of the last owner. The record outlives the owner's lease.
     Epoch,
+    // A node that asks the owner for the ownership, under the node's lease. A read or watch of the holder includes it.
+    Candidate,
 };
 
 // The key of a record.
@@ -70,6 +72,8 @@
 struct HolderRecord {
     NodeName node;
     Epoch epoch = 0;
+    // The share of a processor that the node may use; 0 if it is unknown.
+    double processorShare = 0;
 
     friend bool operator==(const HolderRecord&, const HolderRecord&) = default;
 };
@@ -83,6 +87,16 @@
     friend bool operator==(const EpochRecord&, const EpochRecord&) = default;
 };
 
+// The node that asks for the ownership, because it may use much more of a processor than the owner.
+struct CandidateRecord {
+    NodeName node;
+    double processorShare = 0;
+    // The epoch of the owner that is asked.
+    Epoch ownerEpoch = 0;
+
+    friend bool operator==(const CandidateRecord&, const CandidateRecord&) = default;
+};
+
 // The number of accepted jobs of each queue of which no task has started.
 struct QueueCounts {
     absl::btree_map<QueueName, std::int64_t> waiting;
@@ -109,7 +123,7 @@
 };
 
 using RecordValue = std::variant<std::monostate, Manifest, Evacuation, WorkerEntry, Job, Cancellation, ProgressRecord,
-    QueueCounts, AdmissionLimit, HolderRecord, EpochRecord, UnreadableRecord>;
+    QueueCounts, AdmissionLimit, HolderRecord, EpochRecord, CandidateRecord, UnreadableRecord>;
 
 // A record as the store holds it. Revision 0 without a value means that the record is absent.
 struct Record {
--- a/tests/batch/batch_store_base.cpp
+++ b/tests/batch/batch_store_base.cpp
@@ -18,7 +18,9 @@
         return Collection::Jobs;
     if (collection == Collection::Evacuations)
         return Collection::Manifest;
-    return collection == Collection::Epoch ? Collection::Holder : collection;
+    if (collection == Collection::Epoch || collection == Collection::Candidate)
+        return Collection::Holder;
+    return collection;
 }
 
 // Small, so that collections of tests take several pages.
--- a/tests/batch/ownership_test.cpp
+++ b/tests/batch/ownership_test.cpp
@@ -50,7 +50,7 @@
     Outbox m_outbox;
     std::vector<Effect> m_pending;
     SeededRandom m_random { 1 };
-    Ownership m_ownership { NodeName("n"), absl::ZeroDuration(), m_random };
+    Ownership m_ownership { NodeName("n"), absl::ZeroDuration(), 1, m_random };
     absl::Time m_now = absl::FromUnixSeconds(1700000000);
 };
 
--- a/tests/platform/message_test.cpp
+++ b/tests/platform/message_test.cpp
@@ -334,7 +334,7 @@
     for (const batch::RecordKey& key : { batch::RecordKey { Collection::Manifest, "" },
              { Collection::Evacuations, "ct-a" }, { Collection::Workers, "i-1" }, { Collection::Jobs, "00a1" },
              { Collection::Cancellations, "00a1" }, { Collection::Progress, "00a1" }, { Collection::QueueCounts, "" },
-             { Collection::Holder, "" }, { Collection::Epoch, "" } })
+             { Collection::Holder, "" }, { Collection::Epoch, "" }, { Collection::Candidate, "" } })
         EXPECT_EQ(recordKeyOf(storeKeyOf(key)), key);
     EXPECT_FALSE(recordKeyOf("op/wave/1"));
 }
--- a/tests/platform/record_json_test.cpp
+++ b/tests/platform/record_json_test.cpp
@@ -77,7 +77,8 @@
     expectRoundTrip(Collection::Progress, makeProgress());
     expectRoundTrip(Collection::Cancellations, Cancellation { absl::FromUnixMillis(5) });
     expectRoundTrip(Collection::QueueCounts, QueueCounts { { { QueueName("q"), 3 } } });
-    expectRoundTrip(Collection::Holder, HolderRecord { NodeName("n"), 4 });
+    expectRoundTrip(Collection::Holder, HolderRecord { NodeName("n"), 4, 0.25 });
+    expectRoundTrip(Collection::Candidate, CandidateRecord { NodeName("n"), 0.5, 7 });
     expectRoundTrip(Collection::Epoch, EpochRecord { 4, NodeName("n") });
 }
 
@@ -95,6 +96,14 @@
     EXPECT_EQ(task.workerProcessStartMs, 5);
 }
 
+// Guards against a rolling update in which no node reads the holder that an earlier version has written.
+TEST(RecordJson, ReadsTheHolderOfAnEarlierVersion)
+{
+    const absl::StatusOr<RecordValue> decoded = decodeRecord(Collection::Holder, R"({"node":"n","epoch":4})");
+    ASSERT_TRUE(decoded.ok()) << decoded.status();
+    EXPECT_EQ(std::get<HolderRecord>(*decoded), (HolderRecord { NodeName("n"), 4, 0 }));
+}
+
 TEST(RecordJson, RejectsMalformedRecords)
 {
     for (const char* text : { "", "7", "[]", R"({"phase":"odd"})", R"({"phase":"active","occurrences":[[[[1,2]]]]})",
