Fix: a stored job loses the fraction of its period and its occurrences start early

What callers saw: a job of 600 occurrences with a `periodMs` of 60.9 was accepted and ran with a period of 60 ms.

Cause: the front end reads `periodMs` with its fraction, and the job's record wrote whole milliseconds. The record cut `estimateMs`, `tailTargetMs` and `latencyAllowanceMs` in the same way. `startAtMs` is not among these: the front end itself reads it as an integer and the record keeps that.

The record now has these durations as numbers with a fraction where there is one. A whole number of milliseconds is still written as an integer, and an infinite duration as the largest integer, since JSON would have null for it, which is read as 0. Nodes of either version read the records of the other (by reading the code; no older node was run): FieldReader::milliseconds, which is unchanged, takes fractions. A node of an earlier version still cuts what it writes. A step without texts has at most 388 bytes (380 before) by a count of its longest numbers, within the 400 that checkRecordSizes reserves.

Evidence: on the code before, RecordJson.KeepsTheFractionOfAPeriodSoThatNoOccurrenceStartsTooEarly failed for all six periods with a fraction (60ms instead of 60.9ms, 0 instead of 100us) and RecordJson.KeepsTheFractionsOfEstimatesAndTargets for all three fields; the other seven RecordJson tests passed. Now all 40 tests of platform_message_test pass.

--- a/src/adapters/json/batch_record_json_func.cpp
+++ b/src/adapters/json/batch_record_json_func.cpp
@@ -26,6 +26,17 @@
     return absl::ToUnixMillis(time);
 }
 
+// The duration as a number of milliseconds. A whole number is an integer, as earlier versions write it, and so is the
+// largest one, which stands for an infinite duration: JSON has no number for it.
+json toMillis(absl::Duration duration)
+{
+    const std::int64_t whole = absl::ToInt64Milliseconds(duration);
+    if (absl::Milliseconds(whole) == duration || duration == absl::InfiniteDuration()
+        || duration == -absl::InfiniteDuration())
+        return whole;
+    return absl::ToDoubleMilliseconds(duration);
+}
+
 void setUnlessEmpty(json& target, const char* field, const std::string& text)
 {
     if (!text.empty())
@@ -38,6 +49,12 @@
         target[field] = value;
 }
 
+void setUnlessZero(json& target, const char* field, absl::Duration duration)
+{
+    if (duration != absl::ZeroDuration())
+        target[field] = toMillis(duration);
+}
+
 void setIfTrue(json& target, const char* field, bool value)
 {
     if (value)
@@ -49,7 +66,7 @@
     json target = { { "tasks", step.taskCount }, { "cpuMillis", step.demand.cpuMillis },
         { "memoryBytes", step.demand.memoryBytes } };
     setUnlessZero(target, "accelerators", step.demand.accelerators);
-    setUnlessZero(target, "estimateMs", absl::ToInt64Milliseconds(step.estimate));
+    setUnlessZero(target, "estimateMs", step.estimate);
     if (!step.after.empty())
         target["after"] = step.after;
     setIfTrue(target, "gang", step.isGang);
@@ -62,7 +79,7 @@
     setUnlessEmpty(target, "dataRack", step.dataRack->str());
     setUnlessZero(target, "maxPerWorker", step.maxPerWorker);
     setUnlessEmpty(target, "image", step.image.get());
-    setUnlessZero(target, "tailTargetMs", absl::ToInt64Milliseconds(step.tailLatencyTarget));
+    setUnlessZero(target, "tailTargetMs", step.tailLatencyTarget);
     setUnlessZero(target, "allowedMissing", step.maxUnavailable);
     return target;
 }
@@ -101,7 +118,7 @@
         { "priority", job.terms.priority },
         { "maxAttempts", job.terms.maxAttempts },
         { "stretchFactor", job.terms.stretchFactor },
-        { "latencyAllowanceMs", absl::ToInt64Milliseconds(job.terms.latencyAllowance) },
+        { "latencyAllowanceMs", toMillis(job.terms.latencyAllowance) },
         { "acceptedMs", toUnixMillis(job.acceptedAt) },
         { "payload", job.spec.payload },
         { "steps", json::array() },
@@ -109,7 +126,7 @@
     setUnlessZero(target, "repeatCount", job.spec.repeatCount);
     if (job.spec.firstDue != absl::InfinitePast())
         target["firstDueMs"] = toUnixMillis(job.spec.firstDue);
-    setUnlessZero(target, "periodMs", absl::ToInt64Milliseconds(job.spec.period));
+    setUnlessZero(target, "periodMs", job.spec.period);
     for (const StepSpec& step : job.spec.steps)
         target["steps"].push_back(toJson(step));
     return target;
--- a/tests/platform/record_json_test.cpp
+++ b/tests/platform/record_json_test.cpp
@@ -1,6 +1,9 @@
 #include "adapters/json/batch_record_json_func.h"
 
+#include "absl/strings/match.h"
+#include "absl/strings/str_cat.h"
 #include "core/error_func.h"
+#include "platform/job_json_func.h"
 #include "gtest/gtest.h"
 
 namespace mangohall::batch {
@@ -71,6 +74,20 @@
     EXPECT_TRUE(*decoded == value);
 }
 
+Job makeJobOf(const JobSpec& spec)
+{
+    Job job = makeJob();
+    job.spec = spec;
+    return job;
+}
+
+Job encodedAndDecoded(const Job& job)
+{
+    const absl::StatusOr<RecordValue> decoded = decodeRecord(Collection::Jobs, encodeRecord(job));
+    EXPECT_TRUE(decoded.ok()) << decoded.status();
+    return decoded.ok() ? std::get<Job>(*decoded) : Job();
+}
+
 TEST(RecordJson, AllFieldsSurviveRoundTrip)
 {
     expectRoundTrip(Collection::Jobs, makeJob());
@@ -82,6 +99,61 @@
     expectRoundTrip(Collection::Epoch, EpochRecord { 4, NodeName("n") });
 }
 
+// Guards against ORDER: occurrences of a job that start too early, as the stored period is shorter than the submitted
+// one.
+TEST(RecordJson, KeepsTheFractionOfAPeriodSoThatNoOccurrenceStartsTooEarly)
+{
+    for (const char* period : { "60.9", "0.1", "0.00000025", "16.666666666666668", "33.333", "1234567.8", "61" }) {
+        const absl::StatusOr<JobSpec> spec = platform::jobSpecFromJson(
+            absl::StrCat(R"({"repeatCount":600,"startAtMs":1000,"periodMs":)", period, R"(,"phases":[{"count":1}]})"));
+        ASSERT_TRUE(spec.ok()) << spec.status();
+        const Job decoded = encodedAndDecoded(makeJobOf(*spec));
+        EXPECT_EQ(decoded.spec.period, spec->period) << period;
+        EXPECT_EQ(decoded.spec.firstDue, spec->firstDue) << period;
+    }
+}
+
+// Guards against the same loss in the other durations of a job: its steps' estimates and targets, its queue's
+// allowance.
+TEST(RecordJson, KeepsTheFractionsOfEstimatesAndTargets)
+{
+    const absl::StatusOr<JobSpec> spec
+        = platform::jobSpecFromJson(R"({"phases":[{"count":1,"estimateMs":0.7,"targetMs":12.5}]})");
+    ASSERT_TRUE(spec.ok()) << spec.status();
+    Job job = makeJobOf(*spec);
+    job.terms.latencyAllowance = absl::Milliseconds(400.25);
+    const Job decoded = encodedAndDecoded(job);
+    EXPECT_EQ(decoded.spec.steps[0].estimate, absl::Milliseconds(0.7));
+    EXPECT_EQ(decoded.spec.steps[0].tailLatencyTarget, absl::Milliseconds(12.5));
+    EXPECT_EQ(decoded.terms.latencyAllowance, absl::Milliseconds(400.25));
+}
+
+// Guards against a period that is infinite for the reader and absent from the record: all occurrences are due at once.
+TEST(RecordJson, StoresAPeriodThatIsTooLongForADuration)
+{
+    const absl::StatusOr<JobSpec> spec
+        = platform::jobSpecFromJson(R"({"repeatCount":2,"startAtMs":1,"periodMs":1e300,"phases":[{"count":1}]})");
+    ASSERT_TRUE(spec.ok()) << spec.status();
+    EXPECT_GT(encodedAndDecoded(makeJobOf(*spec)).spec.period, absl::Hours(24 * 365 * 1000));
+}
+
+// Guards against a rolling update that changes the durations of jobs: earlier versions write whole milliseconds.
+TEST(RecordJson, ReadsAndWritesWholeMillisecondsAsEarlierVersionsDo)
+{
+    const absl::StatusOr<RecordValue> decoded = decodeRecord(Collection::Jobs,
+        R"({"latencyAllowanceMs":400,"periodMs":60,"steps":[{"tasks":1,"estimateMs":900,"tailTargetMs":50}]})");
+    ASSERT_TRUE(decoded.ok()) << decoded.status();
+    const Job& job = std::get<Job>(*decoded);
+    EXPECT_EQ(job.terms.latencyAllowance, absl::Milliseconds(400));
+    EXPECT_EQ(job.spec.period, absl::Milliseconds(60));
+    EXPECT_EQ(job.spec.steps[0].estimate, absl::Milliseconds(900));
+    EXPECT_EQ(job.spec.steps[0].tailLatencyTarget, absl::Milliseconds(50));
+    const std::string encoded = encodeRecord(job);
+    for (const char* field :
+        { R"("latencyAllowanceMs":400,)", R"("periodMs":60,)", R"("estimateMs":900,)", R"("tailTargetMs":50,)" })
+        EXPECT_TRUE(absl::StrContains(encoded, field)) << field << " in " << encoded;
+}
+
 // Guards against a rolling update that loses the progress of jobs: records without the last failed attempt of a gang
 // come from earlier versions.
 TEST(RecordJson, ReadsTheProgressOfAnEarlierVersion)
