--- a/tests/batch/batch_unsettled_test.cpp
+++ b/tests/batch/batch_unsettled_test.cpp
@@ -97,6 +97,30 @@
     expectNoViolation();
 }
 
+// Guards against LOST: a start on a worker that has begun anew and replies is waited for anew by each owner that
+// follows. It may come until a fixed time after its last sending.
+TEST_F(BatchUnsettled, NoOwnerMovesTheEndOfADoubtOnAWorkerThatReplies)
+{
+    constexpr absl::Duration longestDoubt = absl::Milliseconds(800 + 12500);
+    constexpr absl::Duration untilPlaced = absl::Milliseconds(1500);
+    for (int worker = 0; worker < 4; ++worker)
+        m_cluster.workers().setCutOff("w0" + std::to_string(worker), true);
+    m_cluster.submit(0, path, tasksOf("p", 8, 8));
+    const absl::Time submittedAt = m_cluster.timeline().now();
+    m_cluster.runFor(absl::Milliseconds(300));
+    killAll();
+    m_cluster.workers().reconnectAll();
+    for (int worker = 0; worker < 4; ++worker)
+        m_cluster.workers().restart("w0" + std::to_string(worker));
+    startAll();
+    m_cluster.runFor(absl::Seconds(9));
+    killAll();
+    startAll();
+    m_cluster.runFor(submittedAt + longestDoubt + clockAllowance + untilPlaced - m_cluster.timeline().now());
+    EXPECT_EQ(m_cluster.workers().startCount(id), 8);
+    expectNoViolation();
+}
+
 // Guards against a second run of a task: the worker has executed the start, replies again after its end was recorded,
 // has its lease renewed, and is silent once more when the next owner reads the record.
 TEST_F(BatchUnsettled, ARecordedEndIsWithdrawnBeforeALeaseIsRenewed)
