Fix: a log that reaches its size limit can end a node by SIGXFSZ

Cause: a write beyond a file size limit raises a signal whose default ends the process. Which thread writes the line decides whether the signal is blocked, so some builds end at their first line. Change: the signal is ignored, as SIGPIPE is; the write returns an error and the line is lost. Evidence: node_start_test.py file_size_limit finds the signal not ignored on the code before; it holds now.

--- a/src/programs/server/stop_signal_func.cpp
+++ b/src/programs/server/stop_signal_func.cpp
@@ -15,6 +15,7 @@
 {
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     std::signal(SIGPIPE, SIG_IGN);
+    std::signal(SIGXFSZ, SIG_IGN);
 }
 
 int waitForStopSignal()
