--- a/src/adapters/observe/decision_log_base.cpp
+++ b/src/adapters/observe/decision_log_base.cpp
@@ -1,6 +1,7 @@
 #include "adapters/observe/decision_log_base.h"
 
 #include <algorithm>
+#include <exception>
 #include <memory>
 #include <utility>
 
@@ -133,12 +134,17 @@
     return line;
 }
 
+// Drops the line if the library cannot write it, for example since the system refuses it a thread.
 void writeLine(const nlohmann::json& line)
 {
     constexpr int noIndent = -1;
     const std::string text = line.dump(noIndent, ' ', false, nlohmann::json::error_handler_t::replace);
-    log4cxx::Logger::getRootLogger()->forcedLog(
-        log4cxx::Level::getInfo(), text, log4cxx::spi::LocationInfo::getLocationUnavailable());
+    try {
+        log4cxx::Logger::getRootLogger()->forcedLog(
+            log4cxx::Level::getInfo(), text, log4cxx::spi::LocationInfo::getLocationUnavailable());
+    } catch (const std::exception&) {
+        return;
+    }
 }
 
 } // namespace
