Fix: a node whose log nobody reads does not end on SIGTERM

What callers saw: with a full pipe as standard output, a node that is stopped hands over and then stays until it is killed. Cause: at the end of the process the log's thread is waited for, and that thread hangs in a write that nobody takes.

--- a/src/adapters/observe/decision_log_base.cpp
+++ b/src/adapters/observe/decision_log_base.cpp
@@ -3,12 +3,16 @@
 #include <algorithm>
 #include <exception>
 #include <memory>
+#include <system_error>
+#include <thread>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "absl/synchronization/notification.h"
 #include "log4cxx/asyncappender.h"
 #include "log4cxx/consoleappender.h"
 #include "log4cxx/logger.h"
+#include "log4cxx/logmanager.h"
 #include "log4cxx/patternlayout.h"
 #include "nlohmann/json.hpp"
 
@@ -163,6 +167,20 @@
     root->setLevel(log4cxx::Level::getInfo());
 }
 
+bool finishLineLogging(absl::Duration timeout)
+{
+    const auto isFinished = std::make_shared<absl::Notification>();
+    try {
+        std::thread([isFinished] {
+            log4cxx::LogManager::shutdown();
+            isFinished->Notify();
+        }).detach();
+    } catch (const std::system_error&) {
+        return false;
+    }
+    return isFinished->WaitForNotificationWithTimeout(timeout);
+}
+
 DecisionLog::DecisionLog(NodeName self, const Clock& clock)
     : m_self(std::move(self))
     , m_clock(clock)
--- a/src/adapters/observe/decision_log_base.h
+++ b/src/adapters/observe/decision_log_base.h
@@ -81,4 +81,8 @@
 // that thread is full.
 void setUpLineLogging();
 
+// Writes the lines that are queued and ends logging. Returns whether that was done within the timeout: it is not while
+// the reader of standard output does not read.
+bool finishLineLogging(absl::Duration timeout);
+
 } // namespace mangohall::batch
