Fix: a node started without standard streams writes its log into a socket

Cause: with standard output closed, the poller or a connection gets its number, and each line of the log is written there. Change: each closed standard stream is opened as the null device before anything else, in all server programs. Evidence: node_start_test.py closed_streams finds an epoll set, an event and a socket as streams 0 to 2 on the code before; it finds the null device now.

--- a/src/programs/server/server_program_func.cpp
+++ b/src/programs/server/server_program_func.cpp
@@ -6,6 +6,7 @@
 #include "adapters/observe/log_func.h"
 #include "adapters/settings/settings_func.h"
 #include "programs/server/server_arguments_func.h"
+#include "programs/server/standard_descriptor_func.h"
 #include "programs/server/stop_signal_func.h"
 
 namespace mangohall {
@@ -40,6 +41,7 @@
 
 int runServerProgram(absl::Span<const char* const> arguments, const ServerProgram& program)
 {
+    reserveStandardDescriptors();
     // A signal that arrives before the program waits for it stops the program gracefully.
     blockSignals(stopSignals());
     const ServerArguments line = parseServerArguments(arguments, program.name);
