Fix: numbers of a submitted job lose their fraction before they are stored

What callers saw: a job whose startAtMs has a fraction is due earlier than submitted; a request for 0.5 thousandths of a core or 1.25 MB is taken for 0 and 1, so that tasks run beside others that they don't fit with; a count of 1.5 becomes 1.

--- a/src/adapters/json/batch_record_json_func.cpp
+++ b/src/adapters/json/batch_record_json_func.cpp
@@ -125,7 +125,7 @@
     };
     setUnlessZero(target, "repeatCount", job.spec.repeatCount);
     if (job.spec.firstDue != absl::InfinitePast())
-        target["firstDueMs"] = toUnixMillis(job.spec.firstDue);
+        target["firstDueMs"] = toMillis(job.spec.firstDue - absl::UnixEpoch());
     setUnlessZero(target, "periodMs", job.spec.period);
     for (const StepSpec& step : job.spec.steps)
         target["steps"].push_back(toJson(step));
@@ -148,7 +148,7 @@
     job.spec.payload = reader.text("payload");
     job.spec.repeatCount = reader.count("repeatCount");
     if (reader.has("firstDueMs"))
-        job.spec.firstDue = absl::FromUnixMillis(reader.integer("firstDueMs"));
+        job.spec.firstDue = reader.time("firstDueMs");
     job.spec.period = reader.milliseconds("periodMs");
     absl::StatusOr<std::vector<StepSpec>> steps = readElements(reader.array("steps"), stepFromJson);
     if (!steps.ok())
--- a/src/adapters/json/field_reader_base.cpp
+++ b/src/adapters/json/field_reader_base.cpp
@@ -133,6 +133,15 @@
     return has(field) ? absl::Milliseconds(number(field)) : defaultValue;
 }
 
+absl::Time FieldReader::time(absl::string_view field)
+{
+    constexpr double microsecondsPerMillisecond = 1000;
+    const std::int64_t whole = integer(field);
+    const double value = number(field);
+    const double fraction = value - std::trunc(value);
+    return absl::FromUnixMillis(whole) + absl::Microseconds(std::llround(fraction * microsecondsPerMillisecond));
+}
+
 const nlohmann::json& FieldReader::array(absl::string_view field)
 {
     const nlohmann::json* found = find(field);
--- a/src/adapters/json/field_reader_base.h
+++ b/src/adapters/json/field_reader_base.h
@@ -39,6 +39,9 @@
     bool flag(absl::string_view field);
     // A duration given as a number of milliseconds.
     absl::Duration milliseconds(absl::string_view field, absl::Duration defaultValue = absl::ZeroDuration());
+    // A time given as a number of milliseconds since 1970, with a fraction down to microseconds; 1970 by default. A
+    // magnitude above maxExactInteger is an error unless the number is an integer.
+    absl::Time time(absl::string_view field);
     // A list of strings; an element of another type is skipped and is an error.
     std::vector<std::string> texts(absl::string_view field);
     // A list of integers from 0 to the largest 32-bit value; any other element is skipped and is an error.
