Fix: a run on a young worker that leaves beside a change of owner holds its task up for 25 s

Cause: for a young process the record says that an earlier owner may have sent a renewal to the process before, until 15.5 s after the take-over of the one that writes it, and the next owner adds 5 s and the longest lease. But each process keeps the largest epoch that it has seen, and does nothing for a smaller one (PROTOCOL, fenceToken): once it has executed a poll of an owner, nothing of an earlier one can lengthen a run there. No run is started on a process before it has replied to a poll. Change: OutstandingCommands records when a process has seen the owner's epoch; from then on only the owner's own commands to earlier processes count, in the lease of a silent worker and in the record. Evidence: BatchUnsettled.ARunOnAYoungWorkerThatLeavesBesideAChangeOfOwnerStartsAgainInTime fails on the code before (8 of 9 starts) and passes now. A later process has not seen the epoch: its bound is as it was, which CountsNothingOfEarlierOwnersForAProcessThatHasSeenTheEpoch checks.

--- a/src/batch/worker/outstanding_commands_base.cpp
+++ b/src/batch/worker/outstanding_commands_base.cpp
@@ -189,7 +189,14 @@
     const auto written = m_earlierCommandsUntil.find(processStartMs);
     const absl::Time byRecord
         = written == m_earlierCommandsUntil.end() ? absl::InfiniteFuture() : written->second + maxTimeOfDayError;
-    return std::min({ m_earlierOwnersUntil, byStart, byRecord });
+    const auto seen = m_epochSeenAt.find(processStartMs);
+    const absl::Time byEpoch = seen == m_epochSeenAt.end() ? absl::InfiniteFuture() : seen->second;
+    return std::min({ m_earlierOwnersUntil, byStart, byRecord, byEpoch });
+}
+
+void OutstandingCommands::recordEpochSeen(std::int64_t processStartMs, absl::Time now)
+{
+    m_epochSeenAt.try_emplace(processStartMs, now);
 }
 
 void OutstandingCommands::recordEarlierCommandsUntil(std::int64_t processStartMs, absl::Time until)
--- a/src/batch/worker/outstanding_commands_base.h
+++ b/src/batch/worker/outstanding_commands_base.h
@@ -48,6 +48,9 @@
     // Records that an earlier owner has written that no command to an earlier process than this one, given by its
     // start, is executed by it after `until`, on the clock of that owner.
     void recordEarlierCommandsUntil(std::int64_t processStartMs, absl::Time until);
+    // Records that this process, given by its start, has executed a poll of this owner, and so has seen its epoch: from
+    // now on it refuses what earlier owners have sent. Only the first record of a process counts.
+    void recordEpochSeen(std::int64_t processStartMs, absl::Time now);
     // Records that the worker's present process shows the run for the first time, so that one of its starts was
     // executed.
     void recordShown(const RunKey& run, absl::Time now);
@@ -116,6 +119,8 @@
     std::vector<Command> m_commands;
     // What earlier owners have written of processes of the worker.
     absl::flat_hash_map<std::int64_t, absl::Time> m_earlierCommandsUntil;
+    // When each process was known to have seen this owner's epoch.
+    absl::flat_hash_map<std::int64_t, absl::Time> m_epochSeenAt;
     // Until when any command without a reply may be executed.
     absl::Time m_anyUntil = absl::InfinitePast();
 };
--- a/src/batch/worker/worker_session_reply_cmd.cpp
+++ b/src/batch/worker/worker_session_reply_cmd.cpp
@@ -179,6 +179,8 @@
     const bool isPoll = context.kind == SessionCall::Kind::Poll;
     if (isPoll)
         resolveSuspicion(context);
+    if (isPoll && reply.processStartMs != 0)
+        m_commands.recordEpochSeen(reply.processStartMs, now);
     // The reply may have been sent by an earlier process, whose clock says nothing about the lease of the present one.
     if (m_isRestartSuspected)
         return;
--- a/tests/batch/batch_unsettled_test.cpp
+++ b/tests/batch/batch_unsettled_test.cpp
@@ -121,6 +121,26 @@
     expectNoViolation();
 }
 
+// Guards against LOST (review/12): a worker that has just begun leaves as planned while the owner is killed. Nothing of
+// an owner before that one can lengthen its run any more, as its process has seen that one's epoch.
+TEST_F(BatchUnsettled, ARunOnAYoungWorkerThatLeavesBesideAChangeOfOwnerStartsAgainInTime)
+{
+    constexpr absl::Duration longestIdleTime = absl::Seconds(14);
+    m_cluster.workers().setRunTime("long", absl::Seconds(60));
+    m_cluster.workers().restart("w00");
+    m_cluster.runFor(absl::Seconds(1));
+    m_cluster.submit(0, path, tasksOf("long", 8, 8, absl::Seconds(60)));
+    m_cluster.runFor(absl::Seconds(1));
+    ASSERT_EQ(m_cluster.workers().startCount(id), 8);
+    m_cluster.workers().add("spare", "r0", { 128000, 1 << 30, 8 });
+    m_cluster.workers().drain("w00", absl::Milliseconds(1500));
+    m_cluster.runFor(absl::Milliseconds(100));
+    m_cluster.kill(m_cluster.owner());
+    m_cluster.runFor(absl::Milliseconds(1400) + longestIdleTime);
+    EXPECT_EQ(m_cluster.workers().startCount(id), 9);
+    expectNoViolation();
+}
+
 // Guards against a second run of a task: the worker has executed the start, replies again after its end was recorded,
 // has its lease renewed, and is silent once more when the next owner reads the record.
 TEST_F(BatchUnsettled, ARecordedEndIsWithdrawnBeforeALeaseIsRenewed)
--- a/tests/batch/outstanding_commands_test.cpp
+++ b/tests/batch/outstanding_commands_test.cpp
@@ -122,6 +122,23 @@
     EXPECT_EQ(commands.foreignLeaseEnd(run, 0), begin + longestPoll + longestDelay + longestLease);
 }
 
+// Usual work does not wait: a process that has executed a poll of this owner has seen its epoch, and refuses what
+// earlier owners have sent. What it has executed before keeps its lease.
+TEST_F(OutstandingCommandsTest, CountsNothingOfEarlierOwnersForAProcessThatHasSeenTheEpoch)
+{
+    OutstandingCommands commands(begin, longestLease);
+    const std::int64_t young = absl::ToUnixMillis(begin - absl::Seconds(1));
+    const absl::Time seenAt = begin + absl::Milliseconds(300);
+    commands.recordEpochSeen(young, seenAt);
+    commands.recordEpochSeen(young, seenAt + absl::Seconds(9));
+    EXPECT_EQ(commands.foreignLeaseEnd(run, young), seenAt + longestLease);
+    // A later process has not seen it.
+    EXPECT_EQ(commands.foreignLeaseEnd(run, young + 1), begin + longestPoll + longestDelay + longestLease);
+    EXPECT_EQ(commands.foreignLeaseEnd(run, 0), begin + longestPoll + longestDelay + longestLease);
+    commands.recordStartsOfEarlierOwner(otherRun, begin);
+    EXPECT_EQ(commands.foreignLeaseEnd(otherRun, young), begin + longestPoll + longestDelay + longestLease);
+}
+
 // Guards against TWICE: the worker may start the run by any of the commands that were sent to it.
 TEST_F(OutstandingCommandsTest, KnowsThatARunMayStartUntilEachOfItsStartsIsSettled)
 {
