Fix: the next owner starts a withdrawn placement beside what was placed in its room

Cause: a placement that was withdrawn before its start was sent gave its room back at once, although the store might show it as placed; a commit that holds the next placement in that room, but not the withdrawal, shows both to the next owner. That one sends the starts of all adopted placements, whether they fit together or not. Change: the room of a run that has not started is withheld until a write without the placement is durable, so that no record with a new placement there is written before.

--- a/src/batch/owner/job_registry_base.h
+++ b/src/batch/owner/job_registry_base.h
@@ -43,6 +43,8 @@
     std::vector<ListedEnd> ends;
     // Runs whose recorded lapse is withdrawn by the write, so that their worker may get starts and renewals again.
     std::vector<PlacedRun> withdrawnLapses;
+    // Runs that the write does not show as placed any more, so that their worker may give their room away.
+    std::vector<PlacedRun> withdrawn;
 };
 
 // One job of the registry, with the state of its writes.
--- a/src/batch/owner/owner_part_base.h
+++ b/src/batch/owner/owner_part_base.h
@@ -84,6 +84,11 @@
     void applyWorkerUpdate(const WorkerUpdate& update, absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void handleRunEnd(const EndedRun& ended, const WorkerUpdate& update, absl::Time now)
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    // Keeps the room of a run that has not started from being given away until the next write of the job, and gives
+    // the room of such runs back.
+    void withholdRoom(JobEntry& entry, const RunKey& run, const WorkerName& worker)
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    void releaseRooms(absl::Span<const PlacedRun> withdrawn) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     // Whether a start of the run may still be executed by the worker.
     bool mayStillStart(const RunKey& run, const WorkerName& worker) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void recordStarted(const RunKey& run, const WorkerName& worker, absl::Time now)
--- a/src/batch/owner/owner_run_cmd.cpp
+++ b/src/batch/owner/owner_run_cmd.cpp
@@ -194,6 +194,8 @@
         return;
     }
     m_jobs.markDirty(*entry);
+    if (ended.end == RunEnd::NotStarted)
+        withholdRoom(*entry, ended.run, update.worker);
     if (ended.number != 0)
         entry->pending.ends.push_back({ update.worker, update.processStartMs, ended.number });
     if (!isChanged)
@@ -206,6 +208,25 @@
     stopRunsOf(*entry, now);
 }
 
+// A worker may start what has not run there, so the next owner may, too, as long as the store shows it as placed.
+void OwnerPart::withholdRoom(JobEntry& entry, const RunKey& run, const WorkerName& worker)
+{
+    WorkerSession* session = m_workers.find(worker);
+    if (session == nullptr || entry.progress.find(run.task.task) == nullptr)
+        return;
+    session->withholdRoom(run, countedDemand(entry.progress.stepSpec(run.task.task.step)));
+    entry.pending.withdrawn.push_back({ run, worker });
+}
+
+void OwnerPart::releaseRooms(absl::Span<const PlacedRun> withdrawn)
+{
+    for (const PlacedRun& run : withdrawn) {
+        if (WorkerSession* session = m_workers.find(run.worker))
+            session->releaseRoom(run.run);
+    }
+    m_isAllocationDue = m_isAllocationDue || !withdrawn.empty();
+}
+
 bool OwnerPart::mayStillStart(const RunKey& run, const WorkerName& worker) const
 {
     const auto session = m_workers.sessions().find(worker);
@@ -264,6 +285,7 @@
         if (WorkerSession* session = m_workers.find(withdrawn.worker))
             session->markLapseWithdrawn(withdrawn.run);
     }
+    releaseRooms(update.withdrawn);
 }
 
 // Gives back the capacity of placements that cannot become durable.
@@ -277,8 +299,10 @@
     JobEntry* entry = m_jobs.find(job);
     if (entry == nullptr)
         return;
-    for (const PlacedRun& placed : std::exchange(entry->pending.placed, {}))
+    const std::vector<PlacedRun> refused = std::exchange(entry->pending.placed, {});
+    for (const PlacedRun& placed : refused)
         stopRun(placed.run, placed.worker, StopReason::WorkerUnavailable, now);
+    releaseRooms(refused);
 }
 
 // Sends the start of a run whose placement is durable, or drops the run if its job no longer wants it or its worker no
--- a/src/batch/owner/progress_writer_base.cpp
+++ b/src/batch/owner/progress_writer_base.cpp
@@ -181,6 +181,7 @@
         update.ends.insert(update.ends.end(), work.ends.begin(), work.ends.end());
         update.withdrawnLapses.insert(
             update.withdrawnLapses.end(), work.withdrawnLapses.begin(), work.withdrawnLapses.end());
+        update.withdrawn.insert(update.withdrawn.end(), work.withdrawn.begin(), work.withdrawn.end());
     }
     m_jobsPerCommit = std::min(maxJobsPerCommit, m_jobsPerCommit + std::max<std::size_t>(1, m_inFlight.size()));
     m_inFlight.clear();
@@ -245,6 +246,8 @@
         ends.insert(ends.begin(), unwritten.work.ends.begin(), unwritten.work.ends.end());
         std::vector<PlacedRun>& lapses = entry->pending.withdrawnLapses;
         lapses.insert(lapses.begin(), unwritten.work.withdrawnLapses.begin(), unwritten.work.withdrawnLapses.end());
+        std::vector<PlacedRun>& withdrawn = entry->pending.withdrawn;
+        withdrawn.insert(withdrawn.begin(), unwritten.work.withdrawn.begin(), unwritten.work.withdrawn.end());
         m_jobs.markDirty(*entry);
     }
     m_removals.clear();
--- a/src/batch/owner/progress_writer_base.h
+++ b/src/batch/owner/progress_writer_base.h
@@ -16,6 +16,7 @@
     std::vector<PlacedRun> placed;
     std::vector<ListedEnd> ends;
     std::vector<PlacedRun> withdrawnLapses;
+    std::vector<PlacedRun> withdrawn;
     // The commit failed because another owner has raised the epoch.
     bool isSuperseded = false;
     // The store gave no reply, or refused the commit. The work is queued again.
--- a/src/batch/worker/worker_session_base.cpp
+++ b/src/batch/worker/worker_session_base.cpp
@@ -88,9 +88,19 @@
     Resources capacity = entry().capacity;
     for (const auto& [run, slot] : m_runs)
         capacity -= slot.demand;
+    for (const auto& [run, demand] : m_withheldRoom)
+        capacity -= demand;
     return capacity;
 }
 
+bool WorkerSession::isOvercommitted() const
+{
+    Resources capacity = entry().capacity;
+    for (const auto& [run, slot] : m_runs)
+        capacity -= slot.demand;
+    return capacity.cpuMillis < 0 || capacity.memoryBytes < 0 || capacity.accelerators < 0;
+}
+
 Resources WorkerSession::freeCapacityAfterStops() const
 {
     Resources capacity = entry().capacity;
--- a/src/batch/worker/worker_session_base.h
+++ b/src/batch/worker/worker_session_base.h
@@ -151,10 +151,14 @@
     bool acceptsWork(absl::Time now) const { return availability(now) == WorkerAvailability::Available; }
     WorkerAvailability availability(absl::Time now) const;
 
-    // The capacity that no run uses.
+    // The capacity that no run uses and that is not withheld.
     Resources freeCapacity() const;
-    // The capacity that is free once every run that is being stopped has ended.
+    // The capacity that is free once every run that is being stopped has ended and nothing is withheld any more.
     Resources freeCapacityAfterStops() const;
+    // Withholds the capacity of a run that has not started and is dropped, until the store does not show it as placed
+    // any more: otherwise the next owner might start it beside what was placed in its room.
+    void withholdRoom(const RunKey& run, const Resources& demand) { m_withheldRoom[run] = demand; }
+    void releaseRoom(const RunKey& run) { m_withheldRoom.erase(run); }
 
     // Reserves capacity for a run whose placement is not durable yet.
     void reserve(const RunKey& run, const Resources& demand, absl::Time now);
@@ -327,6 +331,9 @@
     absl::Time commandDueAt(const RunSlot& slot) const;
     // When the next start command of the run is due, if there is room for it.
     absl::Time startDueAt(const RunSlot& slot) const;
+    // Whether all that may run on the worker does not fit together, as an earlier owner has placed it in other order
+    // than it has written it.
+    bool isOvercommitted() const;
 
     // The last row of the worker, which may be that of an earlier process or of another writer.
     WorkerEntry m_entry;
@@ -353,6 +360,8 @@
     bool m_hasDeregistered = false;
     bool m_hasAnswered = false;
     absl::btree_map<RunKey, RunSlot> m_runs;
+    // What is withheld of the capacity, by the run that it was reserved for.
+    absl::btree_map<RunKey, Resources> m_withheldRoom;
 
     // The worker's clock in its last reply, and when that reply was received.
     WorkerMillis m_workerClock = 0;
--- a/src/batch/worker/worker_session_call_cmd.cpp
+++ b/src/batch/worker/worker_session_call_cmd.cpp
@@ -145,6 +145,9 @@
         && !isClosedToStarts() && m_pendingStarts < maxPendingStarts && !hasRecordedLapse();
     if (slot.stage != RunSlot::Stage::Starting || slot.pendingStarts >= maxPendingStartsOfRun || !mayStart)
         return absl::InfiniteFuture();
+    // Of an adopted run it is unknown whether it has been started, so one more start may exceed the capacity.
+    if (isOvercommitted())
+        return absl::InfiniteFuture();
     // The next process would forget the end of the run for an acknowledgement that comes late.
     const absl::Time acknowledgedBy = m_commands.unansweredAcknowledgementUntil();
     if (slot.isUnsent())
--- a/src/batch/worker/worker_session_reply_cmd.cpp
+++ b/src/batch/worker/worker_session_reply_cmd.cpp
@@ -148,7 +148,8 @@
 
 bool WorkerSession::isRemovable(absl::Time now) const
 {
-    return !isListed() && m_runs.empty() && !m_isPollPending && m_commands.lastEffectAt() <= now;
+    return !isListed() && m_runs.empty() && m_withheldRoom.empty() && !m_isPollPending
+        && m_commands.lastEffectAt() <= now;
 }
 
 void WorkerSession::recordFailedCall(const SessionCall& context, const absl::Status& status, SessionUpdate& update)
