Fix: the poll that would settle a start moves its end once more if it gets no reply

Cause: a poll that is sent at that time carries a renewal. Without a reply, a later process may have executed the start, and may execute the renewal. Change: such a poll renews nothing; its reply settles the start, and the next poll renews the lease. Evidence: LateRenewal.ThePollThatSettlesAStartDoesNotMoveItsEnd fails on the code before and passes now.

--- a/src/batch/worker/worker_session_call_cmd.cpp
+++ b/src/batch/worker/worker_session_call_cmd.cpp
@@ -294,7 +294,9 @@
     due.call.command = PollRuns { m_sentAcknowledgedEnd, wait };
     // The lease of a worker that does not reply is not renewed, so that it expires: the renewal might arrive even
     // though the reply does not.
-    if (m_failedCalls == 0 && !hasRecordedLapse())
+    // Neither does a poll that settles a start: without a reply a later process may have executed the start, and then
+    // the renewal.
+    if (m_failedCalls == 0 && !hasRecordedLapse() && nextSettlement() > now)
         grantLease(due, now);
     due.context.wait = wait;
     due.context.acknowledgedEnd = m_sentAcknowledgedEnd;
--- a/tests/batch/worker_session_lease_test.cpp
+++ b/tests/batch/worker_session_lease_test.cpp
@@ -321,6 +321,33 @@
     EXPECT_LT(lapseOfASilentWorker(), renewedAt + SessionSettings().maxLease + absl::Seconds(1));
 }
 
+// Guards against LOST: the poll that would settle a start gets no reply, and its renewal moves the end of the run once
+// more, for a start that cannot come any more.
+TEST_F(LateRenewal, ThePollThatSettlesAStartDoesNotMoveItsEnd)
+{
+    settle();
+    const absl::Time until = leaveStartWithoutReply();
+    while (m_now < until - absl::Milliseconds(300)) {
+        if (isDue(SessionCall::Kind::Start))
+            m_session.handleReply(due(SessionCall::Kind::Start).context, noAnswer(), m_now);
+        m_now += absl::Milliseconds(100);
+        if (isDue(SessionCall::Kind::Stop))
+            m_session.handleReply(due(SessionCall::Kind::Stop).context, noAnswer(), m_now);
+        if (isDue(SessionCall::Kind::Poll))
+            m_session.handleReply(
+                due(SessionCall::Kind::Poll).context, answerOf(5000 + absl::ToInt64Milliseconds(m_now - start)), m_now);
+    }
+    const absl::Time settledAt = m_session.startsMayComeUntil(runOf(0));
+    ASSERT_GT(settledAt, m_now);
+    while (m_now < settledAt) {
+        m_now += absl::Milliseconds(100);
+        if (m_now < settledAt && isDue(SessionCall::Kind::Poll))
+            m_session.handleReply(
+                due(SessionCall::Kind::Poll).context, answerOf(5000 + absl::ToInt64Milliseconds(m_now - start)), m_now);
+    }
+    EXPECT_LE(lapseOfASilentWorker(), settledAt + SessionSettings().longestLease() + absl::Seconds(1));
+}
+
 // Guards against TWICE after a change of owner: the worker's process has just started, and the former owner may have
 // sent a renewal to the one before.
 TEST_F(LateRenewal, KeepsAnAdoptedRunOfAYoungProcessUntilTheLeaseItMayGrantIsOver)
