Fix: a start that a silent worker's process has outlived is waited for with a lease of a later process

Cause: what the worker's rows say of its process was not used for that. Change: two readable rows in turn that name the process a start was sent to, the first one written when the start could not come any more, show that no later process has executed it (one row may be a write that was executed late). What is left is the lease that the owner has granted to that process itself. Evidence: LateRenewal.RowsOfASilentWorkerEndAStartThatCannotComeAnyMore fails on the code before and passes now; OutstandingCommandsTest.BindsAStartToAProcessThatHasOutlivedIt checks that earlier rows, those of other processes and later sendings change nothing.

--- a/src/batch/worker/outstanding_commands_base.cpp
+++ b/src/batch/worker/outstanding_commands_base.cpp
@@ -95,12 +95,14 @@
     m_commands.erase(std::remove_if(m_commands.begin(), m_commands.end(), isSettled), m_commands.end());
 }
 
-void OutstandingCommands::recordStartsOfEarlierOwner(const RunKey& run, absl::Time now, absl::Time until)
+void OutstandingCommands::recordStartsOfEarlierOwner(
+    const RunKey& run, absl::Time now, absl::Time until, std::int64_t processStartMs)
 {
     SessionCall call;
     call.kind = SessionCall::Kind::Start;
     call.run = run;
     call.sentAt = now;
+    call.processStartMs = processStartMs;
     m_commands.push_back({ .call = call,
         .until = std::min(now + commandCallTimeout + maxDelay, until),
         .isPending = false,
@@ -209,7 +211,8 @@
 {
     absl::Time until = earlierOwnersUntil(processStartMs);
     for (const Command& command : m_commands) {
-        const bool isForeign = processStartMs == 0 || command.call.processStartMs != processStartMs;
+        const bool isOther = processStartMs == 0 || command.call.processStartMs != processStartMs;
+        const bool isForeign = isOther && !command.isBoundToProcess;
         if (command.call.renewsLease && isForeign)
             until = std::max(until, command.until + (command.isPending ? longestCall : absl::ZeroDuration()));
     }
@@ -219,9 +222,35 @@
 // Any later process may have a run that may still start, and its start carries a lease.
 absl::Time OutstandingCommands::foreignLeaseEnd(const RunKey& run, std::int64_t processStartMs) const
 {
-    if (mayStart(run))
-        return std::max(startsMayComeUntil(run), foreignRenewalUntil(0)) + m_longestLease;
-    return foreignRenewalUntil(processStartMs) + m_longestLease;
+    if (!mayStart(run))
+        return foreignRenewalUntil(processStartMs) + m_longestLease;
+    const std::int64_t onlyProcess = onlyProcessOf(run);
+    if (onlyProcess != 0)
+        return foreignRenewalUntil(onlyProcess) + m_longestLease;
+    return std::max(startsMayComeUntil(run), foreignRenewalUntil(0)) + m_longestLease;
+}
+
+std::int64_t OutstandingCommands::onlyProcessOf(const RunKey& run) const
+{
+    std::int64_t process = 0;
+    for (const Command& command : m_commands) {
+        if (!command.mayStart || command.call.run != run)
+            continue;
+        const bool isOther = process != 0 && process != command.call.processStartMs;
+        if (!command.isBoundToProcess || isOther)
+            return 0;
+        process = command.call.processStartMs;
+    }
+    return process;
+}
+
+void OutstandingCommands::recordAlive(std::int64_t processStartMs, absl::Time aliveAt)
+{
+    for (Command& command : m_commands) {
+        const bool isOver = !command.isPending && command.until <= aliveAt;
+        if (isOver && processStartMs != 0 && command.call.processStartMs == processStartMs)
+            command.isBoundToProcess = true;
+    }
 }
 
 std::int64_t OutstandingCommands::unansweredAcknowledgement(std::int64_t processStartMs) const
--- a/src/batch/worker/outstanding_commands_base.h
+++ b/src/batch/worker/outstanding_commands_base.h
@@ -42,15 +42,19 @@
     // Records that this process, given by its start, has replied to a command that was sent then: no later process has
     // sent a reply that had arrived before.
     void settleRepliesBefore(absl::Time sentAt, std::int64_t processStartMs);
-    // Records that an earlier owner may have sent any number of starts of the run, none of which is executed after
-    // `until`.
-    void recordStartsOfEarlierOwner(const RunKey& run, absl::Time now, absl::Time until = absl::InfiniteFuture());
+    // Records that an earlier owner may have sent any number of starts of the run to the process, given by its start,
+    // none of which is executed after `until`.
+    void recordStartsOfEarlierOwner(
+        const RunKey& run, absl::Time now, absl::Time until = absl::InfiniteFuture(), std::int64_t processStartMs = 0);
     // Records that an earlier owner has written that no command to an earlier process than this one, given by its
     // start, is executed by it after `until`, on the clock of that owner.
     void recordEarlierCommandsUntil(std::int64_t processStartMs, absl::Time until);
     // Records that this process, given by its start, has executed a poll of this owner, and so has seen its epoch: from
     // now on it refuses what earlier owners have sent. Only the first record of a process counts.
     void recordEpochSeen(std::int64_t processStartMs, absl::Time now);
+    // Records that this process, given by its start, was still there then: no later one has executed what was sent to
+    // it and could not be executed any more by then.
+    void recordAlive(std::int64_t processStartMs, absl::Time aliveAt);
     // Records that the worker's present process shows the run for the first time, so that one of its starts was
     // executed.
     void recordShown(const RunKey& run, absl::Time now);
@@ -104,12 +108,16 @@
         bool mayStart = false;
         // It stands for any number of starts.
         bool isOfEarlierOwner = false;
+        // Only the called process may have executed it.
+        bool isBoundToProcess = false;
     };
 
     Command* find(const SessionCall& call);
     void erase(const SessionCall& call);
     // Keeps of an executed command only the lease that it may have granted to another process than it was sent to.
     static void markExecuted(Command& command, absl::Time now);
+    // The only process that may have executed a start of the run, given by its start; 0 if it may be any.
+    std::int64_t onlyProcessOf(const RunKey& run) const;
     // Until when a command of an earlier owner to an earlier process may be executed by the process; 0 stands for any.
     absl::Time earlierOwnersUntil(std::int64_t processStartMs) const;
 
--- a/src/batch/worker/worker_session_base.cpp
+++ b/src/batch/worker/worker_session_base.cpp
@@ -25,6 +25,10 @@
 
 void WorkerSession::update(const WorkerEntry& entry, absl::Time reportedAfter, absl::Time now)
 {
+    // A write of a row may be executed late, so two rows of a process in turn show that it was there at the first one.
+    if (entry.processStartMs == m_entry.processStartMs)
+        m_commands.recordAlive(entry.processStartMs, m_rowWrittenAfter);
+    m_rowWrittenAfter = reportedAfter;
     m_entry = entry;
     m_claim.recordRow(entry.address, entry.processStartMs, now);
     takeProcessEntry();
@@ -147,7 +151,8 @@
         slot.confirmedAt = absl::InfinitePast();
         slot.likelyProcessStartMs = placedOn.startMs;
     } else {
-        m_commands.recordStartsOfEarlierOwner(run, now, slot.recordedLapse - m_settings.longestLease());
+        m_commands.recordStartsOfEarlierOwner(
+            run, now, slot.recordedLapse - m_settings.longestLease(), placedOn.startMs);
     }
     m_runs[run] = slot;
     m_hasRecordedLapse = m_hasRecordedLapse || lapsesByMs != 0;
--- a/src/batch/worker/worker_session_base.h
+++ b/src/batch/worker/worker_session_base.h
@@ -356,6 +356,8 @@
     bool m_isListed = true;
     // The worker's last known report was made after this time.
     absl::Time m_reportedAfter = absl::InfinitePast();
+    // The last row was written after this time.
+    absl::Time m_rowWrittenAfter = absl::InfinitePast();
     // The row was removed by the worker itself, which does so as it leaves.
     bool m_hasDeregistered = false;
     bool m_hasAnswered = false;
--- a/tests/batch/outstanding_commands_test.cpp
+++ b/tests/batch/outstanding_commands_test.cpp
@@ -122,6 +122,24 @@
     EXPECT_EQ(commands.foreignLeaseEnd(run, 0), begin + longestPoll + longestDelay + longestLease);
 }
 
+// Usual work does not wait: a process that is still there when a start cannot come any more is the only one that may
+// have executed it, with the lease that was meant for it.
+TEST_F(OutstandingCommandsTest, BindsAStartToAProcessThatHasOutlivedIt)
+{
+    m_commands.recordNoReply(send(SessionCall::Kind::Start), m_now);
+    m_commands.recordNoReply(send(SessionCall::Kind::Poll), m_now);
+    m_commands.recordAlive(firstProcess, m_now + longestDelay - absl::Milliseconds(1));
+    m_commands.recordAlive(nextProcess, m_now + longestDelay);
+    EXPECT_EQ(m_commands.foreignLeaseEnd(run, firstProcess), m_now + longestDelay + longestLease);
+    m_commands.recordAlive(firstProcess, m_now + longestDelay);
+    EXPECT_TRUE(m_commands.mayStart(run));
+    EXPECT_EQ(m_commands.foreignLeaseEnd(run, firstProcess), absl::InfinitePast());
+    // A later sending may come to a later process.
+    m_now += longestDelay;
+    m_commands.recordNoReply(send(SessionCall::Kind::Start), m_now);
+    EXPECT_EQ(m_commands.foreignLeaseEnd(run, firstProcess), m_now + longestDelay + longestLease);
+}
+
 // Usual work does not wait: a process that has executed a poll of this owner has seen its epoch, and refuses what
 // earlier owners have sent. What it has executed before keeps its lease.
 TEST_F(OutstandingCommandsTest, CountsNothingOfEarlierOwnersForAProcessThatHasSeenTheEpoch)
--- a/tests/batch/worker_session_lease_test.cpp
+++ b/tests/batch/worker_session_lease_test.cpp
@@ -348,6 +348,22 @@
     EXPECT_LE(lapseOfASilentWorker(), settledAt + SessionSettings().longestLease() + absl::Seconds(1));
 }
 
+// Guards against LOST: a worker is cut off from the owner only, and its rows show that its process has outlived the
+// start. The run is over with the lease of that process, without one for a later process on top.
+TEST_F(LateRenewal, RowsOfASilentWorkerEndAStartThatCannotComeAnyMore)
+{
+    settle();
+    const absl::Time until = leaveStartWithoutReply();
+    m_session.handleReply(due(SessionCall::Kind::Poll).context, noAnswer(), m_now);
+    m_now = until;
+    EXPECT_TRUE(m_session.takeLapsedRuns(m_now).empty());
+    m_session.update(makeWorkerEntry("w"), m_now, m_now);
+    EXPECT_TRUE(m_session.takeLapsedRuns(m_now).empty());
+    m_now += absl::Milliseconds(1500);
+    m_session.update(makeWorkerEntry("w"), m_now, m_now);
+    EXPECT_EQ(m_session.takeLapsedRuns(m_now).size(), 1U);
+}
+
 // Guards against TWICE after a change of owner: the worker's process has just started, and the former owner may have
 // sent a renewal to the one before.
 TEST_F(LateRenewal, KeepsAnAdoptedRunOfAYoungProcessUntilTheLeaseItMayGrantIsOver)
