Fix: a session that withholds room of a worker without a row is due without end

Cause: what withholds room is not removed, but was due for its removal, so that the owner's part woke again at once.

--- a/src/batch/worker/worker_session_call_cmd.cpp
+++ b/src/batch/worker/worker_session_call_cmd.cpp
@@ -231,7 +231,8 @@
             due = std::min(due, lapsesAt(run, slot));
     }
     // An unlisted worker is removed then.
-    if (!isListed() && m_runs.empty() && !m_isPollPending && m_commands.lastEffectAt() != absl::InfinitePast())
+    const bool isIdle = m_runs.empty() && m_withheldRoom.empty() && !m_isPollPending;
+    if (!isListed() && isIdle && m_commands.lastEffectAt() != absl::InfinitePast())
         due = std::min(due, m_commands.lastEffectAt());
     return due;
 }
--- a/tests/batch/worker_session_lease_test.cpp
+++ b/tests/batch/worker_session_lease_test.cpp
@@ -312,6 +312,26 @@
     EXPECT_FALSE(m_session.isRemovable(m_now + SessionSettings().maxLease));
 }
 
+// Guards against a session that is due without end: it is not removed while it withholds room, and nothing else of it
+// is due.
+TEST_F(LateRenewal, KeepsTheSessionOfAnUnlistedWorkerWhileItWithholdsRoom)
+{
+    settle();
+    m_session.handleReply(startRun(runOf(0)), answerOf(5100), m_now);
+    m_session.handleReply(due(SessionCall::Kind::Poll).context, noAnswer(), m_now);
+    m_now += absl::Seconds(1);
+    m_session.markUnlisted();
+    ASSERT_EQ(answerPoll(listOfNextProcess(50)).ended.size(), 1U);
+    m_session.withholdRoom(runOf(1), { 100, 100, 4 });
+    EXPECT_EQ(m_session.freeCapacity().accelerators, 4);
+    EXPECT_EQ(m_session.freeCapacityAfterStops().accelerators, 8);
+    m_now += absl::Seconds(60);
+    EXPECT_FALSE(m_session.isRemovable(m_now));
+    EXPECT_GT(m_session.nextDue(), m_now);
+    m_session.releaseRoom(runOf(1));
+    EXPECT_TRUE(m_session.isRemovable(m_now));
+}
+
 // Usual work does not wait: a renewal that got no reply keeps its deadline at the process that it was meant for.
 TEST_F(LateRenewal, EndsTheRunsOfTheCalledProcessWithTheLastLease)
 {
