Codechange: the worker's clock and lease are an aggregate of their own

WorkerSession held the clock of the last reply, the granted lease and its bound in five members and reckoned with them in four files. No behaviour changes.

--- a/src/batch/worker/worker_session_base.cpp
+++ b/src/batch/worker/worker_session_base.cpp
@@ -16,8 +16,7 @@
     : m_entry(std::move(entry))
     , m_epoch(epoch)
     , m_settings(settings)
-    , m_grantedLease(std::min(settings.requestedLease, settings.maxLease))
-    , m_leaseBound(ownedSince + settings.longestLease())
+    , m_lease(std::min(settings.requestedLease, settings.maxLease), ownedSince + settings.longestLease())
     , m_commands(ownedSince, settings.longestLease())
     , m_pollWait(settings.pollWait)
 {
@@ -157,7 +156,7 @@
     m_runs[run] = slot;
     m_hasRecordedLapse = m_hasRecordedLapse || lapsesByMs != 0;
     // An earlier owner may have granted the longest lease just before.
-    m_leaseBound = std::max(m_leaseBound, now + m_settings.longestLease());
+    m_lease.extendTo(now + m_settings.longestLease());
 }
 
 void WorkerSession::adoptDone(const RunKey& run, const Resources& demand, absl::Time now)
@@ -170,7 +169,7 @@
     m_commands.recordStartsOfEarlierOwner(run, now);
     m_runs[run] = slot;
     // An earlier owner may have granted the longest lease just before.
-    m_leaseBound = std::max(m_leaseBound, now + m_settings.longestLease());
+    m_lease.extendTo(now + m_settings.longestLease());
 }
 
 absl::optional<EndedRun> WorkerSession::stop(const RunKey& run, absl::Time now)
--- a/src/batch/worker/worker_session_base.h
+++ b/src/batch/worker/worker_session_base.h
@@ -20,13 +20,11 @@
 #include "batch/worker/run_slot_type.h"
 #include "batch/worker/session_call_type.h"
 #include "batch/worker/worker_health_base.h"
+#include "batch/worker/worker_lease_base.h"
 #include "batch/worker/worker_type.h"
 
 namespace mangohall::batch {
 
-// A worker's clock may be slow by less than this share, so that its lease lasts longer on the owner's clock.
-inline constexpr double maxClockDrift = 0.025;
-
 // Delay before a command that got no reply is sent again.
 inline constexpr absl::Duration commandRetryPeriod = absl::Milliseconds(250);
 
@@ -274,8 +272,6 @@
     void recordAnswer(const SessionCall& context, const WorkerReply& reply, absl::Time now, SessionUpdate& update);
     // When the process that is called now started, as far as its row or its replies show.
     std::int64_t calledProcessStart() const;
-    // Whether the clock in a reply differs so much from the expected one that another process may have sent the reply.
-    bool isClockUnexpected(WorkerMillis clock, absl::Time now) const;
     // Asks the worker whether its process was replaced by one with this start.
     void suspectRestart(std::int64_t processStartMs);
     // Ends the suspicion if the worker has replied to a poll that was sent after it began.
@@ -320,9 +316,6 @@
     DueCall makePoll(absl::Time now);
     DueCall makeRunCall(SessionCall::Kind kind, const RunKey& run, absl::Time now);
     WorkerCall makeCall(absl::Duration timeout) const;
-    // The end of a lease that is granted now, on the worker's clock; 0 if that clock is unknown.
-    WorkerMillis leaseUntil(absl::Time now) const;
-    void extendLeaseBound(absl::Time now);
     // Makes the call renew the lease if the worker's clock is known.
     void grantLease(DueCall& due, absl::Time now);
     // Delay before a stop is repeated that got no reply.
@@ -351,8 +344,6 @@
     absl::Time m_leavesAt = absl::InfiniteFuture();
     const Epoch m_epoch;
     const SessionSettings m_settings;
-    // How long a lease lasts that the owner grants.
-    const absl::Duration m_grantedLease;
     bool m_isListed = true;
     // The worker's last known report was made after this time.
     absl::Time m_reportedAfter = absl::InfinitePast();
@@ -365,14 +356,7 @@
     // What is withheld of the capacity, by the run that it was reserved for.
     absl::btree_map<RunKey, Resources> m_withheldRoom;
 
-    // The worker's clock in its last reply, and when that reply was received.
-    WorkerMillis m_workerClock = 0;
-    absl::Time m_clockReadAt = absl::InfinitePast();
-    // When the last command that renews the lease was sent.
-    absl::Time m_leaseSentAt = absl::InfinitePast();
-    // Until when, on the owner's clock, the leases granted so far may keep a run going.
-    absl::Time m_leaseBound = absl::InfinitePast();
-
+    WorkerLease m_lease;
     OutstandingCommands m_commands;
 
     absl::Duration m_pollWait;
--- a/src/batch/worker/worker_session_lease_cmd.cpp
+++ b/src/batch/worker/worker_session_lease_cmd.cpp
@@ -6,42 +6,15 @@
 
 namespace mangohall::batch {
 
-namespace {
-
-// Added to the latest end of a worker's lease, on top of the clock drift.
-constexpr absl::Duration leaseMargin = absl::Milliseconds(300);
-
-} // namespace
-
 absl::Duration SessionSettings::longestLease() const
 {
     return maxLease * (1 + maxClockDrift) + leaseMargin;
 }
 
-// The lease may be renewed now. Its end is reckoned from the worker's clock when that was last read, and the clock may
-// have gone slower since.
-void WorkerSession::extendLeaseBound(absl::Time now)
-{
-    const absl::Duration clockAge = m_clockReadAt == absl::InfinitePast() ? absl::ZeroDuration() : now - m_clockReadAt;
-    const absl::Duration drift = (m_grantedLease + clockAge) * maxClockDrift;
-    m_leaseBound = std::max(m_leaseBound, now + m_grantedLease + drift + leaseMargin);
-}
-
-WorkerMillis WorkerSession::leaseUntil(absl::Time now) const
-{
-    if (m_clockReadAt == absl::InfinitePast())
-        return 0;
-    return m_workerClock + absl::ToInt64Milliseconds(now - m_clockReadAt + m_grantedLease);
-}
-
 void WorkerSession::grantLease(DueCall& due, absl::Time now)
 {
-    due.call.leaseUntil = leaseUntil(now);
+    due.call.leaseUntil = m_lease.grant(now);
     due.context.renewsLease = due.call.leaseUntil != 0;
-    if (!due.context.renewsLease)
-        return;
-    m_leaseSentAt = now;
-    extendLeaseBound(now);
 }
 
 // A worker that was draining, has removed its row and has no process at its address is gone, with all its runs. It
@@ -56,7 +29,7 @@
 {
     if (slot.stage == RunSlot::Stage::Reserved || slot.pendingStarts > 0)
         return absl::InfiniteFuture();
-    return std::min(slot.recordedLapse, std::max(m_leaseBound, m_commands.foreignLeaseEnd(run, processOf(run))));
+    return std::min(slot.recordedLapse, std::max(m_lease.bound(), m_commands.foreignLeaseEnd(run, processOf(run))));
 }
 
 void WorkerSession::updateHasRecordedLapse()
@@ -143,7 +116,7 @@
         else
             ended.push_back({ it->first, RunEnd::LeaseLapsed, "", 0, *evidence });
         if (*evidence == EndEvidence::LeaseExpired)
-            ended.back().leaseAge = now - m_leaseSentAt;
+            ended.back().leaseAge = now - m_lease.grantedAt();
         m_commands.settleStarts(it->first);
         it = m_runs.erase(it);
     }
--- a/src/batch/worker/worker_session_process_cmd.cpp
+++ b/src/batch/worker/worker_session_process_cmd.cpp
@@ -5,14 +5,6 @@
 
 namespace mangohall::batch {
 
-namespace {
-
-// Replies of one process show clocks that differ from the expected one by less than this, on top of the clock drift:
-// they are delayed, and overtake each other.
-constexpr absl::Duration clockTolerance = absl::Milliseconds(500);
-
-} // namespace
-
 void WorkerSession::takeProcessEntry()
 {
     if (m_entry.processStartMs == m_processStartMs)
@@ -26,24 +18,13 @@
     return m_processStartMs != 0 ? m_processStartMs : m_entry.processStartMs;
 }
 
-// Each process has a clock of its own, and only the reply to a poll names the process. A process that was suspended has
-// an unexpected clock as well.
-bool WorkerSession::isClockUnexpected(WorkerMillis clock, absl::Time now) const
-{
-    if (clock == 0 || m_clockReadAt == absl::InfinitePast())
-        return false;
-    const absl::Duration elapsed = now - m_clockReadAt;
-    const absl::Duration difference = absl::Milliseconds(clock - m_workerClock) - elapsed;
-    return absl::AbsDuration(difference) > clockTolerance + elapsed * maxClockDrift;
-}
-
 // A reply to a start does not name its process; the clock tells whether it is the one that has replied last.
 std::int64_t WorkerSession::replyingProcess(const WorkerReply& reply, absl::Time now) const
 {
     if (reply.processStartMs != 0)
         return reply.processStartMs;
-    const bool isClockKnown = reply.clock != 0 && m_clockReadAt != absl::InfinitePast();
-    return isClockKnown && !m_isRestartSuspected && !isClockUnexpected(reply.clock, now) ? m_processStartMs : 0;
+    const bool isClockKnown = reply.clock != 0 && m_lease.isClockKnown();
+    return isClockKnown && !m_isRestartSuspected && !m_lease.isClockUnexpected(reply.clock, now) ? m_processStartMs : 0;
 }
 
 // A start that the worker has not confirmed when it was asked is not asked about again.
@@ -54,8 +35,7 @@
     m_suspectedStartMs = processStartMs;
     m_isRestartSuspected = true;
     m_hasAnswered = false;
-    m_workerClock = 0;
-    m_clockReadAt = absl::InfinitePast();
+    m_lease.forgetClock();
 }
 
 void WorkerSession::resolveSuspicion(const SessionCall& context)
@@ -80,8 +60,7 @@
         m_sentAcknowledgedEnd = 0;
         m_confirmedAcknowledgement = 0;
         m_hasAnswered = false;
-        m_workerClock = 0;
-        m_clockReadAt = absl::InfinitePast();
+        m_lease.forgetClock();
         m_repliedSentAt = absl::InfinitePast();
     }
     m_processStartMs = processStartMs;
--- a/src/batch/worker/worker_session_reply_cmd.cpp
+++ b/src/batch/worker/worker_session_reply_cmd.cpp
@@ -175,7 +175,7 @@
     // The row may have named a later process before the worker's first reply.
     suspectRestart(m_entry.processStartMs);
     // The reply names no process, so any later one may have sent it.
-    if (reply.processStartMs == 0 && isClockUnexpected(reply.clock, now))
+    if (reply.processStartMs == 0 && m_lease.isClockUnexpected(reply.clock, now))
         suspectRestart(std::max(m_processStartMs, m_suspectedStartMs) + 1);
     const bool isPoll = context.kind == SessionCall::Kind::Poll;
     if (isPoll)
@@ -185,10 +185,8 @@
     // The reply may have been sent by an earlier process, whose clock says nothing about the lease of the present one.
     if (m_isRestartSuspected)
         return;
-    if (reply.clock != 0) {
-        m_workerClock = reply.clock;
-        m_clockReadAt = now;
-    }
+    if (reply.clock != 0)
+        m_lease.recordClock(reply.clock, now);
     // Only the reply to a poll shows what became of the commands that were sent while the worker did not reply.
     if (!isPoll)
         return;
