--- a/src/adapters/observe/decision_log_base.cpp
+++ b/src/adapters/observe/decision_log_base.cpp
@@ -1,13 +1,18 @@
 #include "adapters/observe/decision_log_base.h"
 
 #include <algorithm>
+#include <exception>
 #include <memory>
+#include <system_error>
+#include <thread>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "absl/synchronization/notification.h"
 #include "log4cxx/asyncappender.h"
 #include "log4cxx/consoleappender.h"
 #include "log4cxx/logger.h"
+#include "log4cxx/logmanager.h"
 #include "log4cxx/patternlayout.h"
 #include "nlohmann/json.hpp"
 
@@ -133,12 +138,17 @@
     return line;
 }
 
+// Drops the line if the library cannot write it, for example since the system refuses it a thread.
 void writeLine(const nlohmann::json& line)
 {
     constexpr int noIndent = -1;
     const std::string text = line.dump(noIndent, ' ', false, nlohmann::json::error_handler_t::replace);
-    log4cxx::Logger::getRootLogger()->forcedLog(
-        log4cxx::Level::getInfo(), text, log4cxx::spi::LocationInfo::getLocationUnavailable());
+    try {
+        log4cxx::Logger::getRootLogger()->forcedLog(
+            log4cxx::Level::getInfo(), text, log4cxx::spi::LocationInfo::getLocationUnavailable());
+    } catch (const std::exception&) {
+        return;
+    }
 }
 
 } // namespace
@@ -157,6 +167,20 @@
     root->setLevel(log4cxx::Level::getInfo());
 }
 
+bool finishLineLogging(absl::Duration timeout)
+{
+    const auto isFinished = std::make_shared<absl::Notification>();
+    try {
+        std::thread([isFinished] {
+            log4cxx::LogManager::shutdown();
+            isFinished->Notify();
+        }).detach();
+    } catch (const std::system_error&) {
+        return false;
+    }
+    return isFinished->WaitForNotificationWithTimeout(timeout);
+}
+
 DecisionLog::DecisionLog(NodeName self, const Clock& clock)
     : m_self(std::move(self))
     , m_clock(clock)
--- a/src/batch/worker/worker_session_base.cpp
+++ b/src/batch/worker/worker_session_base.cpp
@@ -16,8 +16,7 @@
     : m_entry(std::move(entry))
     , m_epoch(epoch)
     , m_settings(settings)
-    , m_grantedLease(std::min(settings.requestedLease, settings.maxLease))
-    , m_leaseBound(ownedSince + settings.longestLease())
+    , m_lease(std::min(settings.requestedLease, settings.maxLease), ownedSince + settings.longestLease())
     , m_commands(ownedSince, settings.longestLease())
     , m_pollWait(settings.pollWait)
 {
@@ -25,6 +24,10 @@
 
 void WorkerSession::update(const WorkerEntry& entry, absl::Time reportedAfter, absl::Time now)
 {
+    // A write of a row may be executed late, so two rows of a process in turn show that it was there at the first one.
+    if (entry.processStartMs == m_entry.processStartMs)
+        m_commands.recordAlive(entry.processStartMs, m_rowWrittenAfter);
+    m_rowWrittenAfter = reportedAfter;
     m_entry = entry;
     m_claim.recordRow(entry.address, entry.processStartMs, now);
     takeProcessEntry();
@@ -88,9 +91,19 @@
     Resources capacity = entry().capacity;
     for (const auto& [run, slot] : m_runs)
         capacity -= slot.demand;
+    for (const auto& [run, demand] : m_withheldRoom)
+        capacity -= demand;
     return capacity;
 }
 
+bool WorkerSession::isOvercommitted() const
+{
+    Resources capacity = entry().capacity;
+    for (const auto& [run, slot] : m_runs)
+        capacity -= slot.demand;
+    return capacity.cpuMillis < 0 || capacity.memoryBytes < 0 || capacity.accelerators < 0;
+}
+
 Resources WorkerSession::freeCapacityAfterStops() const
 {
     Resources capacity = entry().capacity;
@@ -137,12 +150,13 @@
         slot.confirmedAt = absl::InfinitePast();
         slot.likelyProcessStartMs = placedOn.startMs;
     } else {
-        m_commands.recordStartsOfEarlierOwner(run, now, slot.recordedLapse - m_settings.longestLease());
+        m_commands.recordStartsOfEarlierOwner(
+            run, now, slot.recordedLapse - m_settings.longestLease(), placedOn.startMs);
     }
     m_runs[run] = slot;
     m_hasRecordedLapse = m_hasRecordedLapse || lapsesByMs != 0;
     // An earlier owner may have granted the longest lease just before.
-    m_leaseBound = std::max(m_leaseBound, now + m_settings.longestLease());
+    m_lease.extendTo(now + m_settings.longestLease());
 }
 
 void WorkerSession::adoptDone(const RunKey& run, const Resources& demand, absl::Time now)
@@ -155,7 +169,7 @@
     m_commands.recordStartsOfEarlierOwner(run, now);
     m_runs[run] = slot;
     // An earlier owner may have granted the longest lease just before.
-    m_leaseBound = std::max(m_leaseBound, now + m_settings.longestLease());
+    m_lease.extendTo(now + m_settings.longestLease());
 }
 
 absl::optional<EndedRun> WorkerSession::stop(const RunKey& run, absl::Time now)
--- a/src/batch/worker/worker_session_call_cmd.cpp
+++ b/src/batch/worker/worker_session_call_cmd.cpp
@@ -145,6 +145,9 @@
         && !isClosedToStarts() && m_pendingStarts < maxPendingStarts && !hasRecordedLapse();
     if (slot.stage != RunSlot::Stage::Starting || slot.pendingStarts >= maxPendingStartsOfRun || !mayStart)
         return absl::InfiniteFuture();
+    // Of an adopted run it is unknown whether it has been started, so one more start may exceed the capacity.
+    if (isOvercommitted())
+        return absl::InfiniteFuture();
     // The next process would forget the end of the run for an acknowledgement that comes late.
     const absl::Time acknowledgedBy = m_commands.unansweredAcknowledgementUntil();
     if (slot.isUnsent())
@@ -228,7 +231,8 @@
             due = std::min(due, lapsesAt(run, slot));
     }
     // An unlisted worker is removed then.
-    if (!isListed() && m_runs.empty() && !m_isPollPending && m_commands.lastEffectAt() != absl::InfinitePast())
+    const bool isIdle = m_runs.empty() && m_withheldRoom.empty() && !m_isPollPending;
+    if (!isListed() && isIdle && m_commands.lastEffectAt() != absl::InfinitePast())
         due = std::min(due, m_commands.lastEffectAt());
     return due;
 }
@@ -291,7 +295,9 @@
     due.call.command = PollRuns { m_sentAcknowledgedEnd, wait };
     // The lease of a worker that does not reply is not renewed, so that it expires: the renewal might arrive even
     // though the reply does not.
-    if (m_failedCalls == 0 && !hasRecordedLapse())
+    // Neither does a poll that settles a start: without a reply a later process may have executed the start, and then
+    // the renewal.
+    if (m_failedCalls == 0 && !hasRecordedLapse() && nextSettlement() > now)
         grantLease(due, now);
     due.context.wait = wait;
     due.context.acknowledgedEnd = m_sentAcknowledgedEnd;
--- a/tests/batch/worker_session_lease_test.cpp
+++ b/tests/batch/worker_session_lease_test.cpp
@@ -312,6 +312,26 @@
     EXPECT_FALSE(m_session.isRemovable(m_now + SessionSettings().maxLease));
 }
 
+// Guards against a session that is due without end: it is not removed while it withholds room, and nothing else of it
+// is due.
+TEST_F(LateRenewal, KeepsTheSessionOfAnUnlistedWorkerWhileItWithholdsRoom)
+{
+    settle();
+    m_session.handleReply(startRun(runOf(0)), answerOf(5100), m_now);
+    m_session.handleReply(due(SessionCall::Kind::Poll).context, noAnswer(), m_now);
+    m_now += absl::Seconds(1);
+    m_session.markUnlisted();
+    ASSERT_EQ(answerPoll(listOfNextProcess(50)).ended.size(), 1U);
+    m_session.withholdRoom(runOf(1), { 100, 100, 4 });
+    EXPECT_EQ(m_session.freeCapacity().accelerators, 4);
+    EXPECT_EQ(m_session.freeCapacityAfterStops().accelerators, 8);
+    m_now += absl::Seconds(60);
+    EXPECT_FALSE(m_session.isRemovable(m_now));
+    EXPECT_GT(m_session.nextDue(), m_now);
+    m_session.releaseRoom(runOf(1));
+    EXPECT_TRUE(m_session.isRemovable(m_now));
+}
+
 // Usual work does not wait: a renewal that got no reply keeps its deadline at the process that it was meant for.
 TEST_F(LateRenewal, EndsTheRunsOfTheCalledProcessWithTheLastLease)
 {
@@ -321,6 +341,49 @@
     EXPECT_LT(lapseOfASilentWorker(), renewedAt + SessionSettings().maxLease + absl::Seconds(1));
 }
 
+// Guards against LOST: the poll that would settle a start gets no reply, and its renewal moves the end of the run once
+// more, for a start that cannot come any more.
+TEST_F(LateRenewal, ThePollThatSettlesAStartDoesNotMoveItsEnd)
+{
+    settle();
+    const absl::Time until = leaveStartWithoutReply();
+    while (m_now < until - absl::Milliseconds(300)) {
+        if (isDue(SessionCall::Kind::Start))
+            m_session.handleReply(due(SessionCall::Kind::Start).context, noAnswer(), m_now);
+        m_now += absl::Milliseconds(100);
+        if (isDue(SessionCall::Kind::Stop))
+            m_session.handleReply(due(SessionCall::Kind::Stop).context, noAnswer(), m_now);
+        if (isDue(SessionCall::Kind::Poll))
+            m_session.handleReply(
+                due(SessionCall::Kind::Poll).context, answerOf(5000 + absl::ToInt64Milliseconds(m_now - start)), m_now);
+    }
+    const absl::Time settledAt = m_session.startsMayComeUntil(runOf(0));
+    ASSERT_GT(settledAt, m_now);
+    while (m_now < settledAt) {
+        m_now += absl::Milliseconds(100);
+        if (m_now < settledAt && isDue(SessionCall::Kind::Poll))
+            m_session.handleReply(
+                due(SessionCall::Kind::Poll).context, answerOf(5000 + absl::ToInt64Milliseconds(m_now - start)), m_now);
+    }
+    EXPECT_LE(lapseOfASilentWorker(), settledAt + SessionSettings().longestLease() + absl::Seconds(1));
+}
+
+// Guards against LOST: a worker is cut off from the owner only, and its rows show that its process has outlived the
+// start. The run is over with the lease of that process, without one for a later process on top.
+TEST_F(LateRenewal, RowsOfASilentWorkerEndAStartThatCannotComeAnyMore)
+{
+    settle();
+    const absl::Time until = leaveStartWithoutReply();
+    m_session.handleReply(due(SessionCall::Kind::Poll).context, noAnswer(), m_now);
+    m_now = until;
+    EXPECT_TRUE(m_session.takeLapsedRuns(m_now).empty());
+    m_session.update(makeWorkerEntry("w"), m_now, m_now);
+    EXPECT_TRUE(m_session.takeLapsedRuns(m_now).empty());
+    m_now += absl::Milliseconds(1500);
+    m_session.update(makeWorkerEntry("w"), m_now, m_now);
+    EXPECT_EQ(m_session.takeLapsedRuns(m_now).size(), 1U);
+}
+
 // Guards against TWICE after a change of owner: the worker's process has just started, and the former owner may have
 // sent a renewal to the one before.
 TEST_F(LateRenewal, KeepsAnAdoptedRunOfAYoungProcessUntilTheLeaseItMayGrantIsOver)
